--- /dev/null
+++ b/Source/Connection/connection.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Public header of the connection library: peer links, ownership, slots, membership.
+
+#include "connection_error.h"
+#include "peer_codec.h"
+#include "peer_messages.h"
--- /dev/null
+++ b/Source/Connection/peer_messages.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <Version/version.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisystile {
+
+/// Names one query over the whole fleet; a restarted coordinator never repeats one.
+struct query_reference
+{
+    daemon_id coordinator;
+    incarnation life;
+    query_number query;
+
+    auto operator<=>(const query_reference &) const = default;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(coordinator, life, query);
+    }
+};
+
+/// What is known of one run of one request. Only not_run may be sent again freely.
+enum class run_outcome : std::uint8_t {
+    not_run,
+    done,
+    unknown,
+};
+
+/// Why an attempt brought no result.
+enum class attempt_failure : std::uint8_t {
+    none,
+    snapshot_not_held,
+    shard_not_here,
+    shed,
+    queue_full,
+    too_late,
+    not_owner,
+    server_lost,
+    timed_out,
+    draining,
+    domain_out,
+    quarantined,
+    cancelled,
+    malformed,
+    peer_lost,
+};
+
+struct shard_attempt
+{
+    shard_index shard;
+    attempt_number attempt;
+    backend_server_id server;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(shard, attempt, server);
+    }
+};
+
+/// Shard requests of one query for one owner; the deadline is what is left when it leaves the coordinator.
+struct search_batch
+{
+    query_reference query;
+    service_name service;
+    customer_id customer;
+    urgency rank = urgency::normal;
+    snapshot_id snapshot;
+    shard_map_version mapVersion;
+    std::uint32_t deadlineMs = 0;
+    fingerprint request;
+    std::string body;
+    std::vector<shard_attempt> attempts;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, service, customer, rank, snapshot, mapVersion, deadlineMs, request, body, attempts);
+    }
+};
+
+/// A server's load as its owner counts it, sent with each answer.
+struct server_load
+{
+    std::uint16_t allowed = 0;
+    std::uint16_t running = 0;
+    std::uint16_t queued = 0;
+    /// Recent answer time in microseconds, queueing left out.
+    std::uint32_t latencyUs = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(allowed, running, queued, latencyUs);
+    }
+};
+
+struct shard_answer
+{
+    query_reference query;
+    shard_index shard;
+    attempt_number attempt;
+    backend_server_id server;
+    run_outcome outcome = run_outcome::unknown;
+    attempt_failure failure = attempt_failure::none;
+    /// As the server stated them.
+    snapshot_id snapshot;
+    shard_map_version mapVersion;
+    std::string body;
+    server_load load;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, shard, attempt, server, outcome, failure, snapshot, mapVersion, body, load);
+    }
+};
+
+/// Attempts whose answers are no longer wanted.
+struct cancel_batch
+{
+    query_reference query;
+    std::vector<shard_attempt> attempts;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, attempts);
+    }
+};
+
+/// An execute request on its way to the daemon that owns its journal or its server.
+struct execute_request
+{
+    query_reference query;
+    service_name service;
+    customer_id customer;
+    urgency rank = urgency::normal;
+    idempotency_key key;
+    fingerprint request;
+    std::uint32_t deadlineMs = 0;
+    backend_server_id server;
+    std::string body;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, service, customer, rank, key, request, deadlineMs, server, body);
+    }
+};
+
+struct execute_answer
+{
+    query_reference query;
+    run_outcome outcome = run_outcome::unknown;
+    attempt_failure failure = attempt_failure::none;
+    std::string body;
+    server_load load;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, outcome, failure, body, load);
+    }
+};
+
+/// Everything that peer links carry; new kinds go to the end.
+using peer_message = std::variant<search_batch, shard_answer, cancel_batch, execute_request, execute_answer>;
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Process/hash.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace daisystile {
+
+/// 64-bit hash, the same on every daemon.
+std::uint64_t stableHash(std::string_view text, std::uint64_t seed = 0);
+
+/// Compares two secrets in a time that depends on their length only.
+bool equalInConstantTime(std::string_view left, std::string_view right);
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Process/http_server.cxx
@@ -0,0 +1,299 @@
+#include "http_server.h"
+
+#include "log.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace daisystile {
+
+std::optional<std::string> http_request::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+static std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+namespace {
+
+// Lives from the first header line until the library has sent the answer or lost the connection.
+struct exchange
+{
+    http_request request;
+    std::optional<http_response> response;
+    MHD_Connection *connection = nullptr;
+    bool handed = false;
+    bool suspended = false;
+    bool tooLarge = false;
+    bool ended = false;
+};
+
+using shared_exchange = std::shared_ptr<exchange>;
+
+} // namespace
+
+struct http_server::implementation
+{
+    implementation(reactor &eventLoop, http_handler requestHandler, http_server_limits serverLimits)
+        : loop(eventLoop),
+          handler(std::move(requestHandler)),
+          limits(serverLimits)
+    {
+    }
+
+    ~implementation()
+    {
+        *alive = false;
+        if (daemon == nullptr) {
+            return;
+        }
+        loop.cancelTimer(timer);
+        loop.unwatch(epollHandle);
+        for (auto *entry : suspendedExchanges) {
+            entry->suspended = false;
+            MHD_resume_connection(entry->connection);
+        }
+        MHD_stop_daemon(daemon);
+    }
+
+    static MHD_Result collectQuery(void *target, enum MHD_ValueKind, const char *key, const char *value)
+    {
+        static_cast<http_request *>(target)->query[key] = value == nullptr ? "" : value;
+        return MHD_YES;
+    }
+
+    static MHD_Result collectHeader(void *target, enum MHD_ValueKind, const char *key, const char *value)
+    {
+        static_cast<http_request *>(target)->headers[lowerCase(key)] = value == nullptr ? "" : value;
+        return MHD_YES;
+    }
+
+    static MHD_Result
+    access(void *self, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data, size_t *size, void **state)
+    {
+        return static_cast<implementation *>(self)->accessed(connection, url, method, data, size, state);
+    }
+
+    static void completed(void *self, MHD_Connection *, void **state, MHD_RequestTerminationCode)
+    {
+        auto *entry = static_cast<shared_exchange *>(*state);
+        if (entry == nullptr) {
+            return;
+        }
+        (*entry)->ended = true;
+        static_cast<implementation *>(self)->exchanges -= 1;
+        delete entry;
+        *state = nullptr;
+    }
+
+    MHD_Result accessed(MHD_Connection *connection, const char *url, const char *method, const char *data, size_t *size, void **state)
+    {
+        if (*state == nullptr) {
+            begin(connection, url, method, state);
+            return MHD_YES;
+        }
+        auto &entry = *static_cast<shared_exchange *>(*state);
+        if (*size != 0) {
+            takeBody(*entry, data, size);
+            return MHD_YES;
+        }
+        if (!entry->handed) {
+            entry->handed = true;
+            dispatch(entry);
+        }
+        if (entry->response) {
+            return sendResponse(*entry);
+        }
+        if (!entry->suspended) {
+            entry->suspended = true;
+            suspendedExchanges.push_back(entry.get());
+            MHD_suspend_connection(connection);
+        }
+        return MHD_YES;
+    }
+
+    void begin(MHD_Connection *connection, const char *url, const char *method, void **state)
+    {
+        auto entry = std::make_shared<exchange>();
+        entry->connection = connection;
+        entry->request.method = method;
+        entry->request.path = url;
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &entry->request);
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &entry->request);
+        exchanges += 1;
+        *state = new shared_exchange(std::move(entry));
+    }
+
+    void takeBody(exchange &entry, const char *data, size_t *size) const
+    {
+        if (entry.request.body.size() + *size > limits.bodyBytes) {
+            entry.tooLarge = true;
+            entry.request.body.clear();
+        } else if (!entry.tooLarge) {
+            entry.request.body.append(data, *size);
+        }
+        *size = 0;
+    }
+
+    void dispatch(const shared_exchange &entry)
+    {
+        if (entry->tooLarge) {
+            entry->response = http_response {413, R"({"title":"body too large","outcome":"not_run"})", "application/problem+json", {}};
+            return;
+        }
+        handler(std::move(entry->request), [this, entry, stillAlive = alive](http_response response) {
+            if (!*stillAlive || entry->ended || entry->response) {
+                return;
+            }
+            entry->response = std::move(response);
+            if (entry->suspended) {
+                resume(*entry);
+            }
+        });
+    }
+
+    void resume(exchange &entry)
+    {
+        entry.suspended = false;
+        std::erase(suspendedExchanges, &entry);
+        MHD_resume_connection(entry.connection);
+        scheduleRun();
+    }
+
+    MHD_Result sendResponse(exchange &entry) const
+    {
+        auto &answer = *entry.response;
+        auto *response = MHD_create_response_from_buffer(answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
+        MHD_add_response_header(response, "Content-Type", answer.contentType.c_str());
+        for (const auto &header : answer.headers) {
+            MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+        }
+        if (quiesced) {
+            MHD_add_response_header(response, "Connection", "close");
+        }
+        const auto result = MHD_queue_response(entry.connection, static_cast<unsigned>(answer.status), response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    // Many answers may be ready in one turn of the loop; the library runs once for all of them.
+    void scheduleRun()
+    {
+        if (runScheduled) {
+            return;
+        }
+        runScheduled = true;
+        loop.post([this, stillAlive = alive] {
+            if (*stillAlive) {
+                runScheduled = false;
+                runNow();
+            }
+        });
+    }
+
+    void runNow()
+    {
+        MHD_run(daemon);
+        MHD_UNSIGNED_LONG_LONG wait = 0;
+        loop.cancelTimer(timer);
+        timer = 0;
+        if (MHD_get_timeout(daemon, &wait) == MHD_YES) {
+            timer = loop.after(milliseconds {wait}, [this] { runNow(); });
+        }
+    }
+
+    reactor &loop;
+    http_handler handler;
+    http_server_limits limits;
+    MHD_Daemon *daemon = nullptr;
+    int epollHandle = -1;
+    ip_address bound;
+    timer_id timer = 0;
+    bool runScheduled = false;
+    bool quiesced = false;
+    std::size_t exchanges = 0;
+    std::vector<exchange *> suspendedExchanges;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+http_server::http_server() = default;
+http_server::~http_server() = default;
+
+leaf::result<std::unique_ptr<http_server>> http_server::listen(reactor &loop, const ip_address &address, http_handler handler, http_server_limits limits)
+{
+    auto server = std::make_unique<http_server>();
+    server->m_implementation = std::make_unique<implementation>(loop, std::move(handler), limits);
+    auto &self = *server->m_implementation;
+
+    sockaddr_in socketAddress {};
+    socketAddress.sin_family = AF_INET;
+    socketAddress.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.host.c_str(), &socketAddress.sin_addr) != 1) {
+        return leaf::new_error(process_error {process_failure::address_malformed, toString(address)});
+    }
+    self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+        0,
+        nullptr,
+        nullptr,
+        &implementation::access,
+        &self,
+        MHD_OPTION_SOCK_ADDR,
+        &socketAddress,
+        MHD_OPTION_NOTIFY_COMPLETED,
+        &implementation::completed,
+        &self,
+        MHD_OPTION_CONNECTION_LIMIT,
+        limits.connections,
+        MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(limits.idle.count()),
+        MHD_OPTION_LISTENING_ADDRESS_REUSE,
+        1U,
+        MHD_OPTION_END);
+    if (self.daemon == nullptr) {
+        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
+    }
+    self.epollHandle = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    self.bound = {address.host, MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_BIND_PORT)->port};
+    loop.watch(self.epollHandle, {.read = true, .write = false}, [&self] { self.runNow(); });
+    return server;
+}
+
+ip_address http_server::address() const
+{
+    return m_implementation->bound;
+}
+
+std::size_t http_server::openRequests() const
+{
+    return m_implementation->exchanges;
+}
+
+unsigned http_server::openConnections() const
+{
+    return MHD_get_daemon_info(m_implementation->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+}
+
+void http_server::stopListening()
+{
+    if (m_implementation->quiesced) {
+        return;
+    }
+    m_implementation->quiesced = true;
+    const int listening = MHD_quiesce_daemon(m_implementation->daemon);
+    if (listening >= 0) {
+        close(listening);
+    }
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Process/process.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Public header of the process library: what lives as long as the process.
+
+#include "clock.h"
+#include "hash.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "ids.h"
+#include "ip_address.h"
+#include "log.h"
+#include "process_error.h"
+#include "reactor.h"
+#include "secret.h"
--- /dev/null
+++ b/Source/Process/process_error.cxx
@@ -0,0 +1,25 @@
+#include "process_error.h"
+
+namespace daisystile {
+
+static const char *describe(process_failure failure)
+{
+    switch (failure) {
+    case process_failure::address_malformed:
+        return "address is not IP:PORT";
+    case process_failure::address_in_use:
+        return "address can't be bound";
+    case process_failure::out_of_handles:
+        return "no file handle left";
+    case process_failure::library_failed:
+        return "library call failed";
+    }
+    return "unknown failure";
+}
+
+std::ostream &operator<<(std::ostream &stream, const process_error &error)
+{
+    return stream << describe(error.failure) << ": " << error.subject;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Process/process_error.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <boost/leaf.hpp>
+
+#include <ostream>
+#include <string>
+
+namespace daisystile {
+
+namespace leaf = boost::leaf;
+
+enum class process_failure {
+    address_malformed,
+    address_in_use,
+    out_of_handles,
+    library_failed,
+};
+
+/// What the process layer reports: the failure and the thing it concerns.
+struct process_error
+{
+    process_failure failure;
+    std::string subject;
+};
+
+std::ostream &operator<<(std::ostream &stream, const process_error &error);
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Process/reactor.cxx
@@ -0,0 +1,267 @@
+#include "reactor.h"
+
+#include "log.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Reactor.h>
+#include <ace/Timer_Heap_T.h>
+#include <ace/Timer_Queue_Adapters.h>
+
+#include <atomic>
+#include <mutex>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace daisystile {
+
+// The wall clock may jump; timers must not.
+using monotonic_timer_queue =
+    ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall, ACE_SYNCH_RECURSIVE_MUTEX, ACE_Monotonic_Time_Policy>;
+
+static constexpr std::size_t maximalHandles = 16384;
+
+static ACE_Reactor_Mask maskOf(io_interest interest)
+{
+    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+    if (interest.read) {
+        mask |= ACE_Event_Handler::READ_MASK;
+    }
+    if (interest.write) {
+        mask |= ACE_Event_Handler::WRITE_MASK;
+    }
+    return mask;
+}
+
+namespace {
+
+class watched_handle : public ACE_Event_Handler
+{
+public:
+    watched_handle(ACE_Reactor *loop, int handle)
+        : ACE_Event_Handler(loop),
+          m_handle(handle)
+    {
+    }
+
+    ACE_HANDLE get_handle() const override
+    {
+        return m_handle;
+    }
+
+    int handle_input(ACE_HANDLE) override
+    {
+        return call();
+    }
+
+    int handle_output(ACE_HANDLE) override
+    {
+        return call();
+    }
+
+    std::function<void()> callback;
+    io_interest interest;
+    bool removed = false;
+
+private:
+    int call()
+    {
+        if (!removed) {
+            // The callback may replace itself.
+            const auto current = callback;
+            current();
+        }
+        return 0;
+    }
+
+    int m_handle;
+};
+
+} // namespace
+
+struct reactor::implementation : public ACE_Event_Handler
+{
+    implementation()
+        : poll(maximalHandles, true, nullptr, &timers),
+          loop(&poll, false),
+          wakeHandle(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+        reactor(&loop);
+        loop.register_handler(wakeHandle, this, ACE_Event_Handler::READ_MASK);
+    }
+
+    ~implementation() override
+    {
+        for (auto &[handle, watched] : handles) {
+            loop.remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        }
+        loop.remove_handler(wakeHandle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        loop.cancel_timer(this);
+        close(wakeHandle);
+    }
+
+    ACE_HANDLE get_handle() const override
+    {
+        return wakeHandle;
+    }
+
+    int handle_input(ACE_HANDLE) override
+    {
+        std::uint64_t count = 0;
+        [[maybe_unused]] const auto bytes = read(wakeHandle, &count, sizeof count);
+        runPosted();
+        return 0;
+    }
+
+    int handle_timeout(const ACE_Time_Value &, const void *argument) override
+    {
+        const auto id = reinterpret_cast<std::uintptr_t>(argument);
+        auto found = timerCallbacks.find(id);
+        if (found == timerCallbacks.end()) {
+            return 0;
+        }
+        auto callback = std::move(found->second.callback);
+        timerCallbacks.erase(found);
+        callback();
+        return 0;
+    }
+
+    void runPosted()
+    {
+        std::vector<std::function<void()>> ready;
+        {
+            const std::lock_guard guard(postedMutex);
+            ready.swap(posted);
+        }
+        for (auto &callback : ready) {
+            callback();
+        }
+    }
+
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const auto bytes = write(wakeHandle, &one, sizeof one);
+    }
+
+    struct pending_timer
+    {
+        long aceTimer;
+        std::function<void()> callback;
+    };
+
+    monotonic_timer_queue timers;
+    ACE_Dev_Poll_Reactor poll;
+    ACE_Reactor loop;
+    int wakeHandle;
+    std::mutex postedMutex;
+    std::vector<std::function<void()>> posted;
+    std::unordered_map<int, std::unique_ptr<watched_handle>> handles;
+    // Handlers removed within their own callback are freed after it.
+    std::vector<std::unique_ptr<watched_handle>> retired;
+    std::unordered_map<timer_id, pending_timer> timerCallbacks;
+    timer_id nextTimer = 1;
+    std::atomic<bool> stopping {false};
+};
+
+reactor::reactor()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+reactor::~reactor() = default;
+
+monotonic_time reactor::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+timer_id reactor::after(milliseconds delay, std::function<void()> callback)
+{
+    auto &self = *m_implementation;
+    const timer_id id = self.nextTimer++;
+    const auto count = std::max<milliseconds::rep>(delay.count(), 0);
+    const ACE_Time_Value wait(static_cast<time_t>(count / 1000), static_cast<suseconds_t>((count % 1000) * 1000));
+    const long aceTimer = self.loop.schedule_timer(&self, reinterpret_cast<const void *>(static_cast<std::uintptr_t>(id)), wait);
+    self.timerCallbacks.emplace(id, implementation::pending_timer {aceTimer, std::move(callback)});
+    return id;
+}
+
+void reactor::cancelTimer(timer_id timer)
+{
+    auto &self = *m_implementation;
+    const auto found = self.timerCallbacks.find(timer);
+    if (found == self.timerCallbacks.end()) {
+        return;
+    }
+    self.loop.cancel_timer(found->second.aceTimer);
+    self.timerCallbacks.erase(found);
+}
+
+void reactor::watch(int handle, io_interest interest, std::function<void()> callback)
+{
+    auto &self = *m_implementation;
+    auto &slot = self.handles[handle];
+    if (slot) {
+        slot->callback = std::move(callback);
+        const auto before = slot->interest;
+        if (before.read == interest.read && before.write == interest.write) {
+            return;
+        }
+        slot->interest = interest;
+        self.loop.mask_ops(handle, maskOf(interest), ACE_Reactor::SET_MASK);
+        return;
+    }
+    slot = std::make_unique<watched_handle>(&self.loop, handle);
+    slot->callback = std::move(callback);
+    slot->interest = interest;
+    if (self.loop.register_handler(slot.get(), maskOf(interest)) != 0) {
+        DAISYSTILE_LOG(ERROR, "reactor") << "Handle can't be watched." << field("handle", static_cast<std::uint64_t>(handle));
+    }
+}
+
+void reactor::unwatch(int handle)
+{
+    auto &self = *m_implementation;
+    const auto found = self.handles.find(handle);
+    if (found == self.handles.end()) {
+        return;
+    }
+    found->second->removed = true;
+    self.loop.remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    self.retired.push_back(std::move(found->second));
+    self.handles.erase(found);
+}
+
+void reactor::post(std::function<void()> callback)
+{
+    {
+        const std::lock_guard guard(m_implementation->postedMutex);
+        m_implementation->posted.push_back(std::move(callback));
+    }
+    m_implementation->wake();
+}
+
+void reactor::run()
+{
+    auto &self = *m_implementation;
+    self.loop.owner(ACE_Thread::self());
+    while (!self.stopping) {
+        self.loop.handle_events();
+        self.retired.clear();
+    }
+}
+
+void reactor::stop()
+{
+    m_implementation->stopping = true;
+    m_implementation->wake();
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Version/service.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <Process/process.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace daisystile {
+
+/// Query services answer from shards; execute services run a request on any one server.
+enum class service_kind : std::uint8_t {
+    query,
+    execute,
+};
+
+struct backend_server
+{
+    backend_server_id id;
+    failure_domain_name domain;
+    ip_address address;
+    /// Requests that it runs at a time when warm.
+    std::uint32_t slots = 1;
+    /// Connections that it accepts, over all daemons.
+    std::uint32_t connections = 30;
+};
+
+struct shard_placement
+{
+    std::vector<backend_server_id> replicas;
+};
+
+/// One service of the catalogue with its shard map and newest snapshot.
+struct service
+{
+    service_name name;
+    config_version version;
+    service_kind kind = service_kind::query;
+    snapshot_id snapshot;
+    shard_map_version mapVersion;
+    std::vector<backend_server> servers;
+    /// Indexed by shard; empty for execute services.
+    std::vector<shard_placement> shards;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Version/settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <Process/process.h>
+
+#include <string>
+
+namespace daisystile {
+
+/// When a second attempt at a slow shard starts.
+enum class hedge_policy {
+    none,
+    fixed_delay,
+    quantile,
+    quantile_with_suppression,
+};
+
+/// How servers are shared between daemons.
+enum class ownership_policy {
+    owner_per_server,
+    /// Each daemon opens its own connections to every server; a baseline for measurements.
+    every_daemon,
+};
+
+/// A daemon's settings, from its TOML file.
+struct daemon_settings
+{
+    daemon_id id;
+    failure_domain_name domain;
+    region_name region;
+    ip_address callers;
+    ip_address operators;
+    ip_address traffic;
+    ip_address control;
+    ip_address platform;
+    /// Shared by all daemons of the fleet; proves a peer.
+    std::string peerKey;
+    /// SHA-256 of the operators' token, lower-case hexadecimal.
+    std::string operatorTokenDigest;
+    hedge_policy hedging = hedge_policy::quantile;
+    ownership_policy ownership = ownership_policy::owner_per_server;
+    milliseconds ownershipLease {2000};
+    milliseconds heartbeat {500};
+    bool recordTrace = false;
+};
+
+} // namespace daisystile
