--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -3,5 +3,7 @@
 /// Public header of the connection library: peer links, ownership, slots, membership.
 
 #include "connection_error.h"
+#include "frame_reader.h"
 #include "peer_codec.h"
 #include "peer_messages.h"
+#include "peer_network.h"
--- /dev/null
+++ b/Source/Connection/peer_handshake.cxx
@@ -0,0 +1,87 @@
+#include "peer_handshake.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
+#include <sstream>
+
+namespace daisystile {
+
+static constexpr std::size_t nonceBytes = 16;
+static constexpr std::size_t maximalHandshakeBytes = 1024;
+
+template<class... Fields> static std::string encodeFields(const Fields &...fields)
+{
+    std::ostringstream stream(std::ios::binary);
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(fields...);
+    return std::move(stream).str();
+}
+
+template<class... Fields> static bool decodeFields(std::string_view bytes, Fields &...fields)
+{
+    if (bytes.size() > maximalHandshakeBytes) {
+        return false;
+    }
+    std::istringstream stream(std::string(bytes), std::ios::binary);
+    // The codec throws on short input.
+    try {
+        cereal::PortableBinaryInputArchive archive(stream);
+        archive(fields...);
+    } catch (const std::exception &) {
+        return false;
+    }
+    return true;
+}
+
+static std::string codeFor(const std::string &key, const peer_identity &identity, const std::string &nonce)
+{
+    return hmacSha256(key, nonce + identity.id.value + '\0' + std::to_string(identity.life.value));
+}
+
+peer_challenge makeChallenge()
+{
+    return {peerProtocolVersion, randomBytes(nonceBytes)};
+}
+
+peer_proof makeProof(const std::string &key, const peer_identity &self, const peer_challenge &received)
+{
+    return {self, codeFor(key, self, received.nonce)};
+}
+
+std::string encodeChallenge(const peer_challenge &challenge)
+{
+    return encodeFields(challenge.protocol, challenge.nonce);
+}
+
+std::string encodeProof(const peer_proof &proof)
+{
+    return encodeFields(proof.identity, proof.code);
+}
+
+leaf::result<peer_challenge> decodeChallenge(std::string_view bytes)
+{
+    peer_challenge challenge;
+    if (!decodeFields(bytes, challenge.protocol, challenge.nonce) || challenge.nonce.size() != nonceBytes) {
+        return leaf::new_error(connection_error {connection_failure::frame_malformed, "challenge"});
+    }
+    if (challenge.protocol != peerProtocolVersion) {
+        return leaf::new_error(connection_error {
+            connection_failure::protocol_version_differs, "expected " + std::to_string(peerProtocolVersion) + ", found " + std::to_string(challenge.protocol)});
+    }
+    return challenge;
+}
+
+leaf::result<peer_identity> acceptProof(const std::string &key, const peer_challenge &sent, std::string_view bytes)
+{
+    peer_proof proof;
+    if (!decodeFields(bytes, proof.identity, proof.code)) {
+        return leaf::new_error(connection_error {connection_failure::frame_malformed, "proof"});
+    }
+    if (!equalInConstantTime(proof.code, codeFor(key, proof.identity, sent.nonce))) {
+        return leaf::new_error(connection_error {connection_failure::key_refused, proof.identity.id.value});
+    }
+    return proof.identity;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Connection/peer_network.cxx
@@ -0,0 +1,217 @@
+#include "peer_network.h"
+
+#include "peer_codec.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <list>
+#include <map>
+
+namespace daisystile {
+
+static constexpr std::size_t maximalHeldMessages = 100000;
+static constexpr int listenBacklog = 512;
+
+struct peer_network::implementation
+{
+    struct held_link
+    {
+        std::unique_ptr<peer_link> link;
+        std::optional<peer_identity> identity;
+        // Empty for accepted links until they have proved who they are.
+        daemon_id expected;
+        std::vector<std::string> held;
+    };
+
+    using link_list = std::list<held_link>;
+
+    implementation(reactor &eventLoop, peer_credentials networkCredentials, callbacks networkCallbacks)
+        : loop(eventLoop),
+          credentials(std::move(networkCredentials)),
+          notify(std::move(networkCallbacks))
+    {
+    }
+
+    ~implementation()
+    {
+        *alive = false;
+        if (acceptor.get_handle() != ACE_INVALID_HANDLE) {
+            loop.unwatch(acceptor.get_handle());
+            acceptor.close();
+        }
+    }
+
+    void accept()
+    {
+        ACE_SOCK_Stream stream;
+        const ACE_Time_Value noWait = ACE_Time_Value::zero;
+        ACE_Time_Value wait = noWait;
+        if (acceptor.accept(stream, nullptr, &wait) != 0) {
+            return;
+        }
+        links.emplace_back();
+        const auto entry = std::prev(links.end());
+        entry->link = std::make_unique<peer_link>(loop, stream.get_handle(), credentials, callbacksFor(entry));
+        stream.set_handle(ACE_INVALID_HANDLE);
+    }
+
+    peer_link::callbacks callbacksFor(link_list::iterator entry)
+    {
+        peer_link::callbacks result;
+        result.established = [this, entry](const peer_identity &identity) {
+            established(entry, identity);
+        };
+        result.frame = [this, entry](std::string_view payload) {
+            received(entry, payload);
+        };
+        result.closed = [this, entry](const connection_error &error) {
+            closed(entry, error);
+        };
+        return result;
+    }
+
+    void established(link_list::iterator entry, const peer_identity &identity)
+    {
+        if (!entry->expected.value.empty() && entry->expected != identity.id) {
+            DAISYSTILE_LOG(WARNING, "peer") << "Peer names itself differently." << field("expected", entry->expected.value)
+                                            << field("found", identity.id.value);
+        }
+        entry->identity = identity;
+        for (const auto &payload : entry->held) {
+            entry->link->send(payload);
+        }
+        entry->held.clear();
+        auto &current = byPeer[entry->expected.value.empty() ? identity.id : entry->expected];
+        if (current == nullptr || !current->link->established()) {
+            moveHeldMessages(current, *entry);
+            current = &*entry;
+        }
+    }
+
+    // Two links may be under way at once; what waits on the slower one leaves by the first that is ready.
+    static void moveHeldMessages(held_link *from, held_link &to)
+    {
+        if (from == nullptr || from == &to) {
+            return;
+        }
+        for (const auto &payload : from->held) {
+            to.link->send(payload);
+        }
+        from->held.clear();
+    }
+
+    void received(link_list::iterator entry, std::string_view payload)
+    {
+        auto decoded = decodePeerMessage(payload);
+        if (!decoded) {
+            DAISYSTILE_LOG(WARNING, "peer") << "Message can't be read." << field("peer", entry->identity->id.value);
+            return;
+        }
+        const auto identity = *entry->identity;
+        notify.message(identity, std::move(*decoded));
+    }
+
+    void closed(link_list::iterator entry, const connection_error &error)
+    {
+        const auto id = entry->identity ? entry->identity->id : entry->expected;
+        DAISYSTILE_LOG(INFO, "peer") << "Link closed: " << error << "." << field("peer", id.value);
+        const bool neverEstablished = !entry->identity.has_value();
+        const auto found = byPeer.find(id);
+        const bool wasCurrent = found != byPeer.end() && found->second == &*entry;
+        if (wasCurrent) {
+            byPeer.erase(found);
+        }
+        // The link is still on the stack.
+        loop.post([this, entry, stillAlive = alive] {
+            if (*stillAlive) {
+                links.erase(entry);
+            }
+        });
+        if (!id.value.empty() && (wasCurrent || !neverEstablished)) {
+            notify.lost({id, neverEstablished});
+        }
+    }
+
+    held_link *linkTo(const daemon_id &to)
+    {
+        const auto found = byPeer.find(to);
+        if (found != byPeer.end()) {
+            return found->second;
+        }
+        const auto address = addresses.find(to);
+        if (address == addresses.end()) {
+            return nullptr;
+        }
+        links.emplace_back();
+        const auto entry = std::prev(links.end());
+        entry->expected = to;
+        byPeer[to] = &*entry;
+        entry->link = std::make_unique<peer_link>(loop, address->second, credentials, callbacksFor(entry));
+        return &*entry;
+    }
+
+    reactor &loop;
+    peer_credentials credentials;
+    callbacks notify;
+    ACE_SOCK_Acceptor acceptor;
+    std::map<daemon_id, ip_address> addresses;
+    link_list links;
+    std::map<daemon_id, held_link *> byPeer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+peer_network::peer_network(reactor &loop, peer_credentials credentials, callbacks notify)
+    : m_implementation(std::make_unique<implementation>(loop, std::move(credentials), std::move(notify)))
+{
+}
+
+peer_network::~peer_network() = default;
+
+leaf::result<ip_address> peer_network::listen(const ip_address &address)
+{
+    auto &self = *m_implementation;
+    const ACE_INET_Addr local(address.port, address.host.c_str());
+    if (self.acceptor.open(local, 1, PF_INET, listenBacklog) != 0) {
+        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
+    }
+    self.acceptor.enable(ACE_NONBLOCK);
+    ACE_INET_Addr bound;
+    self.acceptor.get_local_addr(bound);
+    self.loop.watch(self.acceptor.get_handle(), {.read = true, .write = false}, [&self] { self.accept(); });
+    return ip_address {address.host, bound.get_port_number()};
+}
+
+void peer_network::setPeers(const std::vector<peer_address> &peers)
+{
+    auto &self = *m_implementation;
+    std::map<daemon_id, ip_address> addresses;
+    for (const auto &peer : peers) {
+        addresses[peer.id] = peer.address;
+    }
+    self.addresses = std::move(addresses);
+}
+
+bool peer_network::send(const daemon_id &to, const peer_message &message)
+{
+    auto *entry = m_implementation->linkTo(to);
+    if (entry == nullptr) {
+        return false;
+    }
+    auto payload = encodePeerMessage(message);
+    if (payload.size() > maximalFrameBytes) {
+        return false;
+    }
+    if (entry->link->established()) {
+        return entry->link->send(payload);
+    }
+    if (entry->held.size() >= maximalHeldMessages) {
+        return false;
+    }
+    entry->held.push_back(std::move(payload));
+    return true;
+}
+
+} // namespace daisystile
