--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -3,5 +3,6 @@
 /// Public header of the connection library: peer links, ownership, slots, membership.
 
 #include "connection_error.h"
+#include "owner_map.h"
 #include "peer_codec.h"
 #include "peer_messages.h"
