--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -4,6 +4,7 @@
 
 #include "connection_error.h"
 #include "frame_reader.h"
+#include "owner_map.h"
 #include "peer_codec.h"
 #include "peer_messages.h"
 #include "peer_network.h"
