--- /dev/null
+++ b/Source/Connection/backend_protocol.cxx
@@ -0,0 +1,118 @@
+#include "backend_protocol.h"
+
+#include <charconv>
+
+namespace daisystile {
+
+static constexpr int statusDone = 200;
+static constexpr int statusSnapshotNotHeld = 409;
+static constexpr int statusShardNotHere = 421;
+static constexpr int statusShed = 503;
+static constexpr milliseconds cancelTimeout{1000};
+
+std::string backendRequestId(const query_reference &query, const shard_attempt &attempt)
+{
+    std::string id = query.coordinator.value;
+    for (const std::uint64_t part :
+         {query.life.value, query.query.value, std::uint64_t{attempt.shard.value}, std::uint64_t{attempt.attempt.value}}) {
+        id += '-';
+        id += std::to_string(part);
+    }
+    return id;
+}
+
+http_call makeSearchCall(const search_batch &batch, const shard_attempt &attempt, const ip_address &server, milliseconds left)
+{
+    http_call call;
+    call.method = "POST";
+    call.address = server;
+    call.path = "/shards/" + std::to_string(attempt.shard.value) + "/search";
+    call.headers = {{"Snapshot", batch.snapshot.value},
+                    {"Shard-Map-Version", std::to_string(batch.mapVersion.value)},
+                    {"Request-Id", backendRequestId(batch.query, attempt)},
+                    {"Deadline", std::to_string(left.count())}};
+    call.body = batch.body;
+    call.timeout = left;
+    return call;
+}
+
+http_call makeCancelCall(const ip_address &server, const std::string &requestId)
+{
+    http_call call;
+    call.method = "DELETE";
+    call.address = server;
+    call.path = "/requests/" + requestId;
+    call.timeout = cancelTimeout;
+    return call;
+}
+
+static shard_answer failed(run_outcome outcome, attempt_failure failure)
+{
+    shard_answer answer;
+    answer.outcome = outcome;
+    answer.failure = failure;
+    return answer;
+}
+
+static attempt_failure failureOf(http_failure_kind kind)
+{
+    switch (kind) {
+    case http_failure_kind::connect_failed:
+    case http_failure_kind::reset:
+        return attempt_failure::server_lost;
+    case http_failure_kind::timed_out:
+        return attempt_failure::timed_out;
+    case http_failure_kind::cancelled:
+        return attempt_failure::cancelled;
+    case http_failure_kind::malformed:
+        return attempt_failure::malformed;
+    }
+    return attempt_failure::malformed;
+}
+
+// The reply names its snapshot and shard map in headers, so that the body passes through unread.
+static shard_answer readDone(http_reply reply)
+{
+    shard_answer answer;
+    const auto snapshot = reply.headers.find("snapshot");
+    const auto version = reply.headers.find("shard-map-version");
+    if (snapshot == reply.headers.end() || version == reply.headers.end()) {
+        return failed(run_outcome::done, attempt_failure::malformed);
+    }
+    const auto &digits = version->second;
+    const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), answer.mapVersion.value);
+    if (code != std::errc{} || end != digits.data() + digits.size()) {
+        return failed(run_outcome::done, attempt_failure::malformed);
+    }
+    answer.outcome = run_outcome::done;
+    answer.snapshot = {snapshot->second};
+    answer.body = std::move(reply.body);
+    return answer;
+}
+
+static shard_answer readReply(http_reply reply)
+{
+    switch (reply.status) {
+    case statusDone:
+        return readDone(std::move(reply));
+    case statusSnapshotNotHeld:
+        return failed(run_outcome::not_run, attempt_failure::snapshot_not_held);
+    case statusShardNotHere:
+        return failed(run_outcome::not_run, attempt_failure::shard_not_here);
+    case statusShed:
+        return failed(run_outcome::not_run, attempt_failure::shed);
+    default:
+        return failed(run_outcome::unknown, attempt_failure::malformed);
+    }
+}
+
+shard_answer readSearchAnswer(http_result result)
+{
+    if (auto *reply = std::get_if<http_reply>(&result)) {
+        return readReply(std::move(*reply));
+    }
+    const auto &failure = std::get<http_failure>(result);
+    return failed(failure.mayHaveBeenSent ? run_outcome::unknown : run_outcome::not_run, failureOf(failure.kind));
+}
+
+}
--- /dev/null
+++ b/Source/Connection/backend_protocol.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "peer_messages.h"
+
+#include <string>
+
+namespace daisystile {
+
+/// The request's name at a backend server; never the same for two attempts.
+std::string backendRequestId(const query_reference &query, const shard_attempt &attempt);
+
+http_call makeSearchCall(const search_batch &batch, const shard_attempt &attempt, const ip_address &server, milliseconds left);
+http_call makeCancelCall(const ip_address &server, const std::string &requestId);
+
+/// Turns a server's reply, or its absence, into an answer: outcome, failure, snapshot, shard map and body.
+shard_answer readSearchAnswer(http_result result);
+
+}
