Connection: Refuse lengths that the rest of a frame can't hold

Cause: fuzzing the peer codec for 0.5 s found that a length field makes the codec allocate before it reads; 14 bytes asked for gigabytes. Change: archives over a string and a view in place of streams; a length is checked against the bytes left first.

--- a/Source/Connection/backend_protocol.cxx
+++ b/Source/Connection/backend_protocol.cxx
@@ -8,13 +8,12 @@
 static constexpr int statusSnapshotNotHeld = 409;
 static constexpr int statusShardNotHere = 421;
 static constexpr int statusShed = 503;
-static constexpr milliseconds cancelTimeout{1000};
+static constexpr milliseconds cancelTimeout {1000};
 
 std::string backendRequestId(const query_reference &query, const shard_attempt &attempt)
 {
     std::string id = query.coordinator.value;
-    for (const std::uint64_t part :
-         {query.life.value, query.query.value, std::uint64_t{attempt.shard.value}, std::uint64_t{attempt.attempt.value}}) {
+    for (const std::uint64_t part : {query.life.value, query.query.value, std::uint64_t {attempt.shard.value}, std::uint64_t {attempt.attempt.value}}) {
         id += '-';
         id += std::to_string(part);
     }
@@ -28,9 +27,9 @@
     call.address = server;
     call.path = "/shards/" + std::to_string(attempt.shard.value) + "/search";
     call.headers = {{"Snapshot", batch.snapshot.value},
-                    {"Shard-Map-Version", std::to_string(batch.mapVersion.value)},
-                    {"Request-Id", backendRequestId(batch.query, attempt)},
-                    {"Deadline", std::to_string(left.count())}};
+        {"Shard-Map-Version", std::to_string(batch.mapVersion.value)},
+        {"Request-Id", backendRequestId(batch.query, attempt)},
+        {"Deadline", std::to_string(left.count())}};
     call.body = batch.body;
     call.timeout = left;
     return call;
@@ -81,7 +80,7 @@
     }
     const auto &digits = version->second;
     const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), answer.mapVersion.value);
-    if (code != std::errc{} || end != digits.data() + digits.size()) {
+    if (code != std::errc {} || end != digits.data() + digits.size()) {
         return failed(run_outcome::done, attempt_failure::malformed);
     }
     answer.outcome = run_outcome::done;
@@ -115,4 +114,4 @@
     return failed(failure.mayHaveBeenSent ? run_outcome::unknown : run_outcome::not_run, failureOf(failure.kind));
 }
 
-}
+} // namespace daisystile
--- a/Source/Connection/backend_protocol.h
+++ b/Source/Connection/backend_protocol.h
@@ -15,4 +15,4 @@
 /// Turns a server's reply, or its absence, into an answer: outcome, failure, snapshot, shard map and body.
 shard_answer readSearchAnswer(http_result result);
 
-}
+} // namespace daisystile
--- a/Source/Connection/control_codec.cxx
+++ b/Source/Connection/control_codec.cxx
@@ -1,14 +1,6 @@
 #include "control_codec.h"
 
-#include "view_buffer.h"
-
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
-
-#include <istream>
-#include <sstream>
+#include "frame_archive.h"
 
 namespace daisystile {
 
@@ -23,33 +15,18 @@
 
 std::string encodeControlDatagram(const control_datagram &datagram, std::string_view peerKey)
 {
-    std::ostringstream stream(std::ios::binary);
-    stream.put(protocolVersion);
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(datagram);
-    }
-    auto bytes = std::move(stream).str();
+    auto bytes = protocolVersion + encodeFields(datagram);
     bytes += sign(bytes, peerKey);
     return bytes;
 }
 
 static leaf::result<control_datagram> decodePayload(std::string_view payload)
 {
-    view_buffer buffer(payload);
-    std::istream stream(&buffer);
-    // The codec throws on short input and on lengths that can't be held.
-    try {
-        control_datagram datagram;
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(datagram);
-        if (buffer.atEnd()) {
-            return datagram;
-        }
-    } catch (const std::exception &) {
+    control_datagram datagram;
+    if (!decodeFields(payload, datagram)) {
         return leaf::new_error(connection_error {connection_failure::frame_malformed, "control datagram"});
     }
-    return leaf::new_error(connection_error {connection_failure::frame_malformed, "trailing bytes"});
+    return datagram;
 }
 
 leaf::result<control_datagram> decodeControlDatagram(std::string_view bytes, std::string_view peerKey)
--- a/Source/Connection/peer_codec.cxx
+++ b/Source/Connection/peer_codec.cxx
@@ -1,43 +1,21 @@
 #include "peer_codec.h"
 
-#include "view_buffer.h"
-
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
-
-#include <istream>
-#include <sstream>
+#include "frame_archive.h"
 
 namespace daisystile {
 
 std::string encodePeerMessage(const peer_message &message)
 {
-    std::ostringstream stream(std::ios::binary);
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(message);
-    }
-    return std::move(stream).str();
+    return encodeFields(message);
 }
 
 leaf::result<peer_message> decodePeerMessage(std::string_view bytes)
 {
-    view_buffer buffer(bytes);
-    std::istream stream(&buffer);
-    // The codec throws on short input and on lengths that can't be held.
-    try {
-        peer_message message;
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(message);
-        if (buffer.atEnd()) {
-            return message;
-        }
-    } catch (const std::exception &) {
+    peer_message message;
+    if (!decodeFields(bytes, message)) {
         return leaf::new_error(connection_error {connection_failure::frame_malformed, "peer message"});
     }
-    return leaf::new_error(connection_error {connection_failure::frame_malformed, "trailing bytes"});
+    return message;
 }
 
 } // namespace daisystile
--- a/Source/Connection/peer_handshake.cxx
+++ b/Source/Connection/peer_handshake.cxx
@@ -1,39 +1,12 @@
 #include "peer_handshake.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-
-#include <sstream>
+#include "frame_archive.h"
 
 namespace daisystile {
 
 static constexpr std::size_t nonceBytes = 16;
 static constexpr std::size_t maximalHandshakeBytes = 1024;
 
-template<class... Fields> static std::string encodeFields(const Fields &...fields)
-{
-    std::ostringstream stream(std::ios::binary);
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(fields...);
-    return std::move(stream).str();
-}
-
-template<class... Fields> static bool decodeFields(std::string_view bytes, Fields &...fields)
-{
-    if (bytes.size() > maximalHandshakeBytes) {
-        return false;
-    }
-    std::istringstream stream(std::string(bytes), std::ios::binary);
-    // The codec throws on short input.
-    try {
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(fields...);
-    } catch (const std::exception &) {
-        return false;
-    }
-    return true;
-}
-
 static std::string codeFor(const std::string &key, const peer_identity &identity, const std::string &nonce)
 {
     return hmacSha256(key, nonce + identity.id.value + '\0' + std::to_string(identity.life.value));
@@ -62,7 +35,7 @@
 leaf::result<peer_challenge> decodeChallenge(std::string_view bytes)
 {
     peer_challenge challenge;
-    if (!decodeFields(bytes, challenge.protocol, challenge.nonce) || challenge.nonce.size() != nonceBytes) {
+    if (bytes.size() > maximalHandshakeBytes || !decodeFields(bytes, challenge.protocol, challenge.nonce) || challenge.nonce.size() != nonceBytes) {
         return leaf::new_error(connection_error {connection_failure::frame_malformed, "challenge"});
     }
     if (challenge.protocol != peerProtocolVersion) {
@@ -75,7 +48,7 @@
 leaf::result<peer_identity> acceptProof(const std::string &key, const peer_challenge &sent, std::string_view bytes)
 {
     peer_proof proof;
-    if (!decodeFields(bytes, proof.identity, proof.code)) {
+    if (bytes.size() > maximalHandshakeBytes || !decodeFields(bytes, proof.identity, proof.code)) {
         return leaf::new_error(connection_error {connection_failure::frame_malformed, "proof"});
     }
     if (!equalInConstantTime(proof.code, codeFor(key, proof.identity, sent.nonce))) {
--- a/Source/Connection/server_owner.cxx
+++ b/Source/Connection/server_owner.cxx
@@ -7,10 +7,10 @@
 namespace daisystile {
 
 server_owner::server_owner(reactor &loop, const view_publisher &views, answer_sink sink)
-    : m_loop(loop)
-    , m_views(views)
-    , m_sink(std::move(sink))
-    , m_http(loop)
+    : m_loop(loop),
+      m_views(views),
+      m_sink(std::move(sink)),
+      m_http(loop)
 {
 }
 
@@ -27,7 +27,7 @@
 
 void server_owner::search(const daemon_id &coordinator, const search_batch &batch)
 {
-    const auto deadline = m_loop.now() + milliseconds{batch.deadlineMs};
+    const auto deadline = m_loop.now() + milliseconds {batch.deadlineMs};
     for (const auto &attempt : batch.attempts) {
         run(coordinator, batch, attempt, deadline);
     }
@@ -89,4 +89,4 @@
     }
 }
 
-}
+} // namespace daisystile
--- a/Source/Connection/server_owner.h
+++ b/Source/Connection/server_owner.h
@@ -43,4 +43,4 @@
     std::map<std::string, running_attempt> m_running;
 };
 
-}
+} // namespace daisystile
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -14,3 +14,4 @@
 #include "process_error.h"
 #include "reactor.h"
 #include "secret.h"
+#include "termination_signals.h"
--- /dev/null
+++ b/Source/Request/traffic_runtime.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <Connection/connection.h>
+
+#include <functional>
+#include <memory>
+
+namespace daisystile {
+
+/// The traffic thread: callers' API, coordinator, owner, peer links.
+class traffic_runtime
+{
+public:
+    traffic_runtime(const daemon_settings &settings, const peer_identity &self, const view_publisher &views);
+    ~traffic_runtime();
+    traffic_runtime(const traffic_runtime &) = delete;
+    traffic_runtime &operator=(const traffic_runtime &) = delete;
+
+    struct addresses
+    {
+        ip_address callers;
+        ip_address traffic;
+    };
+
+    /// Errors: process_error{address_in_use}.
+    leaf::result<addresses> listen();
+
+    /// Starts the thread.
+    void start();
+
+    /// A new view was published; safe from any thread.
+    void viewChanged();
+
+    /// Takes no new work, finishes what runs, then calls back on the traffic thread; safe from any thread.
+    void drain(std::function<void()> drained);
+
+    /// Ends the thread.
+    void stop();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace daisystile
