Version: Parse settings, contracts, services and domains; add platform client

Cause: no text of an operator could be read and no call to the platform be made. Change: one reader over TOML and JSON that collects every mistake with file, line, expected and found; typed results of platform calls that tell a write's outcome truly (written, conflict, unknown, unavailable) and count calls by kind. toml++ is used by its headers, since Debian's shared library has no parser without exceptions.

--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -3,9 +3,6 @@
 /// Public header of the connection library: peer links, ownership, slots, membership.
 
 #include "connection_error.h"
-#include "control_codec.h"
-#include "control_messages.h"
-#include "datagram_socket.h"
 #include "frame_reader.h"
 #include "owner_map.h"
 #include "peer_codec.h"
--- a/Source/Connection/peer_codec.cxx
+++ b/Source/Connection/peer_codec.cxx
@@ -1,7 +1,5 @@
 #include "peer_codec.h"
 
-#include "view_buffer.h"
-
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -9,9 +7,30 @@
 
 #include <istream>
 #include <sstream>
+#include <streambuf>
 
 namespace daisystile {
 
+namespace {
+
+// Reads in place, without a copy of the frame.
+class view_buffer : public std::streambuf
+{
+public:
+    explicit view_buffer(std::string_view bytes)
+    {
+        char *begin = const_cast<char *>(bytes.data());
+        setg(begin, begin, begin + bytes.size());
+    }
+
+    bool atEnd() const
+    {
+        return gptr() == egptr();
+    }
+};
+
+} // namespace
+
 std::string encodePeerMessage(const peer_message &message)
 {
     std::ostringstream stream(std::ios::binary);
--- a/Source/Version/contract.h
+++ b/Source/Version/contract.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "config_mistake.h"
+
 #include <Process/process.h>
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace daisystile {
@@ -48,4 +51,7 @@
     service_objective objective;
 };
 
+/// Reads a contract as operators write it; the version is not part of the text.
+parsed<contract> parseContract(std::string_view text, std::string_view fileName);
+
 } // namespace daisystile
--- a/Source/Version/failure_domain.h
+++ b/Source/Version/failure_domain.h
@@ -1,7 +1,13 @@
 #pragma once
 
+#include "config_mistake.h"
+
 #include <Process/process.h>
 
+#include <string>
+#include <string_view>
+#include <vector>
+
 namespace daisystile {
 
 struct failure_domain
@@ -12,4 +18,9 @@
     bool out = false;
 };
 
+/// Reads all failure domains with their states.
+parsed<std::vector<failure_domain>> parseFailureDomains(std::string_view text, std::string_view fileName);
+/// The text that parseFailureDomains() reads.
+std::string toText(const std::vector<failure_domain> &domains);
+
 } // namespace daisystile
--- /dev/null
+++ b/Source/Version/platform_client.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "member.h"
+
+#include <Process/process.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisystile {
+
+/// An object of the platform with the version that conditional writes name.
+struct platform_object
+{
+    std::string key;
+    std::string etag;
+    std::string value;
+};
+
+struct object_not_found
+{
+};
+
+/// The write took effect; the object has this version now.
+struct object_written
+{
+    std::string etag;
+};
+
+struct object_removed
+{
+};
+
+/// The condition did not hold; nothing changed.
+struct write_conflict
+{
+};
+
+/// The answer was lost; the write may have taken effect or still may.
+struct write_unknown
+{
+    std::string message;
+};
+
+/// The platform did not take the call; a write had no effect.
+struct platform_unavailable
+{
+    std::string message;
+};
+
+/// The history after the revision is gone; read anew.
+struct watch_compacted
+{
+};
+
+struct watch_event
+{
+    std::uint64_t revision = 0;
+    platform_object object;
+    bool deleted = false;
+};
+
+struct watch_batch
+{
+    std::vector<watch_event> events;
+    /// To watch after, next time.
+    std::uint64_t revision = 0;
+};
+
+/// One line of the platform's host list, which lags.
+struct platform_host
+{
+    daemon_id id;
+    failure_domain_name domain;
+    region_name region;
+    ip_address traffic;
+    ip_address control;
+    bool leaving = false;
+};
+
+using read_result = std::variant<platform_object, object_not_found, platform_unavailable>;
+using write_result = std::variant<object_written, write_conflict, write_unknown, platform_unavailable>;
+using remove_result = std::variant<object_removed, object_not_found, write_conflict, write_unknown, platform_unavailable>;
+using list_result = std::variant<std::vector<platform_object>, platform_unavailable>;
+using watch_result = std::variant<watch_batch, watch_compacted, platform_unavailable>;
+using host_result = std::variant<std::vector<platform_host>, platform_unavailable>;
+
+/// Holds for a write: only if the object has this version, only if there is none, or always.
+struct if_version
+{
+    std::string etag;
+};
+struct if_absent
+{
+};
+struct always
+{
+};
+using write_condition = std::variant<if_absent, if_version, always>;
+
+/// Calls made since the start, by kind; a waiting watch is one.
+struct platform_call_counts
+{
+    std::uint64_t get = 0;
+    std::uint64_t put = 0;
+    std::uint64_t remove = 0;
+    std::uint64_t list = 0;
+    std::uint64_t watch = 0;
+    std::uint64_t hosts = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
+struct platform_client_settings
+{
+    ip_address platform;
+    failure_domain_name domain;
+    milliseconds timeout {2000};
+    /// A watch that the platform holds longer is taken for lost.
+    milliseconds watchTimeout {15000};
+};
+
+/// The platform's object API; the reactor is the http client's. Callbacks come once, on its thread.
+class platform_client
+{
+public:
+    platform_client(http_client &http, platform_client_settings settings);
+
+    http_call_id get(const std::string &key, std::function<void(read_result)> callback);
+    http_call_id put(const std::string &key, std::string value, const write_condition &condition, std::function<void(write_result)> callback);
+    http_call_id remove(const std::string &key, const write_condition &condition, std::function<void(remove_result)> callback);
+    http_call_id list(const std::string &prefix, std::function<void(list_result)> callback);
+    /// Waits for events after a revision; without any, an empty batch with the same revision after a while.
+    http_call_id watch(const std::string &prefix, std::uint64_t after, std::function<void(watch_result)> callback);
+    http_call_id hosts(std::function<void(host_result)> callback);
+    void cancel(http_call_id call);
+
+    const platform_call_counts &counts() const;
+
+private:
+    http_call_id send(http_call call, std::function<void(http_result)> callback);
+
+    http_client &m_http;
+    platform_client_settings m_settings;
+    platform_call_counts m_counts;
+};
+
+} // namespace daisystile
--- a/Source/Version/service.h
+++ b/Source/Version/service.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "config_mistake.h"
+
 #include <Process/process.h>
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace daisystile {
@@ -42,4 +45,7 @@
     std::vector<shard_placement> shards;
 };
 
+/// Reads a service from TOML or JSON with the same keys; the version is not part of the text.
+parsed<service> parseService(std::string_view text, std::string_view fileName);
+
 } // namespace daisystile
--- a/Source/Version/settings.h
+++ b/Source/Version/settings.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "config_mistake.h"
+
 #include <Process/process.h>
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace daisystile {
 
@@ -32,6 +36,8 @@
     ip_address traffic;
     ip_address control;
     ip_address platform;
+    /// Control addresses of other daemons, asked when the platform can't be reached at the start.
+    std::vector<ip_address> seeds;
     /// Shared by all daemons of the fleet; proves a peer.
     std::string peerKey;
     /// SHA-256 of the operators' token, lower-case hexadecimal.
@@ -43,4 +49,7 @@
     bool recordTrace = false;
 };
 
+/// Reads a settings file; unknown keys, types and ranges are checked.
+parsed<daemon_settings> parseDaemonSettings(std::string_view text, std::string_view fileName);
+
 } // namespace daisystile
--- a/Tests/Connection/owner_map_test.cxx
+++ b/Tests/Connection/owner_map_test.cxx
@@ -21,7 +21,6 @@
 TEST(owner_map, movesOnlyTheServersOfTheDaemonThatLeft)
 {
     std::vector<member> members;
-    members.reserve(8);
     for (int i = 0; i < 8; ++i) {
         members.push_back(daemonAt("d" + std::to_string(i), "a"));
     }
--- a/Utilities/ThirdParty.cmake
+++ b/Utilities/ThirdParty.cmake
@@ -13,7 +13,6 @@
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 add_library(third_party INTERFACE)
-target_link_libraries(third_party INTERFACE PkgConfig::ACE PkgConfig::MICROHTTPD PkgConfig::GLOG PkgConfig::XXHASH CURL::libcurl OpenSSL::Crypto prometheus-cpp::core
-  tomlplusplus::tomlplusplus Threads::Threads)
-# toml++ reports mistakes as values, so that all of them can be collected.
-target_compile_definitions(third_party INTERFACE TOML_EXCEPTIONS=0)
+target_link_libraries(third_party INTERFACE PkgConfig::ACE PkgConfig::MICROHTTPD PkgConfig::GLOG PkgConfig::XXHASH CURL::libcurl OpenSSL::Crypto prometheus-cpp::core Threads::Threads)
+# toml++ reports mistakes as values; Debian's shared library has only the throwing form, so its headers are used alone.
+target_compile_definitions(third_party INTERFACE TOML_EXCEPTIONS=0 TOML_HEADER_ONLY=1)
