StandIns: Add the platform stand-in

Tests need the platform's object API, watches and host list with faults that switch at run time. platform-standin serves them over http_server; a response may now drop its connection, for lost answers and resets. Seen: each call tried once by hand with curl, answers as designed; SIGTERM ends it with 0.

--- a/Source/Process/http_server.cxx
+++ b/Source/Process/http_server.cxx
@@ -174,6 +174,9 @@
     MHD_Result sendResponse(exchange &entry) const
     {
         auto &answer = *entry.response;
+        if (answer.dropConnection) {
+            return MHD_NO;
+        }
         auto *response = MHD_create_response_from_buffer(answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
         MHD_add_response_header(response, "Content-Type", answer.contentType.c_str());
         for (const auto &header : answer.headers) {
--- a/Source/Process/http_server.h
+++ b/Source/Process/http_server.h
@@ -37,6 +37,8 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<http_header> headers;
+    /// Closes the connection without an answer.
+    bool dropConnection = false;
 };
 
 /// Answers one request, once, from the reactor's thread; may be called after the handler returned.
--- /dev/null
+++ b/Tests/StandIns/platform_standin.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "host_list.h"
+#include "platform_store.h"
+#include "standin_support.h"
+
+#include <list>
+#include <random>
+#include <set>
+
+namespace daisystile {
+
+/// How the platform fails while it is down.
+enum class outage_kind {
+    none,
+    /// Closes each connection without an answer.
+    reset,
+    /// Answers 503.
+    unavailable,
+    /// Never answers.
+    hang,
+};
+
+struct platform_faults
+{
+    outage_kind outage = outage_kind::none;
+    std::uint32_t slowMs = 0;
+    /// So many writes from now on are applied, and their answers lost.
+    std::uint32_t loseAnswersNext = 0;
+    double loseAnswersProbability = 0;
+    std::set<std::string> cutDomains;
+};
+
+/// The platform's object API, watches and host list, with its faults.
+class platform_standin
+{
+public:
+    explicit platform_standin(reactor &loop);
+
+    http_handler objectApi();
+    http_handler controlApi();
+
+private:
+    struct waiting_watch
+    {
+        std::string prefix;
+        std::uint64_t after;
+        std::string domain;
+        http_responder respond;
+        timer_id timer;
+    };
+
+    struct counters
+    {
+        std::map<std::string, std::uint64_t> calls;
+        std::map<std::string, std::uint64_t> putsByPrefix;
+        std::map<std::string, std::uint64_t> callsByDomain;
+        std::uint64_t bytesIn = 0;
+        std::uint64_t bytesOut = 0;
+        std::uint64_t lostAnswers = 0;
+        std::size_t mostWatches = 0;
+    };
+
+    void receive(http_request request, http_responder respond);
+    void serve(const http_request &request, const http_responder &respond);
+    bool unreachable(const std::string &domain, const http_responder &respond);
+    void hang(http_responder respond);
+    void serveObject(const http_request &request, const http_responder &respond);
+    void write(const http_request &request, const std::string &key, const http_responder &respond);
+    http_response listObjects(const http_request &request) const;
+    void watch(const http_request &request, const http_responder &respond);
+    void wakeWatches();
+    void endWatches(const std::function<bool(const waiting_watch &)> &chosen);
+    http_response eventsResponse(const std::string &prefix, std::uint64_t after) const;
+    http_response serveHosts(const http_request &request);
+    http_response control(const http_request &request);
+    http_response setFaults(const http_request &request);
+    http_response countersResponse() const;
+
+    reactor &m_loop;
+    platform_store m_store;
+    host_list m_hosts;
+    platform_faults m_faults;
+    counters m_counters;
+    std::list<waiting_watch> m_watches;
+    std::mt19937_64 m_random {1};
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Tests/StandIns/platform_store.cxx
@@ -0,0 +1,104 @@
+#include "platform_store.h"
+
+namespace daisystile {
+
+// Old history goes by itself, so that a long run stays small.
+static constexpr std::size_t keptEvents = 20000;
+
+static std::string withoutQuotes(const std::string &etag)
+{
+    if (etag.size() >= 2 && etag.front() == '"' && etag.back() == '"') {
+        return etag.substr(1, etag.size() - 2);
+    }
+    return etag;
+}
+
+bool platform_store::holds(const std::string &key, const write_conditions &conditions) const
+{
+    const auto *current = find(key);
+    if (conditions.ifAbsent && current != nullptr) {
+        return false;
+    }
+    if (!conditions.ifMatch) {
+        return true;
+    }
+    return current != nullptr && (*conditions.ifMatch == "*" || withoutQuotes(*conditions.ifMatch) == withoutQuotes(current->etag));
+}
+
+std::string platform_store::record(const std::string &key, std::optional<std::string> value)
+{
+    m_revision += 1;
+    auto etag = '"' + std::to_string(m_revision) + '"';
+    m_events.push_back({m_revision, key, etag, std::move(value)});
+    if (m_events.size() > keptEvents) {
+        m_compactedUpTo = m_events.front().revision;
+        m_events.pop_front();
+    }
+    return etag;
+}
+
+write_result platform_store::put(const std::string &key, std::string value, const write_conditions &conditions)
+{
+    if (value.size() > valueBytes) {
+        return write_refusal::too_large;
+    }
+    if (!holds(key, conditions)) {
+        return write_refusal::precondition_failed;
+    }
+    auto etag = record(key, value);
+    m_objects[key] = {key, etag, std::move(value)};
+    return etag;
+}
+
+write_result platform_store::remove(const std::string &key, const write_conditions &conditions)
+{
+    if (!holds(key, conditions)) {
+        return write_refusal::precondition_failed;
+    }
+    if (m_objects.erase(key) == 0) {
+        return std::string();
+    }
+    return record(key, std::nullopt);
+}
+
+const stored_object *platform_store::find(const std::string &key) const
+{
+    const auto found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second;
+}
+
+std::vector<stored_object> platform_store::list(const std::string &prefix) const
+{
+    std::vector<stored_object> found;
+    for (auto entry = m_objects.lower_bound(prefix); entry != m_objects.end() && entry->first.starts_with(prefix); ++entry) {
+        found.push_back(entry->second);
+    }
+    return found;
+}
+
+std::uint64_t platform_store::revision() const
+{
+    return m_revision;
+}
+
+std::optional<std::vector<store_event>> platform_store::eventsAfter(const std::string &prefix, std::uint64_t after) const
+{
+    if (after < m_compactedUpTo) {
+        return std::nullopt;
+    }
+    std::vector<store_event> found;
+    for (auto event = m_events.rbegin(); event != m_events.rend() && event->revision > after; ++event) {
+        if (event->key.starts_with(prefix)) {
+            found.insert(found.begin(), *event);
+        }
+    }
+    return found;
+}
+
+void platform_store::compact()
+{
+    m_events.clear();
+    m_compactedUpTo = m_revision;
+}
+
+} // namespace daisystile
