--- /dev/null
+++ b/Source/Request/query_decision.cxx
@@ -0,0 +1,609 @@
+#include "query_decision.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+// Time for merging and sending, taken off the caller's wait.
+static constexpr milliseconds longestAnswerMargin {10};
+static constexpr int answerMarginDivisor = 10;
+static constexpr milliseconds restartNeedsAtLeast {5};
+static constexpr double usualLatencyQuantile = 0.95;
+static constexpr milliseconds avoidAfterDrain {3000};
+static constexpr milliseconds avoidAfterLoss {1000};
+static constexpr milliseconds avoidAfterShed {50};
+
+query_state makeQuery(const query_plan &plan, const serving_state &serving)
+{
+    query_state state;
+    state.query = plan.query;
+    state.index = serving.index;
+    state.snapshot = newestSnapshot(serving);
+    state.startedAt = plan.startedAt;
+    const auto margin = std::min(longestAnswerMargin, timeLeft(plan.startedAt, plan.waitEnds) / answerMarginDivisor);
+    state.answerBy = plan.waitEnds - margin;
+    state.leastCoverage = plan.leastCoverage;
+    state.extraLoadShare = plan.extraLoadShare;
+    state.canary = plan.canary;
+    state.shards.resize(state.index->replicas.size());
+    state.pending = static_cast<std::uint32_t>(state.shards.size());
+    return state;
+}
+
+namespace {
+
+// What a failed attempt means for the next one.
+enum class retry_rule {
+    /// The server did no work, so another attempt adds none.
+    free,
+    from_budget,
+    after_judgement,
+    never,
+};
+
+retry_rule ruleFor(attempt_failure failure)
+{
+    switch (failure) {
+    case attempt_failure::snapshot_not_held:
+    case attempt_failure::shard_not_here:
+    case attempt_failure::not_owner:
+    case attempt_failure::draining:
+    case attempt_failure::domain_out:
+        return retry_rule::free;
+    case attempt_failure::server_lost:
+        return retry_rule::after_judgement;
+    case attempt_failure::quarantined:
+    case attempt_failure::cancelled:
+        return retry_rule::never;
+    case attempt_failure::none:
+    case attempt_failure::shed:
+    case attempt_failure::queue_full:
+    case attempt_failure::too_late:
+    case attempt_failure::timed_out:
+    case attempt_failure::malformed:
+    case attempt_failure::peer_lost:
+        return retry_rule::from_budget;
+    }
+    return retry_rule::never;
+}
+
+milliseconds avoidanceAfter(attempt_failure failure)
+{
+    switch (failure) {
+    case attempt_failure::draining:
+    case attempt_failure::domain_out:
+        return avoidAfterDrain;
+    case attempt_failure::server_lost:
+    case attempt_failure::peer_lost:
+        return avoidAfterLoss;
+    case attempt_failure::shed:
+        return avoidAfterShed;
+    default:
+        return milliseconds {0};
+    }
+}
+
+class query_decider
+{
+public:
+    query_decider(query_state &state, serving_state &serving, extra_load_budget &budget, monotonic_time now, query_actions &actions)
+        : m_state(state),
+          m_serving(serving),
+          m_budget(budget),
+          m_now(now),
+          m_actions(actions)
+    {
+    }
+
+    void operator()(const query_started &)
+    {
+        setTimer(nextHedgeTime());
+        if (m_state.canary && m_state.canary->value < m_state.shards.size()) {
+            m_state.phase = query_phase::canary;
+            earnBudget(1);
+            sendFirst(*m_state.canary);
+        } else {
+            fanOut();
+        }
+        finishWhenDone();
+    }
+
+    void operator()(shard_answer &answer)
+    {
+        attempt_state *attempt = findAttempt(answer);
+        if (attempt == nullptr) {
+            return;
+        }
+        if (answer.load.allowed > 0 || answer.load.latencyUs > 0) {
+            m_serving.loads.report(attempt->server, answer.load, m_now);
+        }
+        if (!attempt->open) {
+            m_state.dropped.late += 1;
+            return;
+        }
+        close(answer.shard, *attempt);
+        if (answer.outcome == run_outcome::done) {
+            takeResult(answer, *attempt);
+        } else {
+            failed(answer.shard, *attempt, answer.failure, answer.snapshot);
+        }
+        finishWhenDone();
+    }
+
+    void operator()(const timer_fired &)
+    {
+        if (m_now >= m_state.answerBy) {
+            finish();
+            return;
+        }
+        setTimer(hedgeSlowShards());
+    }
+
+    void operator()(const peer_lost &lost)
+    {
+        for (const auto &[shard, number, server] : lost.attempts) {
+            auto *attempt = openAttempt(shard, number);
+            if (attempt != nullptr && m_state.phase != query_phase::finished) {
+                close(shard, *attempt);
+                failed(shard, *attempt, attempt_failure::peer_lost, {});
+            }
+        }
+        finishWhenDone();
+    }
+
+    void operator()(const crash_judged &verdict)
+    {
+        if (verdict.quarantined) {
+            m_state.quarantined = true;
+            finish();
+            return;
+        }
+        if (verdict.shard.value >= m_state.shards.size() || !shardOf(verdict.shard).crashPending) {
+            return;
+        }
+        auto &shard = shardOf(verdict.shard);
+        shard.crashPending = false;
+        if (!shard.answered && shard.openCount == 0) {
+            if (!verdict.mayRetry || !m_budget.take()) {
+                exhaust(verdict.shard);
+            } else {
+                sendExtra(verdict.shard);
+            }
+        }
+        finishWhenDone();
+    }
+
+private:
+    shard_state &shardOf(shard_index shard)
+    {
+        return m_state.shards[shard.value];
+    }
+
+    attempt_state *openAttempt(shard_index shard, attempt_number number)
+    {
+        if (shard.value >= m_state.shards.size()) {
+            return nullptr;
+        }
+        auto *attempt = attemptNumbered(shardOf(shard), number);
+        return attempt != nullptr && attempt->open ? attempt : nullptr;
+    }
+
+    static attempt_state *attemptNumbered(shard_state &shard, attempt_number number)
+    {
+        const auto end = shard.attempts.begin() + shard.attemptCount;
+        const auto found = std::find_if(shard.attempts.begin(), end, [number](const attempt_state &attempt) { return attempt.number == number; });
+        return found == end ? nullptr : &*found;
+    }
+
+    // Counts answers that can't belong to this query; attempts of before a restart are late.
+    attempt_state *findAttempt(const shard_answer &answer)
+    {
+        if (answer.query != m_state.query || answer.shard.value >= m_state.shards.size()) {
+            m_state.dropped.foreign += 1;
+            return nullptr;
+        }
+        auto *attempt = attemptNumbered(shardOf(answer.shard), answer.attempt);
+        if (attempt == nullptr) {
+            const bool wasSent = answer.attempt.value < shardOf(answer.shard).nextAttempt.value;
+            (wasSent ? m_state.dropped.late : m_state.dropped.foreign) += 1;
+            return nullptr;
+        }
+        if (m_serving.loads.nameOf(attempt->server) != answer.server) {
+            m_state.dropped.foreign += 1;
+            return nullptr;
+        }
+        return attempt;
+    }
+
+    void close(shard_index shard, attempt_state &attempt)
+    {
+        attempt.open = false;
+        shardOf(shard).openCount -= 1;
+        m_serving.loads.ended(attempt.server);
+    }
+
+    void cancelOpen(shard_index index)
+    {
+        auto &shard = shardOf(index);
+        for (std::size_t i = 0; i < shard.attemptCount && shard.openCount > 0; ++i) {
+            auto &attempt = shard.attempts[i];
+            if (attempt.open) {
+                close(index, attempt);
+                recordLatency(attempt);
+                m_actions.emplace_back(cancel_attempt {index, attempt.number, attempt.server});
+            }
+        }
+    }
+
+    // A cancelled attempt counts with the time it had; left out, the slow ones would be missing.
+    void recordLatency(const attempt_state &attempt)
+    {
+        m_serving.latencies.add(std::chrono::duration_cast<microseconds>(m_now - attempt.sentAt));
+    }
+
+    void takeResult(shard_answer &answer, const attempt_state &attempt)
+    {
+        if (answer.snapshot != m_state.snapshot || answer.mapVersion != m_state.index->catalogue->mapVersion) {
+            m_state.dropped.mixed += 1;
+            const bool otherSnapshot = answer.snapshot != m_state.snapshot;
+            failed(answer.shard, attempt, otherSnapshot ? attempt_failure::snapshot_not_held : attempt_failure::shard_not_here, answer.snapshot);
+            return;
+        }
+        const auto results = findResults(answer.body);
+        if (!results) {
+            failed(answer.shard, attempt, attempt_failure::malformed, {});
+            return;
+        }
+        recordLatency(attempt);
+        auto &shard = shardOf(answer.shard);
+        shard.answered = true;
+        shard.body = std::move(answer.body);
+        shard.results = *results;
+        m_state.answered += 1;
+        m_state.pending -= shard.exhausted ? 0 : 1;
+        cancelOpen(answer.shard);
+        if (m_state.phase == query_phase::canary) {
+            m_state.phase = query_phase::fanned_out;
+            m_actions.emplace_back(report_cleared {});
+            fanOut();
+        }
+    }
+
+    void failed(shard_index index, const attempt_state &attempt, attempt_failure failure, const snapshot_id &held)
+    {
+        auto &shard = shardOf(index);
+        shard.lastFailure = failure;
+        avoidServer(attempt.server, failure);
+        if (failure == attempt_failure::not_owner) {
+            attemptNumbered(shard, attempt.number)->retriable = true;
+        }
+        if (failure == attempt_failure::snapshot_not_held) {
+            vote(shard, held);
+        }
+        if (failure == attempt_failure::server_lost) {
+            shard.crashPending = true;
+            m_actions.emplace_back(report_crash {index, attempt.server});
+        }
+        if (failure == attempt_failure::quarantined) {
+            m_state.quarantined = true;
+            finish();
+            return;
+        }
+        if (restartHelps(failure)) {
+            restart();
+            return;
+        }
+        if (shard.openCount == 0) {
+            retry(index, ruleFor(failure));
+        }
+    }
+
+    void avoidServer(server_number server, attempt_failure failure)
+    {
+        const auto avoidance = avoidanceAfter(failure);
+        if (avoidance.count() > 0) {
+            m_serving.loads.avoid(server, m_now + avoidance);
+        }
+    }
+
+    void retry(shard_index shard, retry_rule rule)
+    {
+        if (rule == retry_rule::after_judgement || shardOf(shard).crashPending) {
+            return;
+        }
+        if (rule == retry_rule::never || (rule == retry_rule::from_budget && !m_budget.take())) {
+            exhaust(shard);
+        } else {
+            sendExtra(shard);
+        }
+    }
+
+    void sendExtra(shard_index shard)
+    {
+        if (send(shard)) {
+            m_state.extraAttempts += 1;
+        } else {
+            exhaust(shard);
+        }
+    }
+
+    void sendFirst(shard_index shard)
+    {
+        if (!send(shard)) {
+            shardOf(shard).lastFailure = attempt_failure::shard_not_here;
+            exhaust(shard);
+        }
+    }
+
+    std::optional<server_number> nextServer(shard_index index)
+    {
+        const auto &shard = shardOf(index);
+        std::array<server_number, mostAttemptsPerShard> tried;
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < shard.attemptCount; ++i) {
+            if (!shard.attempts[i].retriable) {
+                tried[count] = shard.attempts[i].server;
+                count += 1;
+            }
+        }
+        const auto salt = m_state.query.query.value + index.value;
+        return m_serving.loads.choose(m_state.index->replicas[index.value], {tried.data(), count}, salt, m_now);
+    }
+
+    bool send(shard_index index)
+    {
+        auto &shard = shardOf(index);
+        if (shard.attemptCount == mostAttemptsPerShard) {
+            return false;
+        }
+        const auto server = nextServer(index);
+        if (!server) {
+            return false;
+        }
+        shard.attempts[shard.attemptCount] = {.number = shard.nextAttempt, .server = *server, .open = true, .sentAt = m_now};
+        shard.attemptCount += 1;
+        shard.openCount += 1;
+        m_actions.emplace_back(send_attempt {index, shard.nextAttempt, *server});
+        shard.nextAttempt.value += 1;
+        m_state.attempts += 1;
+        m_serving.loads.started(*server);
+        return true;
+    }
+
+    void fanOut()
+    {
+        std::size_t sent = 0;
+        for (std::uint32_t i = 0; i < m_state.shards.size(); ++i) {
+            const auto &shard = m_state.shards[i];
+            if (shard.attemptCount == 0 && !shard.exhausted) {
+                sendFirst({i});
+                sent += 1;
+            }
+        }
+        earnBudget(sent);
+    }
+
+    // A restart's attempts are not first ones.
+    void earnBudget(std::size_t firstAttempts)
+    {
+        if (!m_state.restarted) {
+            m_budget.firstAttempts(firstAttempts, m_state.extraLoadShare);
+        }
+    }
+
+    void exhaust(shard_index index)
+    {
+        auto &shard = shardOf(index);
+        if (shard.exhausted || shard.answered) {
+            return;
+        }
+        shard.exhausted = true;
+        m_state.pending -= 1;
+        if (m_state.phase == query_phase::canary) {
+            sendNextCanary(index);
+        }
+    }
+
+    // The canary's replicas could not run it, which says nothing about the request.
+    void sendNextCanary(shard_index last)
+    {
+        const auto next = last.value + 1 < m_state.shards.size() ? last.value + 1 : 0;
+        if (m_state.shards[next].attemptCount == 0 && !m_state.shards[next].exhausted) {
+            m_state.canary = shard_index {next};
+            earnBudget(1);
+            sendFirst({next});
+        }
+    }
+
+    void vote(shard_state &shard, const snapshot_id &held)
+    {
+        if (shard.snapshotMissed || held.value.empty() || held == m_state.snapshot) {
+            return;
+        }
+        shard.snapshotMissed = true;
+        auto &votes = m_state.votes;
+        const auto found = std::find_if(votes.begin(), votes.end(), [&held](const snapshot_vote &entry) { return entry.snapshot == held; });
+        if (found == votes.end()) {
+            votes.push_back({held, 1});
+        } else {
+            found->shards += 1;
+        }
+    }
+
+    const snapshot_vote *mostHeld() const
+    {
+        const auto found = std::max_element(m_state.votes.begin(), m_state.votes.end(), [](const auto &a, const auto &b) { return a.shards < b.shards; });
+        return found == m_state.votes.end() ? nullptr : &*found;
+    }
+
+    bool restartHelps(attempt_failure failure)
+    {
+        if (m_state.restarted || m_state.phase == query_phase::finished) {
+            return false;
+        }
+        const auto usual = m_serving.latencies.quantile(usualLatencyQuantile);
+        if (m_now + std::max<microseconds>(2 * usual, restartNeedsAtLeast) >= m_state.answerBy) {
+            return false;
+        }
+        const bool newMap = failure == attempt_failure::shard_not_here && m_serving.index != m_state.index;
+        const auto *held = mostHeld();
+        const bool newSnapshot = held != nullptr && 2 * static_cast<std::size_t>(held->shards) > m_state.shards.size();
+        // The shards that ran run again, which is load like any retry.
+        return (newMap || newSnapshot || canaryMissed(failure)) && m_budget.take(m_state.answered);
+    }
+
+    // With one shard asked, its word is all there is.
+    bool canaryMissed(attempt_failure failure) const
+    {
+        return m_state.phase == query_phase::canary && failure == attempt_failure::snapshot_not_held && mostHeld() != nullptr;
+    }
+
+    void restart()
+    {
+        attempt_number next;
+        for (std::uint32_t i = 0; i < m_state.shards.size(); ++i) {
+            cancelOpen({i});
+            next.value = std::max(next.value, m_state.shards[i].nextAttempt.value);
+        }
+        m_state.restarted = true;
+        pinAgain();
+        m_state.shards.assign(m_state.index->replicas.size(), shard_state {.nextAttempt = next});
+        m_state.answered = 0;
+        m_state.pending = static_cast<std::uint32_t>(m_state.shards.size());
+        if (m_state.phase == query_phase::canary) {
+            sendFirst({m_state.canary->value % std::max<std::uint32_t>(m_state.pending, 1)});
+        } else {
+            fanOut();
+        }
+    }
+
+    void pinAgain()
+    {
+        const auto *held = mostHeld();
+        m_state.index = m_serving.index;
+        m_state.snapshot = held != nullptr ? held->snapshot : newestSnapshot(m_serving);
+        m_serving.heldSnapshot = m_state.snapshot;
+        m_state.votes.clear();
+    }
+
+    bool mayHedge(const shard_state &shard) const
+    {
+        return !shard.answered && shard.openCount == 1 && shard.attemptCount < mostAttemptsPerShard && shard.lastFailure != attempt_failure::server_lost;
+    }
+
+    monotonic_time nextHedgeTime() const
+    {
+        const auto delay = hedgeDelay(m_serving);
+        return delay.count() == 0 ? m_state.answerBy : m_now + delay;
+    }
+
+    // Returns when to look again.
+    monotonic_time hedgeSlowShards()
+    {
+        const auto delay = hedgeDelay(m_serving);
+        if (delay.count() == 0) {
+            return m_state.answerBy;
+        }
+        auto next = m_now + delay;
+        for (std::uint32_t i = 0; i < m_state.shards.size(); ++i) {
+            const auto &shard = m_state.shards[i];
+            if (!mayHedge(shard)) {
+                continue;
+            }
+            const auto due = shard.attempts[shard.attemptCount - 1].sentAt + delay;
+            if (due > m_now) {
+                next = std::min(next, due);
+            } else {
+                hedge({i}, delay);
+            }
+        }
+        return next;
+    }
+
+    void hedge(shard_index shard, microseconds delay)
+    {
+        const auto server = nextServer(shard);
+        if (server && hedgeWorthwhile(m_serving, *server, delay, m_now) && m_budget.take()) {
+            sendExtra(shard);
+        }
+    }
+
+    void setTimer(monotonic_time at)
+    {
+        m_state.timerAt = std::min(at, m_state.answerBy);
+        m_actions.emplace_back(set_timer {m_state.timerAt});
+    }
+
+    void finishWhenDone()
+    {
+        if (m_state.pending == 0) {
+            finish();
+        }
+    }
+
+    void finish()
+    {
+        if (m_state.phase == query_phase::finished) {
+            return;
+        }
+        for (std::uint32_t i = 0; i < m_state.shards.size(); ++i) {
+            cancelOpen({i});
+        }
+        m_state.phase = query_phase::finished;
+        m_actions.emplace_back(answer_caller {outcome()});
+    }
+
+    query_outcome outcome() const
+    {
+        if (m_state.quarantined) {
+            return query_outcome::quarantined;
+        }
+        if (m_state.answered == m_state.shards.size()) {
+            return query_outcome::complete;
+        }
+        const auto covered = static_cast<double>(m_state.answered) / static_cast<double>(m_state.shards.size());
+        return covered < m_state.leastCoverage ? query_outcome::too_little_coverage : query_outcome::partial;
+    }
+
+    query_state &m_state;
+    serving_state &m_serving;
+    extra_load_budget &m_budget;
+    monotonic_time m_now;
+    query_actions &m_actions;
+};
+
+} // namespace
+
+void decide(query_state &state, serving_state &serving, extra_load_budget &budget, query_event event, monotonic_time now, query_actions &actions)
+{
+    if (state.phase == query_phase::finished) {
+        state.dropped.late += std::holds_alternative<shard_answer>(event) ? 1 : 0;
+        return;
+    }
+    std::visit(query_decider(state, serving, budget, now, actions), event);
+}
+
+std::string mergeResults(const query_state &state)
+{
+    std::size_t size = 2;
+    for (const auto &shard : state.shards) {
+        size += shard.results.end - shard.results.begin + 1;
+    }
+    std::string array;
+    array.reserve(size);
+    array += '[';
+    for (const auto &shard : state.shards) {
+        if (shard.answered) {
+            appendResults(array, shard.body, shard.results);
+        }
+    }
+    array += ']';
+    return array;
+}
+
+attempt_failure missingReason(const shard_state &shard)
+{
+    return shard.exhausted ? shard.lastFailure : attempt_failure::timed_out;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Request/query_decision.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "extra_load_budget.h"
+#include "query_state.h"
+
+namespace daisystile {
+
+/// What a new query is made of.
+struct query_plan
+{
+    query_reference query;
+    monotonic_time startedAt;
+    /// The caller's wait ends then.
+    monotonic_time waitEnds;
+    double leastCoverage = 0;
+    /// Shares of first attempts that hedges and retries may add.
+    double extraLoadShare = 0;
+    std::optional<shard_index> canary;
+};
+
+/// Pins the service's snapshot and shard map.
+query_state makeQuery(const query_plan &plan, const serving_state &serving);
+
+/// Takes one event in and adds what is to be done to the actions; a finished query does nothing more.
+void decide(query_state &state, serving_state &serving, extra_load_budget &budget, query_event event, monotonic_time now, query_actions &actions);
+
+/// The answer's results array, from the shards that count.
+std::string mergeResults(const query_state &state);
+/// Why a shard without answer is missing.
+attempt_failure missingReason(const shard_state &shard);
+
+} // namespace daisystile
