Load: Add open-loop load tool daisystile-load

Latency measured in a closed loop hides the queue behind a slow answer. The tool sends seeded Poisson arrivals at fixed rates from its own threads, counts latency from the scheduled arrival, calls control interfaces at stated times and compares callers' answers with the backend server stand-ins' records.

--- /dev/null
+++ b/Source/Load/arrival_schedule.cxx
@@ -0,0 +1,107 @@
+#include "arrival_schedule.h"
+
+#include <cmath>
+#include <pcg_random.hpp>
+
+namespace daisystile {
+
+// Resends pick among so many of the newest keys.
+static constexpr std::size_t resendWindow = 64;
+
+struct arrival_schedule::stream_state
+{
+    stream_state(const load_plan &plan, const load_stream &source, unsigned thread, std::size_t position)
+        : stream(source),
+          threads(plan.threads),
+          targetCount(plan.targets.size()),
+          nextNumber(thread),
+          random(plan.seed, thread * plan.streams.size() + position)
+    {
+        at = static_cast<double>(source.from.count());
+        advance();
+    }
+
+    double uniform()
+    {
+        return random() * 0x1p-32;
+    }
+
+    void advance()
+    {
+        const double perMicrosecond = stream.ratePerSecond / 1e6 / threads;
+        at = perMicrosecond > 0 ? at - std::log1p(-uniform()) / perMicrosecond : HUGE_VAL;
+    }
+
+    bool ended() const
+    {
+        return at >= static_cast<double>(stream.to.count());
+    }
+
+    std::size_t pickTarget()
+    {
+        if (stream.targets.empty()) {
+            return random(static_cast<std::uint32_t>(targetCount));
+        }
+        return stream.targets[random(static_cast<std::uint32_t>(stream.targets.size()))];
+    }
+
+    arrival take(std::size_t position)
+    {
+        arrival taken {microseconds {static_cast<microseconds::rep>(at)}, position, pickTarget()};
+        if (!recent.empty() && uniform() < stream.resendShare) {
+            taken.resend = true;
+            taken.number = recent[random(static_cast<std::uint32_t>(recent.size()))];
+        } else {
+            taken.number = stream.distinct == 0 ? nextNumber : nextNumber % stream.distinct;
+            nextNumber += threads;
+            remember(taken.number);
+        }
+        advance();
+        return taken;
+    }
+
+    void remember(std::uint64_t number)
+    {
+        if (stream.resendShare <= 0) {
+            return;
+        }
+        recent.push_back(number);
+        if (recent.size() > resendWindow) {
+            recent.pop_front();
+        }
+    }
+
+    const load_stream &stream;
+    unsigned threads;
+    std::size_t targetCount;
+    // Threads number their requests in steps, so that none is used twice.
+    std::uint64_t nextNumber;
+    pcg32 random;
+    double at = 0;
+    std::deque<std::uint64_t> recent;
+};
+
+arrival_schedule::arrival_schedule(const load_plan &plan, unsigned thread)
+{
+    for (std::size_t i = 0; i < plan.streams.size(); ++i) {
+        m_streams.push_back(std::make_unique<stream_state>(plan, plan.streams[i], thread, i));
+    }
+}
+
+arrival_schedule::~arrival_schedule() = default;
+
+std::optional<arrival> arrival_schedule::next()
+{
+    std::size_t first = m_streams.size();
+    for (std::size_t i = 0; i < m_streams.size(); ++i) {
+        if (!m_streams[i]->ended() && (first == m_streams.size() || m_streams[i]->at < m_streams[first]->at)) {
+            first = i;
+        }
+    }
+    if (first == m_streams.size()) {
+        return std::nullopt;
+    }
+    return m_streams[first]->take(first);
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Load/load_plan.cxx
@@ -0,0 +1,261 @@
+#include "load_plan.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace daisystile {
+
+using nlohmann::json;
+
+namespace {
+
+// Reads the fields of one JSON object, notes every mistake and every field left unread.
+class field_reader
+{
+public:
+    field_reader(const json &object, std::string path, std::vector<std::string> &mistakes)
+        : m_object(object),
+          m_path(std::move(path)),
+          m_mistakes(mistakes)
+    {
+        if (!object.is_object()) {
+            m_mistakes.push_back(m_path + ": expected an object");
+        }
+    }
+
+    template<class T> void read(const char *name, T &target)
+    {
+        m_known.emplace_back(name);
+        if (!m_object.is_object() || !m_object.contains(name)) {
+            return;
+        }
+        take(m_object.at(name), pathOf(name), target);
+    }
+
+    template<class T> void readRequired(const char *name, T &target)
+    {
+        if (m_object.is_object() && !m_object.contains(name)) {
+            m_mistakes.push_back(pathOf(name) + ": missing");
+        }
+        read(name, target);
+    }
+
+    template<class T, class Parse> void readList(const char *name, std::vector<T> &target, Parse parse)
+    {
+        m_known.emplace_back(name);
+        if (!m_object.is_object() || !m_object.contains(name)) {
+            return;
+        }
+        const auto &list = m_object.at(name);
+        if (!list.is_array()) {
+            m_mistakes.push_back(pathOf(name) + ": expected a list");
+            return;
+        }
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            target.push_back(parse(list[i], pathOf(name) + "[" + std::to_string(i) + "]"));
+        }
+    }
+
+    void refuseUnknown()
+    {
+        if (!m_object.is_object()) {
+            return;
+        }
+        for (const auto &[name, value] : m_object.items()) {
+            if (std::find(m_known.begin(), m_known.end(), name) == m_known.end()) {
+                m_mistakes.push_back(pathOf(name) + ": unknown field");
+            }
+        }
+    }
+
+    void take(const json &value, const std::string &path, std::string &target)
+    {
+        if (value.is_string()) {
+            target = value.get<std::string>();
+        } else {
+            m_mistakes.push_back(path + ": expected a string");
+        }
+    }
+
+    void take(const json &value, const std::string &path, double &target)
+    {
+        if (value.is_number() && value.get<double>() >= 0) {
+            target = value.get<double>();
+        } else {
+            m_mistakes.push_back(path + ": expected a number not below 0");
+        }
+    }
+
+    template<std::integral T> void take(const json &value, const std::string &path, T &target)
+    {
+        if (value.is_number_unsigned()) {
+            target = value.get<T>();
+        } else {
+            m_mistakes.push_back(path + ": expected a whole number not below 0");
+        }
+    }
+
+    void take(const json &value, const std::string &path, microseconds &target)
+    {
+        double amount = 0;
+        take(value, path, amount);
+        target = microseconds {std::llround(amount * 1e6)};
+    }
+
+    void take(const json &value, const std::string &path, milliseconds &target)
+    {
+        microseconds exact {0};
+        take(value, path, exact);
+        target = std::chrono::duration_cast<milliseconds>(exact);
+    }
+
+    void take(const json &value, const std::string &path, ip_address &target)
+    {
+        const auto address = parseIpAddress(value.is_string() ? value.get<std::string>() : "");
+        if (address) {
+            target = *address;
+        } else {
+            m_mistakes.push_back(path + ": expected \"IP:PORT\"");
+        }
+    }
+
+    template<class Tag> void take(const json &value, const std::string &path, strong_value<Tag, std::string> &target)
+    {
+        take(value, path, target.value);
+    }
+
+    void take(const json &value, const std::string &path, request_kind &target)
+    {
+        if (value == "query" || value == "execute") {
+            target = value == "query" ? request_kind::query : request_kind::execute;
+        } else {
+            m_mistakes.push_back(path + ": expected \"query\" or \"execute\"");
+        }
+    }
+
+private:
+    std::string pathOf(const std::string &name) const
+    {
+        return m_path.empty() ? name : m_path + "." + name;
+    }
+
+    const json &m_object;
+    std::string m_path;
+    std::vector<std::string> &m_mistakes;
+    std::vector<std::string> m_known;
+};
+
+load_stream parseStream(const json &object, const std::string &path, const load_plan &plan, std::vector<std::string> &mistakes)
+{
+    load_stream stream;
+    stream.to = plan.duration;
+    field_reader reader(object, path, mistakes);
+    reader.readRequired("name", stream.name);
+    reader.readRequired("token", stream.token);
+    reader.readRequired("service", stream.service);
+    reader.read("kind", stream.kind);
+    reader.readRequired("rate", stream.ratePerSecond);
+    reader.readRequired("body", stream.body);
+    reader.read("distinct", stream.distinct);
+    reader.read("resend_share", stream.resendShare);
+    reader.read("from", stream.from);
+    reader.read("to", stream.to);
+    reader.read("timeout", stream.timeout);
+    reader.readList("targets", stream.targets, [&](const json &value, const std::string &where) {
+        std::size_t position = 0;
+        reader.take(value, where, position);
+        if (position >= plan.targets.size()) {
+            mistakes.push_back(where + ": no such target");
+        }
+        return position;
+    });
+    reader.refuseUnknown();
+    if (stream.resendShare > 1) {
+        mistakes.push_back(path + ".resend_share: expected a share from 0 to 1");
+    }
+    return stream;
+}
+
+control_step parseStep(const json &object, const std::string &path, std::vector<std::string> &mistakes)
+{
+    control_step step;
+    field_reader reader(object, path, mistakes);
+    reader.readRequired("at", step.at);
+    reader.read("method", step.method);
+    reader.readRequired("address", step.address);
+    reader.readRequired("path", step.path);
+    reader.read("body", step.body);
+    reader.readList("headers", step.headers, [&](const json &value, const std::string &where) {
+        http_header header;
+        field_reader fields(value, where, mistakes);
+        fields.readRequired("name", header.name);
+        fields.readRequired("value", header.value);
+        fields.refuseUnknown();
+        return header;
+    });
+    reader.refuseUnknown();
+    return step;
+}
+
+load_phase parsePhase(const json &object, const std::string &path, std::vector<std::string> &mistakes)
+{
+    load_phase phase;
+    field_reader reader(object, path, mistakes);
+    reader.readRequired("name", phase.name);
+    reader.readRequired("from", phase.from);
+    reader.readRequired("to", phase.to);
+    reader.refuseUnknown();
+    return phase;
+}
+
+load_plan parsePlan(const json &object, std::vector<std::string> &mistakes)
+{
+    load_plan plan;
+    field_reader reader(object, "", mistakes);
+    const auto parseAddress = [&](const json &value, const std::string &where) {
+        ip_address address;
+        reader.take(value, where, address);
+        return address;
+    };
+    reader.read("seed", plan.seed);
+    reader.read("threads", plan.threads);
+    reader.readRequired("duration", plan.duration);
+    reader.read("interval", plan.interval);
+    reader.read("connections_per_target", plan.connectionsPerTarget);
+    reader.read("key_prefix", plan.keyPrefix);
+    reader.readList("targets", plan.targets, parseAddress);
+    reader.readList("records", plan.records, parseAddress);
+    reader.readList("streams", plan.streams, [&](const json &value, const std::string &where) { return parseStream(value, where, plan, mistakes); });
+    reader.readList("steps", plan.steps, [&](const json &value, const std::string &where) { return parseStep(value, where, mistakes); });
+    reader.readList("phases", plan.phases, [&](const json &value, const std::string &where) { return parsePhase(value, where, mistakes); });
+    reader.refuseUnknown();
+    if (plan.targets.empty()) {
+        mistakes.emplace_back("targets: at least one is needed");
+    }
+    if (plan.threads == 0) {
+        mistakes.emplace_back("threads: at least one is needed");
+    }
+    return plan;
+}
+
+} // namespace
+
+leaf::result<load_plan> parseLoadPlan(std::string_view text)
+{
+    const json object = json::parse(text, nullptr, false);
+    if (object.is_discarded()) {
+        return leaf::new_error(load_plan_error {{"plan: not JSON"}});
+    }
+    std::vector<std::string> mistakes;
+    auto plan = parsePlan(object, mistakes);
+    if (!mistakes.empty()) {
+        return leaf::new_error(load_plan_error {std::move(mistakes)});
+    }
+    if (plan.phases.empty()) {
+        plan.phases.push_back({"all", microseconds {0}, plan.duration});
+    }
+    return plan;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/daisystile-load.cxx
@@ -0,0 +1,56 @@
+#include <Load/load.h>
+
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace daisystile;
+
+enum exit_code {
+    exit_done = 0,
+    exit_plan_wrong = 2,
+    exit_plan_unreadable = 3,
+};
+
+static int run(const std::string &text, const std::string &format)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(plan, parseLoadPlan(text));
+            const auto report = runLoad(plan);
+            std::cout << (format == "json" ? toJson(plan, report) : toText(plan, report)) << std::endl;
+            return exit_done;
+        },
+        [](const load_plan_error &error) {
+            for (const auto &mistake : error.mistakes) {
+                std::cerr << "daisystile-load: " << mistake << "\n";
+            }
+            return static_cast<int>(exit_plan_wrong);
+        },
+        [] {
+            std::cerr << "daisystile-load: the plan can't be read\n";
+            return static_cast<int>(exit_plan_wrong);
+        });
+}
+
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine options("Sends requests to daemons at fixed rates whatever the answers, and reports latency, coverage and outcomes.", ' ', "0.1.0");
+    std::vector<std::string> formats {"text", "json"};
+    TCLAP::ValuesConstraint<std::string> formatNames(formats);
+    TCLAP::ValueArg<std::string> plan("", "plan", "The plan, a JSON file; see docs/operators/load.md.", true, "", "FILE", options);
+    TCLAP::ValueArg<std::string> format("", "format", "How to print the figures.", false, "text", &formatNames, options);
+    options.parse(argc, argv);
+    startLogging("daisystile-load", "warning");
+
+    std::ifstream file(plan.getValue());
+    if (!file) {
+        std::cerr << "daisystile-load: " << plan.getValue() << " can't be opened\n";
+        return exit_plan_unreadable;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return run(text.str(), format.getValue());
+}
