--- a/Source/Connection/backend_protocol.cxx
+++ b/Source/Connection/backend_protocol.cxx
@@ -89,10 +89,19 @@
     return answer;
 }
 
-static shard_answer readReply(http_reply reply)
+static bool answersRequest(const http_reply &reply, const std::string &requestId)
+{
+    const auto found = reply.headers.find("request-id");
+    return found != reply.headers.end() && found->second == requestId;
+}
+
+static shard_answer readReply(const std::string &requestId, http_reply reply)
 {
     switch (reply.status) {
     case statusDone:
+        if (!answersRequest(reply, requestId)) {
+            return failed(run_outcome::unknown, attempt_failure::malformed);
+        }
         return readDone(std::move(reply));
     case statusSnapshotNotHeld:
         return failed(run_outcome::not_run, attempt_failure::snapshot_not_held);
@@ -105,10 +114,10 @@
     }
 }
 
-shard_answer readSearchAnswer(http_result result)
+shard_answer readSearchAnswer(const std::string &requestId, http_result result)
 {
     if (auto *reply = std::get_if<http_reply>(&result)) {
-        return readReply(std::move(*reply));
+        return readReply(requestId, std::move(*reply));
     }
     const auto &failure = std::get<http_failure>(result);
     return failed(failure.mayHaveBeenSent ? run_outcome::unknown : run_outcome::not_run, failureOf(failure.kind));
--- a/Source/Connection/backend_protocol.h
+++ b/Source/Connection/backend_protocol.h
@@ -13,6 +13,7 @@
 http_call makeCancelCall(const ip_address &server, const std::string &requestId);
 
 /// Turns a server's reply, or its absence, into an answer: outcome, failure, snapshot, shard map and body.
-shard_answer readSearchAnswer(http_result result);
+/// A reply that names another request is foreign: its own was run, or not, nobody knows.
+shard_answer readSearchAnswer(const std::string &requestId, http_result result);
 
 } // namespace daisystile
--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -11,3 +11,4 @@
 #include "peer_codec.h"
 #include "peer_messages.h"
 #include "peer_network.h"
+#include "server_owner.h"
--- a/Source/Connection/server_owner.cxx
+++ b/Source/Connection/server_owner.cxx
@@ -59,7 +59,7 @@
 
 void server_owner::finish(const running_attempt &running, http_result result)
 {
-    auto answer = readSearchAnswer(std::move(result));
+    auto answer = readSearchAnswer(running.requestId, std::move(result));
     answer.query = running.query;
     answer.shard = running.attempt.shard;
     answer.attempt = running.attempt.attempt;
--- a/Tests/StandIns/backend_server_standin.cxx
+++ b/Tests/StandIns/backend_server_standin.cxx
@@ -236,12 +236,12 @@
         body["result"] = {{"entry", stableHash(key + request.body)}};
     }
     auto response = jsonResponse(body);
-    if (plan.foreign && !m_lastAnswer.empty()) {
-        response.body = m_lastAnswer;
-        return response;
+    response.headers = {{"Request-Id", request.header("request-id").value_or("")}, {"Snapshot", plan.snapshot}};
+    if (shard) {
+        response.headers.push_back({"Shard-Map-Version", std::to_string(plan.mapVersion)});
     }
-    m_lastAnswer = response.body;
-    return response;
+    std::swap(response, m_lastAnswer);
+    return plan.foreign && response.status != 0 ? response : m_lastAnswer;
 }
 
 http_response backend_server_standin::refuse(work_verdict verdict) const
--- a/Tests/StandIns/backend_server_standin.h
+++ b/Tests/StandIns/backend_server_standin.h
@@ -71,7 +71,8 @@
     int m_portHolder = -1;
     std::unique_ptr<http_server> m_server;
     work_list m_work;
-    std::string m_lastAnswer;
+    /// Status 0 before the first answer.
+    http_response m_lastAnswer {.status = 0};
     std::uint32_t m_shownLoad = 0;
     monotonic_time m_shownAt {};
     double m_owedMs = 0;
