--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -256,6 +256,7 @@
         self.loop.handle_events();
         self.retired.clear();
     }
+    self.stopping = false;
 }
 
 void reactor::stop()
--- a/Source/Process/reactor.h
+++ b/Source/Process/reactor.h
@@ -40,7 +40,7 @@
     /// Runs the callback on the reactor's thread; safe from any thread.
     void post(std::function<void()> callback);
 
-    /// Runs until stop().
+    /// Runs until stop(); may be run again.
     void run();
     void stop();
 
