--- a/Source/Connection/server_owner.cxx
+++ b/Source/Connection/server_owner.cxx
@@ -89,4 +89,9 @@
     }
 }
 
-} // namespace daisystile
+std::size_t server_owner::openAttempts() const
+{
+    return m_running.size();
+}
+
+}
--- a/Source/Connection/server_owner.h
+++ b/Source/Connection/server_owner.h
@@ -20,6 +20,7 @@
     void search(const daemon_id &coordinator, const search_batch &batch);
     /// Attempts under way are dropped at the server; their answers still come, as cancelled.
     void cancel(const cancel_batch &batch);
+    std::size_t openAttempts() const;
 
 private:
     struct running_attempt
--- /dev/null
+++ b/Source/Request/daemon.cxx
@@ -0,0 +1,75 @@
+#include "daemon.h"
+
+#include "control_runtime.h"
+#include "traffic_runtime.h"
+
+namespace daisystile {
+
+// Later lives get larger numbers also when a host's replacement starts elsewhere; the wall clock of hosts is near enough for that.
+static incarnation newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(sinceEpoch).count())};
+}
+
+struct daemon::implementation
+{
+    explicit implementation(daemon_settings daemonSettings)
+        : settings(std::move(daemonSettings)),
+          self {settings.id, newIncarnation()},
+          control(settings, self, views, registry),
+          traffic(settings, self, views, registry),
+          signals(control.loop(), [this] { shutDown(); })
+    {
+    }
+
+    // A second signal changes nothing: what runs is finished all the same.
+    void shutDown()
+    {
+        if (shuttingDown) {
+            return;
+        }
+        shuttingDown = true;
+        DAISYSTILE_LOG(INFO, "daemon") << "Shutting down." << field("id", self.id.value);
+        control.announceLeaving();
+        traffic.drain([this] { control.loop().post([this] { control.loop().stop(); }); });
+    }
+
+    daemon_settings settings;
+    peer_identity self;
+    view_publisher views;
+    metrics registry;
+    control_runtime control;
+    traffic_runtime traffic;
+    termination_signals signals;
+    ip_address trafficAddress;
+    bool shuttingDown = false;
+};
+
+daemon::daemon(daemon_settings settings)
+    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+daemon::~daemon() = default;
+
+leaf::result<daemon_addresses> daemon::listen()
+{
+    auto &self = *m_implementation;
+    BOOST_LEAF_AUTO(control, self.control.listen());
+    BOOST_LEAF_AUTO(traffic, self.traffic.listen());
+    self.trafficAddress = traffic.traffic;
+    return daemon_addresses {traffic.callers, control.operators, traffic.traffic, control.control};
+}
+
+void daemon::run()
+{
+    auto &self = *m_implementation;
+    self.traffic.start();
+    self.control.start(self.trafficAddress, [&self] { self.traffic.viewChanged(); });
+    self.control.loop().run();
+    self.traffic.stop();
+    DAISYSTILE_LOG(INFO, "daemon") << "Stopped." << field("id", self.self.id.value);
+}
+
+}
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -2,6 +2,7 @@
 
 /// Public header of the request library: admission, fan-out, hedging, merging, the callers' interface.
 
+#include "daemon.h"
 #include "extra_load_budget.h"
 #include "query_decision.h"
 #include "query_state.h"
--- /dev/null
+++ b/Source/Request/traffic_runtime.cxx
@@ -0,0 +1,175 @@
+#include "traffic_runtime.h"
+
+#include "callers_api.h"
+#include "coordinator.h"
+
+#include <thread>
+
+namespace daisystile {
+
+static constexpr milliseconds drainCheckInterval {20};
+
+struct traffic_runtime::implementation
+{
+    implementation(const daemon_settings &daemonSettings, const peer_identity &identity, const view_publisher &publisher, metrics &registry)
+        : settings(daemonSettings),
+          self(identity),
+          views(publisher),
+          network(loop,
+              {identity, daemonSettings.peerKey},
+              {[this](const peer_identity &from, peer_message message) { receive(from, std::move(message)); },
+                  [this](const peer_loss &loss) { queries.peerLost(loss); }}),
+          owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
+          queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership}, registry),
+          callers(loop, services(), registry),
+          figures(registry)
+    {
+    }
+
+    coordinator::transport transport()
+    {
+        coordinator::transport out;
+        out.send = [this](const daemon_id &to, const peer_message &message) { return network.send(to, message); };
+        out.searchHere = [this](const search_batch &batch) { owner.search(self.id, batch); };
+        out.cancelHere = [this](const cancel_batch &batch) { owner.cancel(batch); };
+        return out;
+    }
+
+    callers_api::services services()
+    {
+        callers_api::services uses;
+        uses.search = [this](search_request request, search_callback done) { return queries.search(std::move(request), std::move(done)); };
+        uses.execute = [](const execute_submission &, const http_responder &respond) { respond(notYetServed()); };
+        uses.accepting = [this] { return !draining && views.current()->ready; };
+        uses.metricsText = [this] { return figures.text(); };
+        return uses;
+    }
+
+    static http_response notYetServed()
+    {
+        return {.status = 503, .body = R"({"title":"execute is not served","outcome":"not_run"})", .contentType = "application/problem+json"};
+    }
+
+    void receive(const peer_identity &from, peer_message message)
+    {
+        struct visitor
+        {
+            implementation &self;
+            const peer_identity &from;
+
+            void operator()(const search_batch &batch) const
+            {
+                self.owner.search(from.id, batch);
+            }
+            void operator()(const cancel_batch &batch) const
+            {
+                self.owner.cancel(batch);
+            }
+            void operator()(shard_answer &answer) const
+            {
+                self.queries.receive(std::move(answer));
+            }
+            void operator()(const execute_request &) const
+            {
+            }
+            void operator()(const execute_answer &) const
+            {
+            }
+        };
+        std::visit(visitor {*this, from}, message);
+    }
+
+    void deliver(const daemon_id &to, shard_answer answer)
+    {
+        if (to == self.id) {
+            queries.receive(std::move(answer));
+        } else {
+            network.send(to, std::move(answer));
+        }
+    }
+
+    void adoptView()
+    {
+        const auto view = views.current();
+        std::vector<peer_address> peers;
+        for (const auto &peer : view->members) {
+            if (peer.id != self.id) {
+                peers.push_back({peer.id, peer.traffic});
+            }
+        }
+        network.setPeers(peers);
+        queries.setView(view, std::make_shared<const owner_map>(view));
+        callers.setView(view);
+    }
+
+    void checkDrained(const std::function<void()> &drained)
+    {
+        if (queries.openQueries() == 0 && server->openRequests() == 0 && owner.openAttempts() == 0) {
+            drained();
+            return;
+        }
+        loop.after(drainCheckInterval, [this, drained] { checkDrained(drained); });
+    }
+
+    daemon_settings settings;
+    peer_identity self;
+    const view_publisher &views;
+    reactor loop;
+    peer_network network;
+    server_owner owner;
+    coordinator queries;
+    callers_api callers;
+    metrics &figures;
+    std::unique_ptr<http_server> server;
+    bool draining = false;
+    std::thread thread;
+};
+
+traffic_runtime::traffic_runtime(const daemon_settings &settings, const peer_identity &self, const view_publisher &views, metrics &registry)
+    : m_implementation(std::make_unique<implementation>(settings, self, views, registry))
+{
+}
+
+traffic_runtime::~traffic_runtime()
+{
+    stop();
+}
+
+leaf::result<traffic_runtime::addresses> traffic_runtime::listen()
+{
+    auto &self = *m_implementation;
+    BOOST_LEAF_AUTO(traffic, self.network.listen(self.settings.traffic));
+    const auto handler = [&self](http_request request, http_responder respond) { self.callers.handle(std::move(request), std::move(respond)); };
+    BOOST_LEAF_ASSIGN(self.server, http_server::listen(self.loop, self.settings.callers, handler));
+    return addresses {self.server->address(), traffic};
+}
+
+void traffic_runtime::start()
+{
+    m_implementation->thread = std::thread([this] { m_implementation->loop.run(); });
+}
+
+void traffic_runtime::viewChanged()
+{
+    m_implementation->loop.post([this] { m_implementation->adoptView(); });
+}
+
+void traffic_runtime::drain(std::function<void()> drained)
+{
+    m_implementation->loop.post([this, drained = std::move(drained)] {
+        m_implementation->draining = true;
+        m_implementation->server->stopListening();
+        m_implementation->checkDrained(drained);
+    });
+}
+
+void traffic_runtime::stop()
+{
+    if (!m_implementation->thread.joinable()) {
+        return;
+    }
+    m_implementation->loop.stop();
+    m_implementation->thread.join();
+}
+
+}
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -11,7 +11,7 @@
 class traffic_runtime
 {
 public:
-    traffic_runtime(const daemon_settings &settings, const peer_identity &self, const view_publisher &views);
+    traffic_runtime(const daemon_settings &settings, const peer_identity &self, const view_publisher &views, metrics &registry);
     ~traffic_runtime();
     traffic_runtime(const traffic_runtime &) = delete;
     traffic_runtime &operator=(const traffic_runtime &) = delete;
