Request: Record, merge and show service-level burn

Each daemon keeps a slice a minute for an hour and a slice each ten minutes for six hours for at most 256 customers; a report adds the slices of all daemons, histograms included, names those that did not answer, and is shown as text, JSON or one HTML page without outside requests. Not joined to the daemon yet.

--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -2,6 +2,7 @@
 
 /// Public header of the connection library: peer links, ownership, slots, membership.
 
+#include "burn_slice.h"
 #include "connection_error.h"
 #include "control_codec.h"
 #include "control_messages.h"
--- a/Source/Connection/frame_archive.h
+++ b/Source/Connection/frame_archive.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cereal/cereal.hpp>
+#include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "burn_slice.h"
+
 #include <Version/version.h>
 
 #include <cstdint>
@@ -163,6 +165,6 @@
 };
 
 /// Everything that peer links carry; new kinds go to the end.
-using peer_message = std::variant<search_batch, shard_answer, cancel_batch, execute_request, execute_answer>;
+using peer_message = std::variant<search_batch, shard_answer, cancel_batch, execute_request, execute_answer, burn_request, burn_reply>;
 
 } // namespace daisystile
--- /dev/null
+++ b/Source/Request/burn_recorder.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <Connection/connection.h>
+
+#include <deque>
+#include <mutex>
+#include <string_view>
+
+namespace daisystile {
+
+/// Seconds since the epoch; only reports use the wall clock.
+using wall_seconds = std::uint64_t;
+
+/// One request's end, as its caller saw it.
+struct ended_request
+{
+    customer_id customer;
+    /// Empty when the caller got a result; otherwise why not, for example over_contract or too_little_coverage.
+    std::string_view refusal;
+    microseconds latency {0};
+    std::uint32_t shards = 0;
+    std::uint32_t covered = 0;
+    std::uint32_t firstAttempts = 0;
+    std::uint32_t extraAttempts = 0;
+};
+
+/// A customer's slices of one length, the newest last; older ones than the ring holds are dropped.
+class burn_ring
+{
+public:
+    burn_ring(std::uint32_t lengthS, std::size_t count);
+
+    void record(const ended_request &request, bool slow, wall_seconds now);
+    /// Appends what is not older than the ring reaches back from now.
+    void appendTo(std::vector<burn_slice> &slices, wall_seconds now) const;
+
+private:
+    burn_slice &open(wall_seconds now);
+    void closeNewest();
+
+    std::uint32_t m_lengthS;
+    std::size_t m_count;
+    std::deque<burn_slice> m_slices;
+    /// Of the newest slice, whose own buckets are filled when it is closed.
+    latency_histogram m_newest;
+};
+
+/// One daemon's record of what it answered each customer: a slice a minute for an hour, a slice each ten minutes for six hours.
+/// Safe from any thread. Memory is bounded: beyond mostCustomers the one silent for longest is dropped.
+class burn_recorder
+{
+public:
+    static constexpr std::size_t mostCustomers = 256;
+    static constexpr std::uint32_t shortSliceS = 60;
+    static constexpr std::size_t shortSlices = 61;
+    static constexpr std::uint32_t longSliceS = 600;
+    static constexpr std::size_t longSlices = 37;
+    static constexpr std::size_t mostDomainChanges = 64;
+
+    void record(const ended_request &request, const service_objective &objective, wall_seconds now);
+    /// Notes which failure domains went out or came back since the last call.
+    void noteDomains(const std::map<failure_domain_name, failure_domain> &domains, wall_seconds now);
+
+    /// Parts of at most a few hundred kilobytes each; at least one.
+    std::vector<burn_reply> reply(std::uint64_t number, wall_seconds now) const;
+
+private:
+    struct customer_record
+    {
+        burn_ring shortRing {shortSliceS, shortSlices};
+        burn_ring longRing {longSliceS, longSlices};
+        wall_seconds lastSeen = 0;
+    };
+
+    customer_record &recordOf(const customer_id &customer);
+
+    mutable std::mutex m_mutex;
+    std::map<customer_id, customer_record> m_customers;
+    std::map<failure_domain_name, bool> m_domainsOut;
+    std::deque<domain_change> m_domainChanges;
+};
+
+} // namespace daisystile
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -2,6 +2,11 @@
 
 /// Public header of the request library: admission, fan-out, hedging, merging, the callers' interface.
 
+#include "burn_html.h"
+#include "burn_json.h"
+#include "burn_recorder.h"
+#include "burn_report.h"
+#include "burn_text.h"
 #include "extra_load_budget.h"
 #include "query_decision.h"
 #include "query_state.h"
