Request: Serve callers' queries over owners' links

Cause: the pure decisions need their shell: HTTP and JSON towards callers, batches a daemon towards owners. Change: callers_api checks route, token, contract, service, headers and body, naming the wrong field in problem JSON; coordinator pins, fans out in one batch for each owner, uses the local owner by direct call, and drops late and foreign answers.

--- /dev/null
+++ b/Source/Request/callers_api.cxx
@@ -0,0 +1,214 @@
+#include "callers_api.h"
+
+#include <unordered_map>
+
+namespace daisystile {
+
+static constexpr std::string_view servicesPath = "/v1/services/";
+static constexpr seconds notReadyRetryAfter {2};
+static constexpr std::size_t longestIdempotencyKey = 200;
+
+fingerprint fingerprintOf(const service_name &service, std::string_view canonicalBody)
+{
+    return {stableHash(canonicalBody, stableHash(service.value))};
+}
+
+namespace {
+
+enum class verb {
+    query,
+    execute,
+};
+
+struct route
+{
+    service_name service;
+    verb action;
+};
+
+// What is known of a caller once its token and service were checked.
+struct checked_call
+{
+    route target;
+    std::shared_ptr<const contract> terms;
+    milliseconds wait;
+};
+
+} // namespace
+
+static leaf::result<route> parseRoute(const http_request &request)
+{
+    if (request.path.compare(0, servicesPath.size(), servicesPath) != 0) {
+        return leaf::new_error(request_error {request_failure::path_unknown, request.path});
+    }
+    const auto rest = request.path.substr(servicesPath.size());
+    const auto slash = rest.find('/');
+    const auto action = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
+    if (slash == 0 || (action != "query" && action != "execute")) {
+        return leaf::new_error(request_error {request_failure::path_unknown, request.path});
+    }
+    if (request.method != "POST") {
+        return leaf::new_error(request_error {request_failure::method_not_allowed, request.method});
+    }
+    return route {{rest.substr(0, slash)}, action == "query" ? verb::query : verb::execute};
+}
+
+struct callers_api::implementation
+{
+    implementation(reactor &eventLoop, services calls, metrics &registry)
+        : loop(eventLoop),
+          uses(std::move(calls)),
+          refused(registry.counter("daisystile_callers_refused_total", "Requests refused before they ran."))
+    {
+    }
+
+    leaf::result<std::shared_ptr<const contract>> findContract(const std::string &token) const
+    {
+        const auto digest = sha256Hex(token);
+        const auto found = contracts.find(digest);
+        if (found == contracts.end() || !equalInConstantTime(found->first, digest)) {
+            return leaf::new_error(request_error {request_failure::token_refused, "Authorization"});
+        }
+        return found->second;
+    }
+
+    leaf::result<void> checkService(const route &target, const contract &terms) const
+    {
+        if (std::find(terms.services.begin(), terms.services.end(), target.service) == terms.services.end()) {
+            return leaf::new_error(request_error {request_failure::service_not_allowed, target.service.value});
+        }
+        const auto entry = view->config->services.find(target.service);
+        const auto wanted = target.action == verb::query ? service_kind::query : service_kind::execute;
+        if (entry == view->config->services.end() || entry->second->kind != wanted) {
+            return leaf::new_error(request_error {request_failure::service_unknown, target.service.value});
+        }
+        return {};
+    }
+
+    leaf::result<checked_call> check(const http_request &request) const
+    {
+        BOOST_LEAF_AUTO(target, parseRoute(request));
+        BOOST_LEAF_AUTO(token, parseBearer(request.header("authorization")));
+        BOOST_LEAF_AUTO(terms, findContract(token));
+        BOOST_LEAF_CHECK(checkService(target, *terms));
+        auto wait = terms->wait;
+        if (const auto header = request.header("request-timeout")) {
+            BOOST_LEAF_AUTO(asked, parseTimeout(*header));
+            wait = std::min(wait, asked);
+        }
+        return checked_call {std::move(target), std::move(terms), wait};
+    }
+
+    leaf::result<void> serve(const http_request &request, const http_responder &respond)
+    {
+        BOOST_LEAF_AUTO(call, check(request));
+        if (call.target.action == verb::query) {
+            return query(std::move(call), request, respond);
+        }
+        return execute(std::move(call), request, respond);
+    }
+
+    leaf::result<void> query(checked_call call, const http_request &request, const http_responder &respond)
+    {
+        BOOST_LEAF_AUTO(body, parseQueryBody(request.body));
+        const auto print = fingerprintOf(call.target.service, body);
+        search_request search {call.target.service, std::move(call.terms), print, std::move(body), call.wait};
+        if (!uses.search(std::move(search), [respond](const search_reply &reply) { respond(toResponse(reply)); })) {
+            return leaf::new_error(request_error {request_failure::service_unknown, call.target.service.value});
+        }
+        return {};
+    }
+
+    leaf::result<void> execute(checked_call call, const http_request &request, const http_responder &respond)
+    {
+        const auto key = request.header("idempotency-key").value_or("");
+        if (key.empty()) {
+            return leaf::new_error(request_error {request_failure::field_missing, "Idempotency-Key"});
+        }
+        if (key.size() > longestIdempotencyKey) {
+            return leaf::new_error(request_error {request_failure::field_wrong, "Idempotency-Key"});
+        }
+        const auto print = fingerprintOf(call.target.service, request.body);
+        uses.execute({call.target.service, std::move(call.terms), {key}, print, request.body, call.wait}, respond);
+        return {};
+    }
+
+    void refuse(const request_error &error, const http_responder &respond)
+    {
+        refused.add();
+        respond(toResponse(toProblem(error)));
+    }
+
+    void serveOrRefuse(const http_request &request, const http_responder &respond)
+    {
+        if (!view->ready) {
+            refused.add();
+            respond(toResponse(
+                problem {.status = 503, .title = "not ready", .detail = "the newest contracts are not known yet", .retryAfter = notReadyRetryAfter}));
+            return;
+        }
+        leaf::try_handle_all([&] { return serve(request, respond); },
+            [&](const request_error &error) { refuse(error, respond); },
+            [&] {
+                refuse({request_failure::body_malformed, "request"}, respond);
+            });
+    }
+
+    // True when the request was one for the balancer or the metrics.
+    bool serveHealth(const http_request &request, const http_responder &respond)
+    {
+        if (request.path == "/healthz/live") {
+            respond({.status = 200, .body = "{\"live\":true}"});
+            return true;
+        }
+        if (request.path == "/healthz/ready") {
+            const bool ready = view->ready && uses.accepting();
+            respond({.status = ready ? 200 : 503, .body = ready ? "{\"ready\":true}" : "{\"ready\":false}"});
+            return true;
+        }
+        if (request.path == "/metrics") {
+            respond({.status = 200, .body = uses.metricsText(), .contentType = "text/plain; version=0.0.4"});
+            return true;
+        }
+        return false;
+    }
+
+    void adoptContracts()
+    {
+        contracts.clear();
+        for (const auto &[customer, terms] : view->config->contracts) {
+            for (const auto &digest : terms->tokenDigests) {
+                contracts.emplace(digest, terms);
+            }
+        }
+    }
+
+    reactor &loop;
+    services uses;
+    metric_counter refused;
+    std::shared_ptr<const fleet_view> view = std::make_shared<const fleet_view>();
+    // By digest of the token.
+    std::unordered_map<std::string, std::shared_ptr<const contract>> contracts;
+};
+
+callers_api::callers_api(reactor &loop, services uses, metrics &figures)
+    : m_implementation(std::make_unique<implementation>(loop, std::move(uses), figures))
+{
+}
+
+callers_api::~callers_api() = default;
+
+void callers_api::setView(std::shared_ptr<const fleet_view> view)
+{
+    m_implementation->view = std::move(view);
+    m_implementation->adoptContracts();
+}
+
+void callers_api::handle(http_request request, http_responder respond)
+{
+    if (!m_implementation->serveHealth(request, respond)) {
+        m_implementation->serveOrRefuse(request, respond);
+    }
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Request/coordinator.cxx
@@ -0,0 +1,402 @@
+#include "coordinator.h"
+
+#include "query_decision.h"
+#include "serving_table.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace daisystile {
+
+namespace {
+
+struct sent_attempt
+{
+    shard_index shard;
+    attempt_number attempt;
+    server_number server;
+    peer_number peer;
+};
+
+struct active_query
+{
+    search_request request;
+    std::shared_ptr<served_service> service;
+    query_state state;
+    std::vector<sent_attempt> sent;
+    timer_id timer = 0;
+    search_callback done;
+};
+
+struct queued_event
+{
+    query_number query;
+    query_event event;
+};
+
+struct coordinator_figures
+{
+    metric_counter queries;
+    metric_counter attempts;
+    metric_counter extraAttempts;
+    metric_counter restarts;
+    metric_counter late;
+    metric_counter foreign;
+    metric_counter mixed;
+    metric_histogram latency;
+};
+
+coordinator_figures makeFigures(metrics &figures)
+{
+    static const std::string droppedName = "daisystile_answers_dropped_total";
+    static const std::string droppedHelp = "Shard answers that did not count.";
+    return {
+        .queries = figures.counter("daisystile_queries_total", "Queries answered."),
+        .attempts = figures.counter("daisystile_shard_attempts_total", "Shard requests sent, hedges and retries included."),
+        .extraAttempts = figures.counter("daisystile_shard_extra_attempts_total", "Hedges and retries sent."),
+        .restarts = figures.counter("daisystile_query_restarts_total", "Queries started again on another snapshot or shard map."),
+        .late = figures.counter(droppedName, droppedHelp, {{"reason", "late"}}),
+        .foreign = figures.counter(droppedName, droppedHelp, {{"reason", "foreign"}}),
+        .mixed = figures.counter(droppedName, droppedHelp, {{"reason", "mixed"}}),
+        .latency = figures.histogram("daisystile_query_seconds", "Time from a query's start to its answer."),
+    };
+}
+
+} // namespace
+
+struct coordinator::implementation
+{
+    implementation(reactor &eventLoop, identity own, transport out, policies chosen, metrics &registry)
+        : loop(eventLoop),
+          self(std::move(own)),
+          transportOut(std::move(out)),
+          policy(chosen),
+          figures(makeFigures(registry)),
+          selfNumber(peers.numberOf(self.id))
+    {
+    }
+
+    // Events that come while another is worked on wait their turn; a local owner may answer at once.
+    void dispatch(query_number query, query_event event)
+    {
+        waiting.push_back({query, std::move(event)});
+        if (busy) {
+            return;
+        }
+        busy = true;
+        while (!waiting.empty()) {
+            auto next = std::move(waiting.front());
+            waiting.pop_front();
+            handle(next.query, std::move(next.event));
+        }
+        busy = false;
+    }
+
+    void handle(query_number number, query_event event)
+    {
+        const auto found = queries.find(number);
+        if (found == queries.end()) {
+            figures.late.add();
+            return;
+        }
+        auto &query = *found->second;
+        actions.clear();
+        auto &budget = query.service->budgets[query.request.terms->customer];
+        decide(query.state, query.service->serving, budget, std::move(event), loop.now(), actions);
+        perform(query);
+    }
+
+    void perform(active_query &query)
+    {
+        batches.clear();
+        cancels.clear();
+        std::optional<answer_caller> answer;
+        for (const auto &action : actions) {
+            if (const auto *send = std::get_if<send_attempt>(&action)) {
+                addAttempt(query, *send);
+            } else if (const auto *cancel = std::get_if<cancel_attempt>(&action)) {
+                addCancel(query, *cancel);
+            } else if (const auto *timer = std::get_if<set_timer>(&action)) {
+                setTimer(query, timer->at);
+            } else if (const auto *crash = std::get_if<report_crash>(&action)) {
+                judgeCrash(query, *crash);
+            } else if (const auto *last = std::get_if<answer_caller>(&action)) {
+                answer = *last;
+            }
+        }
+        sendCancels(query);
+        sendBatches(query);
+        if (answer) {
+            finish(query, answer->outcome);
+        }
+    }
+
+    peer_number ownerOf(const active_query &query, server_number server) const
+    {
+        const auto &owners = query.service->owners;
+        return server.value < owners.size() ? owners[server.value] : noPeer;
+    }
+
+    void addAttempt(active_query &query, const send_attempt &send)
+    {
+        const auto owner = ownerOf(query, send.server);
+        const auto &name = query.service->serving.loads.nameOf(send.server);
+        if (owner == noPeer) {
+            failHere(query, {send.shard, send.attempt, name}, attempt_failure::domain_out);
+            return;
+        }
+        query.sent.push_back({send.shard, send.attempt, send.server, owner});
+        attemptsFor(owner, batches).push_back({send.shard, send.attempt, name});
+    }
+
+    void addCancel(active_query &query, const cancel_attempt &cancel)
+    {
+        const auto matches = [&cancel](const sent_attempt &sent) {
+            return sent.shard == cancel.shard && sent.attempt == cancel.attempt;
+        };
+        const auto found = std::find_if(query.sent.rbegin(), query.sent.rend(), matches);
+        if (found != query.sent.rend()) {
+            attemptsFor(found->peer, cancels).push_back({cancel.shard, cancel.attempt, query.service->serving.loads.nameOf(cancel.server)});
+        }
+    }
+
+    using attempts_by_peer = std::vector<std::pair<peer_number, std::vector<shard_attempt>>>;
+
+    static std::vector<shard_attempt> &attemptsFor(peer_number peer, attempts_by_peer &all)
+    {
+        const auto found = std::find_if(all.begin(), all.end(), [peer](const auto &entry) { return entry.first == peer; });
+        if (found != all.end()) {
+            return found->second;
+        }
+        return all.emplace_back(peer, std::vector<shard_attempt>()).second;
+    }
+
+    void sendBatches(active_query &query)
+    {
+        if (batches.empty()) {
+            return;
+        }
+        search_batch batch;
+        batch.query = query.state.query;
+        batch.service = query.request.service;
+        batch.customer = query.request.terms->customer;
+        batch.rank = query.request.terms->rank;
+        batch.snapshot = query.state.snapshot;
+        batch.mapVersion = query.state.index->catalogue->mapVersion;
+        batch.deadlineMs = static_cast<std::uint32_t>(timeLeft(loop.now(), query.state.answerBy).count());
+        batch.request = query.request.request;
+        batch.body = query.request.body;
+        for (auto &[peer, attempts] : batches) {
+            batch.attempts = std::move(attempts);
+            sendBatch(query, peer, batch);
+        }
+    }
+
+    void sendBatch(active_query &query, peer_number peer, search_batch &batch)
+    {
+        if (peer == selfNumber) {
+            transportOut.searchHere(batch);
+            return;
+        }
+        peer_message message(std::move(batch));
+        const bool left = transportOut.send(peers.nameOf(peer), message);
+        batch = std::move(std::get<search_batch>(message));
+        if (!left) {
+            waiting.push_back({query.state.query.query, peer_lost {std::move(batch.attempts), true}});
+        }
+    }
+
+    void sendCancels(const active_query &query)
+    {
+        for (auto &[peer, attempts] : cancels) {
+            cancel_batch batch {query.state.query, std::move(attempts)};
+            if (peer == selfNumber) {
+                transportOut.cancelHere(std::move(batch));
+            } else {
+                transportOut.send(peers.nameOf(peer), std::move(batch));
+            }
+        }
+    }
+
+    void failHere(const active_query &query, const shard_attempt &attempt, attempt_failure failure)
+    {
+        shard_answer answer;
+        answer.query = query.state.query;
+        answer.shard = attempt.shard;
+        answer.attempt = attempt.attempt;
+        answer.server = attempt.server;
+        answer.outcome = run_outcome::not_run;
+        answer.failure = failure;
+        waiting.push_back({answer.query.query, std::move(answer)});
+    }
+
+    void judgeCrash(const active_query &query, const report_crash &crash)
+    {
+        waiting.push_back({query.state.query.query, crash_judged {.shard = crash.shard, .mayRetry = query.state.shards[crash.shard.value].attemptCount < 2}});
+    }
+
+    void setTimer(active_query &query, monotonic_time at)
+    {
+        loop.cancelTimer(query.timer);
+        // A timer that fires early would only be set again.
+        const auto delay = std::chrono::ceil<milliseconds>(std::max(at - loop.now(), monotonic_time::duration {0}));
+        const auto number = query.state.query.query;
+        query.timer = loop.after(delay, [this, number] { dispatch(number, timer_fired {}); });
+    }
+
+    void finish(active_query &query, query_outcome outcome)
+    {
+        loop.cancelTimer(query.timer);
+        count(query.state);
+        auto reply = makeReply(query.state, outcome);
+        const auto done = std::move(query.done);
+        queries.erase(reply.query.query);
+        done(std::move(reply));
+    }
+
+    void count(const query_state &state)
+    {
+        figures.queries.add();
+        figures.attempts.add(state.attempts);
+        figures.extraAttempts.add(state.extraAttempts);
+        figures.restarts.add(state.restarted ? 1 : 0);
+        figures.late.add(state.dropped.late);
+        figures.foreign.add(state.dropped.foreign);
+        figures.mixed.add(state.dropped.mixed);
+        figures.latency.observe(std::chrono::duration_cast<microseconds>(loop.now() - state.startedAt));
+    }
+
+    static search_reply makeReply(const query_state &state, query_outcome outcome)
+    {
+        search_reply reply;
+        reply.query = state.query;
+        reply.outcome = outcome;
+        reply.snapshot = state.snapshot;
+        reply.shards = static_cast<std::uint32_t>(state.shards.size());
+        reply.covered = state.answered;
+        reply.attempts = state.attempts;
+        reply.extraAttempts = state.extraAttempts;
+        for (std::uint32_t i = 0; i < reply.shards; ++i) {
+            if (!state.shards[i].answered) {
+                reply.missing.push_back({{i}, missingReason(state.shards[i])});
+            }
+        }
+        if (outcome == query_outcome::complete || outcome == query_outcome::partial) {
+            reply.results = mergeResults(state);
+        }
+        return reply;
+    }
+
+    bool isMine(const query_reference &query) const
+    {
+        return query.coordinator == self.id && query.life == self.life;
+    }
+
+    void losePeer(const peer_loss &loss)
+    {
+        const auto peer = peers.find(loss.id);
+        if (!peer) {
+            return;
+        }
+        std::vector<queued_event> lost;
+        for (const auto &[number, query] : queries) {
+            peer_lost event {.neverSent = loss.neverEstablished};
+            for (const auto &sent : query->sent) {
+                if (sent.peer == *peer) {
+                    event.attempts.push_back({sent.shard, sent.attempt, {}});
+                }
+            }
+            if (!event.attempts.empty()) {
+                lost.push_back({number, std::move(event)});
+            }
+        }
+        for (auto &event : lost) {
+            dispatch(event.query, std::move(event.event));
+        }
+    }
+
+    reactor &loop;
+    identity self;
+    transport transportOut;
+    policies policy;
+    coordinator_figures figures;
+    peer_numbers peers;
+    peer_number selfNumber;
+    serving_table services;
+    std::shared_ptr<const fleet_view> view = std::make_shared<const fleet_view>();
+    std::unordered_map<query_number, std::unique_ptr<active_query>> queries;
+    query_number lastQuery;
+    std::deque<queued_event> waiting;
+    bool busy = false;
+    // Kept from event to event for their memory.
+    query_actions actions;
+    attempts_by_peer batches;
+    attempts_by_peer cancels;
+};
+
+coordinator::coordinator(reactor &loop, identity self, transport out, policies chosen, metrics &figures)
+    : m_implementation(std::make_unique<implementation>(loop, std::move(self), std::move(out), chosen, figures))
+{
+}
+
+coordinator::~coordinator()
+{
+    for (const auto &[number, query] : m_implementation->queries) {
+        m_implementation->loop.cancelTimer(query->timer);
+    }
+}
+
+void coordinator::setView(std::shared_ptr<const fleet_view> view, std::shared_ptr<const owner_map> owners)
+{
+    auto &my = *m_implementation;
+    const bool alone = my.policy.ownership == ownership_policy::every_daemon;
+    my.services.adopt(*view, *owners, alone ? std::optional(my.selfNumber) : std::nullopt, my.policy.hedging, my.peers);
+    my.view = std::move(view);
+}
+
+bool coordinator::search(search_request request, search_callback done)
+{
+    auto &my = *m_implementation;
+    auto service = my.services.find(request.service);
+    if (!service) {
+        return false;
+    }
+    my.lastQuery.value += 1;
+    const auto now = my.loop.now();
+    query_plan plan;
+    plan.query = {my.self.id, my.self.life, my.lastQuery};
+    plan.startedAt = now;
+    plan.waitEnds = now + request.wait;
+    plan.leastCoverage = request.terms->leastCoverage;
+    plan.extraLoadShare = request.terms->extraLoadShare;
+    auto query = std::make_unique<active_query>();
+    query->state = makeQuery(plan, service->serving);
+    query->request = std::move(request);
+    query->service = std::move(service);
+    query->done = std::move(done);
+    my.queries.emplace(my.lastQuery, std::move(query));
+    my.dispatch(my.lastQuery, query_started {});
+    return true;
+}
+
+void coordinator::receive(shard_answer answer)
+{
+    if (!m_implementation->isMine(answer.query)) {
+        m_implementation->figures.foreign.add();
+        return;
+    }
+    const auto query = answer.query.query;
+    m_implementation->dispatch(query, std::move(answer));
+}
+
+void coordinator::peerLost(const peer_loss &loss)
+{
+    m_implementation->losePeer(loss);
+}
+
+std::size_t coordinator::openQueries() const
+{
+    return m_implementation->queries.size();
+}
+
+} // namespace daisystile
--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -125,7 +125,7 @@
         if (answer.outcome == run_outcome::done) {
             takeResult(answer, *attempt);
         } else {
-            failed(answer.shard, *attempt, answer.failure, answer.snapshot);
+            failed(answer.shard, *attempt, answer.failure, answer.snapshot, ruleFor(answer.failure));
         }
         finishWhenDone();
     }
@@ -145,7 +145,7 @@
             auto *attempt = openAttempt(shard, number);
             if (attempt != nullptr && m_state.phase != query_phase::finished) {
                 close(shard, *attempt);
-                failed(shard, *attempt, attempt_failure::peer_lost, {});
+                failed(shard, *attempt, attempt_failure::peer_lost, {}, lost.neverSent ? retry_rule::free : retry_rule::from_budget);
             }
         }
         finishWhenDone();
@@ -246,12 +246,14 @@
         if (answer.snapshot != m_state.snapshot || answer.mapVersion != m_state.index->catalogue->mapVersion) {
             m_state.dropped.mixed += 1;
             const bool otherSnapshot = answer.snapshot != m_state.snapshot;
-            failed(answer.shard, attempt, otherSnapshot ? attempt_failure::snapshot_not_held : attempt_failure::shard_not_here, answer.snapshot);
+            const auto failure = otherSnapshot ? attempt_failure::snapshot_not_held : attempt_failure::shard_not_here;
+            // The server did run, unlike one that says it doesn't hold the snapshot.
+            failed(answer.shard, attempt, failure, answer.snapshot, retry_rule::from_budget);
             return;
         }
         const auto results = findResults(answer.body);
         if (!results) {
-            failed(answer.shard, attempt, attempt_failure::malformed, {});
+            failed(answer.shard, attempt, attempt_failure::malformed, {}, retry_rule::from_budget);
             return;
         }
         recordLatency(attempt);
@@ -269,7 +271,7 @@
         }
     }
 
-    void failed(shard_index index, const attempt_state &attempt, attempt_failure failure, const snapshot_id &held)
+    void failed(shard_index index, const attempt_state &attempt, attempt_failure failure, const snapshot_id &held, retry_rule rule)
     {
         auto &shard = shardOf(index);
         shard.lastFailure = failure;
@@ -294,7 +296,7 @@
             return;
         }
         if (shard.openCount == 0) {
-            retry(index, ruleFor(failure));
+            retry(index, rule);
         }
     }
 
@@ -330,7 +332,8 @@
     void sendFirst(shard_index shard)
     {
         if (!send(shard)) {
-            shardOf(shard).lastFailure = attempt_failure::shard_not_here;
+            const bool hasReplica = !m_state.index->replicas[shard.value].empty();
+            shardOf(shard).lastFailure = hasReplica ? attempt_failure::domain_out : attempt_failure::shard_not_here;
             exhaust(shard);
         }
     }
--- a/Source/Request/query_state.h
+++ b/Source/Request/query_state.h
@@ -102,6 +102,8 @@
 struct peer_lost
 {
     std::vector<shard_attempt> attempts;
+    /// No byte of them left.
+    bool neverSent = false;
 };
 
 /// Says whether a shard whose server was lost may be tried once more.
--- a/Source/Request/server_loads.cxx
+++ b/Source/Request/server_loads.cxx
@@ -54,6 +54,11 @@
     current = std::max(current, until);
 }
 
+void server_loads::setOut(server_number server, bool out)
+{
+    m_servers[server.value].out = out;
+}
+
 bool server_loads::avoided(server_number server, monotonic_time now) const
 {
     return now < m_servers[server.value].avoidUntil;
@@ -86,7 +91,7 @@
     microseconds bestExpected = microseconds::max();
     for (std::size_t i = 0; i < replicas.size(); ++i) {
         const auto server = replicas[(salt + i) % replicas.size()];
-        if (std::find(excluded.begin(), excluded.end(), server) != excluded.end()) {
+        if (m_servers[server.value].out || std::find(excluded.begin(), excluded.end(), server) != excluded.end()) {
             continue;
         }
         const bool isAvoided = avoided(server, now);
--- a/Source/Request/server_loads.h
+++ b/Source/Request/server_loads.h
@@ -27,6 +27,8 @@
     void ended(server_number server);
     /// Nothing is sent there until the time, if another replica can be had.
     void avoid(server_number server, monotonic_time until);
+    /// A server of a failure domain that is out is never chosen.
+    void setOut(server_number server, bool out);
     bool avoided(server_number server, monotonic_time now) const;
     std::uint32_t outstanding(server_number server) const;
 
@@ -45,6 +47,7 @@
         monotonic_time avoidUntil;
         std::uint32_t outstanding = 0;
         bool reported = false;
+        bool out = false;
     };
 
     std::vector<server_record> m_servers;
--- a/Tests/Request/query_decision_test.cxx
+++ b/Tests/Request/query_decision_test.cxx
@@ -20,6 +20,7 @@
 TEST(query_decision, dropsDuplicateForeignAndMixedAnswers)
 {
     query_bench bench;
+    bench.budget.firstAttempts(10, 1);
     bench.start();
     const auto answer = bench.answerOf(0);
     bench.run(answer, atOnce);
