--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -7,6 +7,8 @@
 #include "control_messages.h"
 #include "datagram_socket.h"
 #include "frame_reader.h"
+#include "member_table.h"
+#include "membership.h"
 #include "owner_map.h"
 #include "peer_codec.h"
 #include "peer_messages.h"
