--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -2,11 +2,14 @@
 
 /// Public header of the connection library: peer links, ownership, slots, membership.
 
+#include "burn_slice.h"
 #include "connection_error.h"
 #include "control_codec.h"
 #include "control_messages.h"
 #include "datagram_socket.h"
 #include "frame_reader.h"
+#include "member_table.h"
+#include "membership.h"
 #include "owner_map.h"
 #include "peer_codec.h"
 #include "peer_messages.h"
--- a/Source/Connection/server_owner.cxx
+++ b/Source/Connection/server_owner.cxx
@@ -94,4 +94,4 @@
     return m_running.size();
 }
 
-}
+} // namespace daisystile
--- a/Source/Request/config_follower.cxx
+++ b/Source/Request/config_follower.cxx
@@ -70,4 +70,4 @@
     m_changed(m_config);
 }
 
-}
+} // namespace daisystile
--- a/Source/Request/config_follower.h
+++ b/Source/Request/config_follower.h
@@ -32,4 +32,4 @@
     bool m_incomplete = false;
 };
 
-}
+} // namespace daisystile
--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -88,7 +88,8 @@
     config_follower follower;
     std::unique_ptr<http_server> operators;
     fleet_view view;
-    std::function<void()> viewChanged = [] {};
+    std::function<void()> viewChanged = [] {
+    };
 };
 
 control_runtime::control_runtime(const daemon_settings &settings, const peer_identity &self, view_publisher &views, metrics &registry)
@@ -101,9 +102,9 @@
 leaf::result<control_runtime::addresses> control_runtime::listen()
 {
     auto &self = *m_implementation;
-    BOOST_LEAF_ASSIGN(self.operators, http_server::listen(self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) {
-        respond(self.answer(request));
-    }));
+    BOOST_LEAF_ASSIGN(self.operators,
+        http_server::listen(
+            self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { respond(self.answer(request)); }));
     return addresses {self.operators->address(), self.settings.control};
 }
 
@@ -128,4 +129,4 @@
     return m_implementation->loop;
 }
 
-}
+} // namespace daisystile
--- a/Source/Request/control_runtime.h
+++ b/Source/Request/control_runtime.h
@@ -38,4 +38,4 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-}
+} // namespace daisystile
--- a/Source/Request/daemon.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -1,4 +1,4 @@
-#include "daemon.h"
+#include "daemon_process.h"
 
 #include "control_runtime.h"
 #include "traffic_runtime.h"
@@ -12,7 +12,7 @@
     return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(sinceEpoch).count())};
 }
 
-struct daemon::implementation
+struct daemon_process::implementation
 {
     explicit implementation(daemon_settings daemonSettings)
         : settings(std::move(daemonSettings)),
@@ -46,14 +46,14 @@
     bool shuttingDown = false;
 };
 
-daemon::daemon(daemon_settings settings)
+daemon_process::daemon_process(daemon_settings settings)
     : m_implementation(std::make_unique<implementation>(std::move(settings)))
 {
 }
 
-daemon::~daemon() = default;
+daemon_process::~daemon_process() = default;
 
-leaf::result<daemon_addresses> daemon::listen()
+leaf::result<daemon_addresses> daemon_process::listen()
 {
     auto &self = *m_implementation;
     BOOST_LEAF_AUTO(control, self.control.listen());
@@ -62,7 +62,7 @@
     return daemon_addresses {traffic.callers, control.operators, traffic.traffic, control.control};
 }
 
-void daemon::run()
+void daemon_process::run()
 {
     auto &self = *m_implementation;
     self.traffic.start();
@@ -72,4 +72,4 @@
     DAISYSTILE_LOG(INFO, "daemon") << "Stopped." << field("id", self.self.id.value);
 }
 
-}
+} // namespace daisystile
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -18,7 +18,9 @@
           network(loop,
               {identity, daemonSettings.peerKey},
               {[this](const peer_identity &from, peer_message message) { receive(from, std::move(message)); },
-                  [this](const peer_loss &loss) { queries.peerLost(loss); }}),
+                  [this](const peer_loss &loss) {
+                      queries.peerLost(loss);
+                  }}),
           owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
           queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership}, registry),
           callers(loop, services(), registry),
@@ -29,19 +31,33 @@
     coordinator::transport transport()
     {
         coordinator::transport out;
-        out.send = [this](const daemon_id &to, const peer_message &message) { return network.send(to, message); };
-        out.searchHere = [this](const search_batch &batch) { owner.search(self.id, batch); };
-        out.cancelHere = [this](const cancel_batch &batch) { owner.cancel(batch); };
+        out.send = [this](const daemon_id &to, const peer_message &message) {
+            return network.send(to, message);
+        };
+        out.searchHere = [this](const search_batch &batch) {
+            owner.search(self.id, batch);
+        };
+        out.cancelHere = [this](const cancel_batch &batch) {
+            owner.cancel(batch);
+        };
         return out;
     }
 
     callers_api::services services()
     {
         callers_api::services uses;
-        uses.search = [this](search_request request, search_callback done) { return queries.search(std::move(request), std::move(done)); };
-        uses.execute = [](const execute_submission &, const http_responder &respond) { respond(notYetServed()); };
-        uses.accepting = [this] { return !draining && views.current()->ready; };
-        uses.metricsText = [this] { return figures.text(); };
+        uses.search = [this](search_request request, search_callback done) {
+            return queries.search(std::move(request), std::move(done));
+        };
+        uses.execute = [](const execute_submission &, const http_responder &respond) {
+            respond(notYetServed());
+        };
+        uses.accepting = [this] {
+            return !draining && views.current()->ready;
+        };
+        uses.metricsText = [this] {
+            return figures.text();
+        };
         return uses;
     }
 
@@ -52,31 +68,27 @@
 
     void receive(const peer_identity &from, peer_message message)
     {
-        struct visitor
-        {
-            implementation &self;
-            const peer_identity &from;
-
-            void operator()(const search_batch &batch) const
-            {
-                self.owner.search(from.id, batch);
-            }
-            void operator()(const cancel_batch &batch) const
-            {
-                self.owner.cancel(batch);
-            }
-            void operator()(shard_answer &answer) const
-            {
-                self.queries.receive(std::move(answer));
-            }
-            void operator()(const execute_request &) const
-            {
-            }
-            void operator()(const execute_answer &) const
-            {
-            }
-        };
-        std::visit(visitor {*this, from}, message);
+        std::visit([&](auto &kind) { take(from, kind); }, message);
+    }
+
+    void take(const peer_identity &from, const search_batch &batch)
+    {
+        owner.search(from.id, batch);
+    }
+
+    void take(const peer_identity &, const cancel_batch &batch)
+    {
+        owner.cancel(batch);
+    }
+
+    void take(const peer_identity &, shard_answer &answer)
+    {
+        queries.receive(std::move(answer));
+    }
+
+    // Kinds that are not served here yet.
+    template<class Message> void take(const peer_identity &, const Message &)
+    {
     }
 
     void deliver(const daemon_id &to, shard_answer answer)
@@ -139,7 +151,9 @@
 {
     auto &self = *m_implementation;
     BOOST_LEAF_AUTO(traffic, self.network.listen(self.settings.traffic));
-    const auto handler = [&self](http_request request, http_responder respond) { self.callers.handle(std::move(request), std::move(respond)); };
+    const auto handler = [&self](http_request request, http_responder respond) {
+        self.callers.handle(std::move(request), std::move(respond));
+    };
     BOOST_LEAF_ASSIGN(self.server, http_server::listen(self.loop, self.settings.callers, handler));
     return addresses {self.server->address(), traffic};
 }
@@ -172,4 +186,4 @@
     m_implementation->thread.join();
 }
 
-}
+} // namespace daisystile
