--- /dev/null
+++ b/Source/Version/config_builder.cxx
@@ -0,0 +1,137 @@
+#include "config_builder.h"
+
+namespace daisystile {
+
+namespace {
+
+template<class T> config_mistakes mistakesOf(const parsed<T> &result)
+{
+    const auto *mistakes = std::get_if<config_mistakes>(&result);
+    return mistakes == nullptr ? config_mistakes {} : *mistakes;
+}
+
+config_mistakes nameDiffers(std::string_view fileName, const char *key, const std::string &expected, const std::string &found)
+{
+    return {{{std::string(fileName), 0, key, "\"" + expected + "\"", "\"" + found + "\""}}};
+}
+
+config_mistakes checkContract(const std::string &name, const std::string &text, std::string_view fileName)
+{
+    const auto result = parseContract(text, fileName);
+    const auto *terms = std::get_if<contract>(&result);
+    if (terms != nullptr && terms->customer.value != name) {
+        return nameDiffers(fileName, "customer", name, terms->customer.value);
+    }
+    return mistakesOf(result);
+}
+
+config_mistakes checkService(const std::string &name, const std::string &text, std::string_view fileName)
+{
+    const auto result = parseService(text, fileName);
+    const auto *found = std::get_if<service>(&result);
+    if (found != nullptr && found->name.value != name) {
+        return nameDiffers(fileName, "name", name, found->name.value);
+    }
+    return mistakesOf(result);
+}
+
+void addContract(const config_record &record, const configuration &earlier, configuration &target)
+{
+    const customer_id id {record.object.name};
+    const auto before = earlier.contracts.find(id);
+    if (before != earlier.contracts.end()) {
+        target.contracts[id] = before->second;
+        if (before->second->version == record.version) {
+            return;
+        }
+    }
+    auto result = parseContract(record.text, record.object.name);
+    if (auto *terms = std::get_if<contract>(&result)) {
+        terms->version = record.version;
+        target.contracts[id] = std::make_shared<const contract>(std::move(*terms));
+    }
+}
+
+void addService(const config_record &record, const configuration &earlier, configuration &target)
+{
+    const service_name name {record.object.name};
+    const auto before = earlier.services.find(name);
+    if (before != earlier.services.end()) {
+        target.services[name] = before->second;
+        if (before->second->version == record.version) {
+            return;
+        }
+    }
+    auto result = parseService(record.text, record.object.name);
+    if (auto *found = std::get_if<service>(&result)) {
+        found->version = record.version;
+        target.services[name] = std::make_shared<const service>(std::move(*found));
+    }
+}
+
+void addDomains(const config_record &record, const configuration &earlier, configuration &target)
+{
+    target.domains = earlier.domains;
+    target.domainsVersion = earlier.domainsVersion;
+    auto result = parseFailureDomains(record.text, record.object.name);
+    auto *domains = std::get_if<std::vector<failure_domain>>(&result);
+    if (domains == nullptr) {
+        return;
+    }
+    target.domains.clear();
+    for (auto &domain : *domains) {
+        const auto name = domain.name;
+        target.domains[name] = std::move(domain);
+    }
+    target.domainsVersion = record.version;
+}
+
+} // namespace
+
+config_mistakes checkRecordText(const config_object &object, const std::string &text, std::string_view fileName)
+{
+    switch (object.kind) {
+    case config_kind::contract:
+        return checkContract(object.name, text, fileName);
+    case config_kind::service:
+        return checkService(object.name, text, fileName);
+    case config_kind::domains:
+        return mistakesOf(parseFailureDomains(text, fileName));
+    }
+    return {};
+}
+
+config_mistakes checkReferences(const config_object &object, const std::string &text, std::string_view fileName, const configuration &config)
+{
+    config_mistakes mistakes;
+    if (object.kind == config_kind::contract) {
+        const auto result = parseContract(text, fileName);
+        for (const auto &name : std::get<contract>(result).services) {
+            if (config.services.count(name) == 0) {
+                mistakes.all.push_back({std::string(fileName), 0, "services", "services of the catalogue", "\"" + name.value + "\""});
+            }
+        }
+    }
+    return mistakes;
+}
+
+std::shared_ptr<const configuration> buildConfiguration(const config_records &records, const configuration &earlier)
+{
+    auto result = std::make_shared<configuration>();
+    for (const auto &[object, record] : records) {
+        switch (object.kind) {
+        case config_kind::contract:
+            addContract(*record, earlier, *result);
+            break;
+        case config_kind::service:
+            addService(*record, earlier, *result);
+            break;
+        case config_kind::domains:
+            addDomains(*record, earlier, *result);
+            break;
+        }
+    }
+    return result;
+}
+
+} // namespace daisystile
--- a/Source/Version/platform_client.cxx
+++ b/Source/Version/platform_client.cxx
@@ -2,8 +2,6 @@
 
 #include "platform_replies.h"
 
-#include <array>
-
 namespace daisystile {
 
 namespace {
@@ -189,7 +187,8 @@
 http_call_id platform_client::watch(const std::string &prefix, std::uint64_t after, std::function<void(watch_result)> callback)
 {
     m_counts.watch += 1;
-    http_call call {.path = "/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(after), .timeout = m_settings.watchTimeout};
+    const auto wait = "&wait_ms=" + std::to_string(m_settings.watchWait.count());
+    http_call call {.path = "/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(after) + wait, .timeout = m_settings.watchTimeout};
     return send(std::move(call), [callback = std::move(callback)](http_result result) {
         if (const auto *failure = std::get_if<http_failure>(&result)) {
             callback(platform_unavailable {failure->message});
--- a/Source/Version/platform_client.h
+++ b/Source/Version/platform_client.h
@@ -70,6 +70,13 @@
     std::uint64_t revision = 0;
 };
 
+/// All objects under a prefix as of a revision, to watch after.
+struct object_list
+{
+    std::vector<platform_object> objects;
+    std::uint64_t revision = 0;
+};
+
 /// One line of the platform's host list, which lags.
 struct platform_host
 {
@@ -84,7 +91,7 @@
 using read_result = std::variant<platform_object, object_not_found, platform_unavailable>;
 using write_result = std::variant<object_written, write_conflict, write_unknown, platform_unavailable>;
 using remove_result = std::variant<object_removed, object_not_found, write_conflict, write_unknown, platform_unavailable>;
-using list_result = std::variant<std::vector<platform_object>, platform_unavailable>;
+using list_result = std::variant<object_list, platform_unavailable>;
 using watch_result = std::variant<watch_batch, watch_compacted, platform_unavailable>;
 using host_result = std::variant<std::vector<platform_host>, platform_unavailable>;
 
@@ -120,7 +127,9 @@
     ip_address platform;
     failure_domain_name domain;
     milliseconds timeout {2000};
-    /// A watch that the platform holds longer is taken for lost.
+    /// How long the platform is asked to hold a watch.
+    milliseconds watchWait {10000};
+    /// A watch held longer is taken for lost.
     milliseconds watchTimeout {15000};
 };
 
--- a/Source/Version/platform_replies.cxx
+++ b/Source/Version/platform_replies.cxx
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace daisystile {
 
 namespace {
@@ -46,6 +48,16 @@
     return host;
 }
 
+std::uint64_t revisionOf(const http_reply &reply)
+{
+    std::uint64_t revision = 0;
+    const auto header = reply.headers.find("revision");
+    if (header != reply.headers.end()) {
+        std::from_chars(header->second.data(), header->second.data() + header->second.size(), revision);
+    }
+    return revision;
+}
+
 // The JSON library throws on malformed text, missing keys and wrong types.
 template<class Result, class Read> Result guarded(const Read &read)
 {
@@ -83,11 +95,12 @@
         return unexpectedStatus(reply.status);
     }
     return guarded<list_result>([&]() -> list_result {
-        std::vector<platform_object> objects;
+        object_list list;
         for (const auto &object : nlohmann::json::parse(reply.body)) {
-            objects.push_back(objectFrom(object));
+            list.objects.push_back(objectFrom(object));
         }
-        return objects;
+        list.revision = revisionOf(reply);
+        return list;
     });
 }
 
--- a/Source/Version/version.h
+++ b/Source/Version/version.h
@@ -2,7 +2,10 @@
 
 /// Public header of the version library: contracts, catalogue, failure domains, host list, settings, platform.
 
+#include "change_acceptance.h"
+#include "config_builder.h"
 #include "config_mistake.h"
+#include "config_record.h"
 #include "configuration.h"
 #include "fleet_view.h"
 #include "platform_client.h"
--- a/Tests/Version/platform_client_test.cxx
+++ b/Tests/Version/platform_client_test.cxx
@@ -75,8 +75,10 @@
 {
     m_reply = http_response {.status = 404};
     EXPECT_TRUE(std::holds_alternative<object_not_found>(run<read_result>([&](auto callback) { m_client->get("a", callback); })));
-    m_reply = http_response {.body = R"([{"key":"a","etag":"1","value":"x"}])"};
-    EXPECT_EQ(std::get<std::vector<platform_object>>(run<list_result>([&](auto callback) { m_client->list("a", callback); })).at(0).value, "x");
+    m_reply = http_response {.body = R"([{"key":"a","etag":"1","value":"x"}])", .headers = {{"Revision", "9"}}};
+    const auto list = std::get<object_list>(run<list_result>([&](auto callback) { m_client->list("a", callback); }));
+    EXPECT_EQ(list.objects.at(0).value, "x");
+    EXPECT_EQ(list.revision, 9U);
     m_reply = http_response {.body = R"({"events":[{"revision":4,"key":"a","etag":"2","value":"y"},{"revision":5,"key":"b","deleted":true}],"revision":5})"};
     const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("a", 3, callback); }));
     EXPECT_EQ(m_asked.query["after"], "3");
