--- /dev/null
+++ b/Source/Request/burn_service.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "burn_report.h"
+
+#include <functional>
+#include <memory>
+
+namespace daisystile {
+
+/// Asks all daemons for their slices and merges them; answers others that ask. Belongs to the thread of the peer links.
+class burn_service
+{
+public:
+    using send_function = std::function<bool(const daemon_id &, const peer_message &)>;
+
+    burn_service(reactor &loop, daemon_id self, send_function send);
+    ~burn_service();
+    burn_service(const burn_service &) = delete;
+    burn_service &operator=(const burn_service &) = delete;
+
+    void setView(std::shared_ptr<const fleet_view> view);
+    /// Notes one request's end against its contract's objective.
+    void ended(const ended_request &request, const contract &terms);
+
+    void receive(const daemon_id &from, const burn_request &request);
+    void receive(const daemon_id &from, const burn_reply &reply);
+    void peerLost(const peer_loss &loss);
+
+    /// Calls back once, when all have answered or the time to wait for them is over.
+    void report(std::function<void(burn_report)> done);
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace daisystile
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -6,6 +6,7 @@
 #include "burn_json.h"
 #include "burn_recorder.h"
 #include "burn_report.h"
+#include "burn_service.h"
 #include "burn_text.h"
 #include "callers_api.h"
 #include "callers_json.h"
--- /dev/null
+++ b/Tests/Request/burn_service_test.cxx
@@ -0,0 +1,92 @@
+#include "Request/burn_service.h"
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+namespace {
+
+// Three daemons whose messages go straight to each other; one may be cut off.
+struct fleet
+{
+    fleet()
+    {
+        auto view = std::make_shared<fleet_view>();
+        for (const char *name : {"d1", "d2", "d3"}) {
+            const daemon_id id {name};
+            view->members.push_back({.id = id});
+            services.emplace(id,
+                std::make_unique<burn_service>(loop, id, [this, id](const daemon_id &to, const peer_message &message) { return deliver(id, to, message); }));
+        }
+        for (auto &[id, service] : services) {
+            service->setView(view);
+        }
+    }
+
+    bool deliver(const daemon_id &from, const daemon_id &to, const peer_message &message)
+    {
+        if (to == refusing) {
+            return false;
+        }
+        loop.post([this, from, to, message] {
+            if (to == silent) {
+                return;
+            }
+            if (const auto *request = std::get_if<burn_request>(&message)) {
+                services.at(to)->receive(from, *request);
+            } else {
+                services.at(to)->receive(from, std::get<burn_reply>(message));
+            }
+        });
+        return true;
+    }
+
+    burn_report report()
+    {
+        burn_report result;
+        services.at({"d1"})->report([&](burn_report done) {
+            result = std::move(done);
+            loop.stop();
+        });
+        loop.run();
+        return result;
+    }
+
+    reactor loop;
+    std::map<daemon_id, std::unique_ptr<burn_service>> services;
+    daemon_id refusing;
+    daemon_id silent;
+};
+
+} // namespace
+
+TEST(burn_service, mergesWhatAllDaemonsSaw)
+{
+    fleet daemons;
+    for (auto &[id, service] : daemons.services) {
+        service->ended({.customer = {"a"}, .latency = milliseconds {5}, .shards = 10, .covered = 10}, {});
+    }
+    const auto report = daemons.report();
+    EXPECT_EQ(report.answered.size(), 3U);
+    EXPECT_TRUE(report.unanswered.empty());
+    ASSERT_EQ(report.customers.size(), 1U);
+    EXPECT_EQ(report.customers[0].windows[0].sums.answers, 3U);
+}
+
+TEST(burn_service, namesDaemonsThatAreCutOffOrLost)
+{
+    fleet daemons;
+    daemons.refusing = {"d2"};
+    daemons.silent = {"d3"};
+    daemons.loop.after(milliseconds {20}, [&] { daemons.services.at({"d1"})->peerLost({{"d3"}, false}); });
+    const auto report = daemons.report();
+    EXPECT_EQ(report.answered, (std::vector<daemon_id> {{"d1"}}));
+    EXPECT_EQ(report.unanswered, (std::vector<daemon_id> {{"d2"}, {"d3"}}));
+}
+
+TEST(burn_service, doesNotWaitForeverForASilentDaemon)
+{
+    fleet daemons;
+    daemons.silent = {"d3"};
+    EXPECT_EQ(daemons.report().unanswered, (std::vector<daemon_id> {{"d3"}}));
+}
