--- a/Source/Request/callers_api.cxx
+++ b/Source/Request/callers_api.cxx
@@ -34,8 +34,29 @@
     milliseconds wait;
 };
 
+using shared_ended_request = std::shared_ptr<ended_request>;
+
 } // namespace
 
+// Why a request got no result, by the status of its answer; nothing for a caller's own mistake.
+static std::optional<std::string_view> refusalOf(int status)
+{
+    constexpr int overContract = 429;
+    constexpr int quarantined = 422;
+    constexpr int serverErrors = 500;
+    constexpr int timedOut = 504;
+    if (status == overContract) {
+        return "over_contract";
+    }
+    if (status == quarantined) {
+        return "quarantined";
+    }
+    if (status >= serverErrors) {
+        return status == timedOut ? "timed_out" : "refused";
+    }
+    return status < 300 ? std::optional<std::string_view>("") : std::nullopt;
+}
+
 static leaf::result<route> parseRoute(const http_request &request)
 {
     if (request.path.compare(0, servicesPath.size(), servicesPath) != 0) {
@@ -102,18 +123,58 @@
     leaf::result<void> serve(const http_request &request, const http_responder &respond)
     {
         BOOST_LEAF_AUTO(call, check(request));
+        auto noted = std::make_shared<ended_request>();
+        noted->customer = call.terms->customer;
+        const auto noting = notingResponder(noted, call.terms, respond);
+        leaf::try_handle_all([&] { return run(std::move(call), request, noted, noting); },
+            [&](const request_error &error) { refuse(error, noting); },
+            [&] {
+                refuse({request_failure::body_malformed, "request"}, noting);
+            });
+        return {};
+    }
+
+    // Notes the request's end for the burn report on its way to the caller.
+    http_responder notingResponder(const shared_ended_request &noted, const std::shared_ptr<const contract> &terms, const http_responder &respond)
+    {
+        return [this, noted, terms, respond, startedAt = loop.now()](http_response response) {
+            const auto refusal = refusalOf(response.status);
+            if (refusal && uses.ended) {
+                noted->refusal = noted->refusal.empty() ? *refusal : noted->refusal;
+                noted->latency = std::chrono::duration_cast<microseconds>(loop.now() - startedAt);
+                uses.ended(*noted, *terms);
+            }
+            respond(std::move(response));
+        };
+    }
+
+    leaf::result<void> run(checked_call call, const http_request &request, const shared_ended_request &noted, const http_responder &respond)
+    {
         if (call.target.action == verb::query) {
-            return query(std::move(call), request, respond);
+            return query(std::move(call), request, noted, respond);
         }
         return execute(std::move(call), request, respond);
     }
 
-    leaf::result<void> query(checked_call call, const http_request &request, const http_responder &respond)
+    static void noteReply(const search_reply &reply, ended_request &noted)
+    {
+        noted.shards = reply.shards;
+        noted.covered = reply.covered;
+        noted.firstAttempts = reply.attempts - reply.extraAttempts;
+        noted.extraAttempts = reply.extraAttempts;
+        noted.refusal = reply.outcome == query_outcome::too_little_coverage ? "too_little_coverage" : "";
+    }
+
+    leaf::result<void> query(checked_call call, const http_request &request, const shared_ended_request &noted, const http_responder &respond)
     {
         BOOST_LEAF_AUTO(body, parseQueryBody(request.body));
         const auto print = fingerprintOf(call.target.service, body);
         search_request search {call.target.service, std::move(call.terms), print, std::move(body), call.wait};
-        if (!uses.search(std::move(search), [respond](const search_reply &reply) { respond(toResponse(reply)); })) {
+        const auto answer = [noted, respond](const search_reply &reply) {
+            noteReply(reply, *noted);
+            respond(toResponse(reply));
+        };
+        if (!uses.search(std::move(search), answer)) {
             return leaf::new_error(request_error {request_failure::service_unknown, call.target.service.value});
         }
         return {};
--- a/Source/Request/callers_api.h
+++ b/Source/Request/callers_api.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "burn_recorder.h"
 #include "callers_json.h"
 #include "coordinator.h"
 
@@ -32,6 +33,8 @@
         /// Not ready while false; the balancer then sends no new callers.
         std::function<bool()> accepting;
         std::function<std::string()> metricsText;
+        /// Told of each request's end once its customer is known; caller's mistakes left out.
+        std::function<void(const ended_request &, const contract &)> ended;
     };
 
     callers_api(reactor &loop, services uses, metrics &figures);
--- a/Tests/Request/callers_api_test.cxx
+++ b/Tests/Request/callers_api_test.cxx
@@ -93,6 +93,7 @@
     fleet_view m_view;
     std::vector<search_batch> m_batches;
     std::vector<http_response> m_responses;
+    std::vector<ended_request> m_ended;
     int m_cancels = 0;
     int m_executes = 0;
     bool m_answerAtOnce = true;
@@ -112,8 +113,9 @@
                 respond({});
             },
             [] { return true; },
-            [this] {
-                return m_figures.text();
+            [this] { return m_figures.text(); },
+            [this](const ended_request &request, const contract &) {
+                m_ended.push_back(request);
             }},
         m_figures};
 };
@@ -133,6 +135,20 @@
     EXPECT_EQ(m_coordinator.openQueries(), 0U);
 }
 
+TEST_F(callers_side, notesEachEndForTheBurnReportButNotCallersMistakes)
+{
+    const std::string query = "/v1/services/marshal-desk/query";
+    EXPECT_EQ(statusOf(query, "{}"), 400);
+    EXPECT_EQ(statusOf(query, R"({"query":1})", {{"authorization", "Bearer wrong"}}), 401);
+    EXPECT_TRUE(m_ended.empty());
+    EXPECT_EQ(statusOf(query, R"({"query":1})"), 200);
+    ASSERT_EQ(m_ended.size(), 1U);
+    EXPECT_EQ(m_ended[0].customer.value, "sfax");
+    EXPECT_EQ(m_ended[0].refusal, "");
+    EXPECT_EQ(m_ended[0].covered, 4U);
+    EXPECT_EQ(m_ended[0].firstAttempts, 4U);
+}
+
 TEST_F(callers_side, refusesWhatIsWrongAndSaysWhat)
 {
     const std::string query = "/v1/services/marshal-desk/query";
