Connection: Grant ownership leases by the runner-up of each server

Without a coordination service nobody hands out leases; yet two daemons must not send to one server while ownership moves. ownership is a pure core: the runner-up by rendezvous hashing grants the owner's lease of 4 s, counted by the holder from the sending of its request and by the granter from its answer. The granter takes over only after the last lease that it granted has ended; a daemon that comes asks the one that serves, which stops, waits for its running requests and hands over what the server bears; a leaving daemon releases. When owner and runner-up are lost together, the new pair waits out what is left of the lease.

--- a/Source/Connection/control_messages.h
+++ b/Source/Connection/control_messages.h
@@ -87,15 +87,18 @@
     }
 };
 
-/// An owner's request for the lease on servers, or for its renewal, to the runner-up of each.
+/// An owner's request for leases on servers to the runner-up of each.
 struct lease_request
 {
     std::uint64_t number = 0;
-    std::vector<backend_server_id> servers;
+    /// Leases that the sender holds and wants to keep.
+    std::vector<backend_server_id> renewed;
+    /// Leases that it does not hold yet.
+    std::vector<backend_server_id> wanted;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(number, servers);
+        archive(number, renewed, wanted);
     }
 };
 
@@ -128,6 +131,7 @@
 /// The sender gives its leases up and sends nothing more to these servers.
 struct lease_release
 {
+    /// From the same sequence as the sender's requests: later ones are not meant.
     std::uint64_t number = 0;
     std::vector<server_handover> servers;
 
--- /dev/null
+++ b/Source/Connection/owner_history.cxx
@@ -0,0 +1,54 @@
+#include "owner_history.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+// A fleet that changes faster than this forgets a little early, but its memory is bounded.
+static constexpr std::size_t maximalMaps = 16;
+
+owner_history::owner_history(milliseconds memory)
+    : m_memory(memory)
+{
+}
+
+const owner_map &owner_history::current() const
+{
+    return m_current;
+}
+
+static std::optional<daemon_id> idOf(const member *some)
+{
+    return some ? std::optional(some->id) : std::nullopt;
+}
+
+std::vector<server_choice> owner_history::replace(owner_map map, const daemon_id &self, monotonic_time now)
+{
+    m_earlier.push_back({std::move(m_current), now});
+    m_current = std::move(map);
+    while (m_earlier.size() > maximalMaps || now - m_earlier.front().until > m_memory) {
+        m_earlier.pop_front();
+    }
+    std::vector<server_choice> concerning;
+    for (const auto &[server, chosen] : m_current.choices()) {
+        server_choice choice {server, idOf(chosen.owner), idOf(chosen.runnerUp)};
+        if (choice.owner == self || choice.runnerUp == self) {
+            choice.bothReplaced = bothReplaced(choice);
+            concerning.push_back(std::move(choice));
+        }
+    }
+    return concerning;
+}
+
+bool owner_history::bothReplaced(const server_choice &choice) const
+{
+    const auto stays = [&](const member *some) {
+        return some && (choice.owner == some->id || choice.runnerUp == some->id);
+    };
+    return std::any_of(m_earlier.begin(), m_earlier.end(), [&](const dated_map &earlier) {
+        const auto before = earlier.map.find(choice.server);
+        return before.owner && !stays(before.owner) && !stays(before.runnerUp);
+    });
+}
+
+} // namespace daisystile
--- a/Source/Connection/owner_map.cxx
+++ b/Source/Connection/owner_map.cxx
@@ -130,6 +130,11 @@
     return found == m_choices.end() ? owner_choice {} : found->second;
 }
 
+const std::unordered_map<backend_server_id, owner_choice> &owner_map::choices() const
+{
+    return m_choices;
+}
+
 const member *owner_map::ownerOf(const backend_server_id &server) const
 {
     return find(server).owner;
--- a/Source/Connection/owner_map.h
+++ b/Source/Connection/owner_map.h
@@ -33,6 +33,7 @@
     /// Null choices for a server that is not in the catalogue.
     owner_choice find(const backend_server_id &server) const;
     const member *ownerOf(const backend_server_id &server) const;
+    const std::unordered_map<backend_server_id, owner_choice> &choices() const;
 
 private:
     // Keeps the members alive that the choices point to.
--- a/Source/Version/settings.h
+++ b/Source/Version/settings.h
@@ -44,7 +44,7 @@
     std::string operatorTokenDigest;
     hedge_policy hedging = hedge_policy::quantile;
     ownership_policy ownership = ownership_policy::owner_per_server;
-    milliseconds ownershipLease {2000};
+    milliseconds ownershipLease {4000};
     milliseconds heartbeat {500};
     bool recordTrace = false;
 };
--- a/Tests/Connection/control_datagram_test.cxx
+++ b/Tests/Connection/control_datagram_test.cxx
@@ -13,7 +13,7 @@
     datagram.life = {7};
     datagram.updates.push_back({{{"b"}, {2}, {"medina"}, {"sfax"}, {"127.0.0.1", 1}, {"127.0.0.1", 2}, member_state::suspect}, 3});
     datagram.digests.push_back({{"medina"}, 11});
-    datagram.message = lease_request {5, {{"s1"}, {"s2"}}};
+    datagram.message = lease_request {5, {{"s1"}}, {{"s2"}}};
     return datagram;
 }
 
@@ -35,7 +35,7 @@
     EXPECT_EQ(decoded->updates.at(0).about.state, member_state::suspect);
     EXPECT_EQ(decoded->updates.at(0).refutation, 3U);
     EXPECT_EQ(decoded->digests.at(0).digest, 11U);
-    EXPECT_EQ(std::get<lease_request>(decoded->message).servers.at(1).value, "s2");
+    EXPECT_EQ(std::get<lease_request>(decoded->message).wanted.at(0).value, "s2");
 }
 
 TEST(control_datagram, refusesAnotherKeyAndEveryChangedByte)
