Request: Guard servers against requests that crash them

Cause: a query fans out to every shard at once, so a request that crashes its servers takes down as many as there are shards, and again on each resend. Change: a request not seen lately asks its keeper, one daemon of the region chosen by rendezvous hashing; one query at a time tries it on one shard whose answer counts.

--- a/Source/Connection/backend_protocol.cxx
+++ b/Source/Connection/backend_protocol.cxx
@@ -95,6 +95,17 @@
     return found != reply.headers.end() && found->second == requestId;
 }
 
+// The server names a snapshot that it does hold, on which the query may start again.
+static shard_answer readSnapshotNotHeld(const http_reply &reply)
+{
+    auto answer = failed(run_outcome::not_run, attempt_failure::snapshot_not_held);
+    const auto held = reply.headers.find("snapshot");
+    if (held != reply.headers.end()) {
+        answer.snapshot = {held->second};
+    }
+    return answer;
+}
+
 static shard_answer readReply(const std::string &requestId, http_reply reply)
 {
     switch (reply.status) {
@@ -104,7 +115,7 @@
         }
         return readDone(std::move(reply));
     case statusSnapshotNotHeld:
-        return failed(run_outcome::not_run, attempt_failure::snapshot_not_held);
+        return readSnapshotNotHeld(reply);
     case statusShardNotHere:
         return failed(run_outcome::not_run, attempt_failure::shard_not_here);
     case statusShed:
--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -162,7 +162,79 @@
     }
 };
 
+/// What a coordinator tells the keeper of a request's record.
+enum class guard_report : std::uint8_t {
+    /// May the request run?
+    asks,
+    /// It ran where it had not run before, or where a server was lost, and was answered.
+    passed,
+    /// Its query ended without an answer to say so.
+    ended,
+    /// A server was lost while it ran the request; may the shard be tried once more?
+    crashed,
+};
+
+struct guard_question
+{
+    query_reference query;
+    service_name service;
+    fingerprint request;
+    guard_report report = guard_report::asks;
+    shard_index shard;
+    backend_server_id server;
+    /// What is left of the query's time.
+    std::uint32_t deadlineMs = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, service, request, report, shard, server, deadlineMs);
+    }
+};
+
+enum class guard_verdict : std::uint8_t {
+    /// Run it on all shards.
+    clear,
+    /// Run it on one shard first.
+    try_one,
+    /// Try the shard once more.
+    retry,
+    /// Another query tries it; the verdict follows.
+    wait,
+    /// Leave the shard unanswered.
+    give_up,
+    quarantined,
+};
+
+struct guard_answer
+{
+    query_reference query;
+    fingerprint request;
+    guard_report report = guard_report::asks;
+    shard_index shard;
+    guard_verdict verdict = guard_verdict::wait;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(query, request, report, shard, verdict);
+    }
+};
+
+/// A request that no server may run for a time, or, with no time left, again may.
+struct quarantine_notice
+{
+    service_name service;
+    fingerprint request;
+    std::uint32_t leftMs = 0;
+    /// To be passed on to the receiver's failure domain.
+    bool relay = false;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(service, request, leftMs, relay);
+    }
+};
+
 /// Everything that peer links carry; new kinds go to the end.
-using peer_message = std::variant<search_batch, shard_answer, cancel_batch, execute_request, execute_answer>;
+using peer_message = std::variant<search_batch, shard_answer, cancel_batch, execute_request, execute_answer, guard_question, guard_answer, quarantine_notice>;
 
 } // namespace daisystile
--- a/Source/Request/coordinator.cxx
+++ b/Source/Request/coordinator.cxx
@@ -21,6 +21,9 @@
 struct active_query
 {
     search_request request;
+    query_plan plan;
+    /// Its request's keeper waits to hear how it went.
+    bool onTrial = false;
     std::shared_ptr<served_service> service;
     query_state state;
     std::vector<sent_attempt> sent;
@@ -43,6 +46,7 @@
     metric_counter late;
     metric_counter foreign;
     metric_counter mixed;
+    metric_counter quarantined;
     metric_histogram latency;
 };
 
@@ -58,6 +62,7 @@
         .late = figures.counter(droppedName, droppedHelp, {{"reason", "late"}}),
         .foreign = figures.counter(droppedName, droppedHelp, {{"reason", "foreign"}}),
         .mixed = figures.counter(droppedName, droppedHelp, {{"reason", "mixed"}}),
+        .quarantined = figures.counter("daisystile_queries_quarantined_total", "Queries refused because their request lost servers."),
         .latency = figures.histogram("daisystile_query_seconds", "Time from a query's start to its answer."),
     };
 }
@@ -72,7 +77,8 @@
           transportOut(std::move(out)),
           policy(chosen),
           figures(makeFigures(registry)),
-          selfNumber(peers.numberOf(self.id))
+          selfNumber(peers.numberOf(self.id)),
+          guard(eventLoop, self.id, transportOut.send, registry)
     {
     }
 
@@ -120,6 +126,8 @@
                 setTimer(query, timer->at);
             } else if (const auto *crash = std::get_if<report_crash>(&action)) {
                 judgeCrash(query, *crash);
+            } else if (std::holds_alternative<report_cleared>(action)) {
+                passTrial(query);
             } else if (const auto *last = std::get_if<answer_caller>(&action)) {
                 answer = *last;
             }
@@ -230,9 +238,66 @@
         waiting.push_back({answer.query.query, std::move(answer)});
     }
 
-    void judgeCrash(const active_query &query, const report_crash &crash)
+    guard_question questionOf(const active_query &query, guard_report report) const
+    {
+        guard_question question;
+        question.query = query.state.query;
+        question.service = query.request.service;
+        question.request = query.request.request;
+        question.report = report;
+        question.deadlineMs = static_cast<std::uint32_t>(timeLeft(loop.now(), query.state.answerBy).count());
+        return question;
+    }
+
+    void judgeCrash(active_query &query, const report_crash &crash)
     {
-        waiting.push_back({query.state.query.query, crash_judged {.shard = crash.shard, .mayRetry = query.state.shards[crash.shard.value].attemptCount < 2}});
+        auto question = questionOf(query, guard_report::crashed);
+        question.shard = crash.shard;
+        question.server = query.service->serving.loads.nameOf(crash.server);
+        query.onTrial = true;
+        guard.ask(question, [this, number = question.query.query, shard = crash.shard](guard_verdict verdict) {
+            dispatch(number, crash_judged {shard, verdict == guard_verdict::retry, verdict == guard_verdict::quarantined});
+        });
+    }
+
+    void passTrial(active_query &query)
+    {
+        query.onTrial = false;
+        guard.tell(questionOf(query, guard_report::passed));
+    }
+
+    void begin(active_query &query)
+    {
+        if (policy.trials == trial_policy::none || guard.isClear(query.request.request)) {
+            dispatch(query.state.query.query, query_started {});
+            return;
+        }
+        query.onTrial = true;
+        setTimer(query, query.state.answerBy);
+        const auto number = query.state.query.query;
+        guard.ask(questionOf(query, guard_report::asks), [this, number](guard_verdict verdict) { takeVerdict(number, verdict); });
+    }
+
+    void takeVerdict(query_number number, guard_verdict verdict)
+    {
+        const auto found = queries.find(number);
+        if (found == queries.end()) {
+            return;
+        }
+        auto &query = *found->second;
+        if (verdict == guard_verdict::quarantined) {
+            dispatch(number, crash_judged {.quarantined = true});
+            return;
+        }
+        if (verdict == guard_verdict::try_one) {
+            const auto shards = static_cast<std::uint32_t>(query.state.shards.size());
+            query.plan.canary = shard_index {static_cast<std::uint32_t>(query.request.request.value % shards)};
+        } else {
+            query.onTrial = false;
+        }
+        // Pinned now: the snapshot may have changed during the wait.
+        query.state = makeQuery(query.plan, query.service->serving);
+        dispatch(number, query_started {});
     }
 
     void setTimer(active_query &query, monotonic_time at)
@@ -247,15 +312,19 @@
     void finish(active_query &query, query_outcome outcome)
     {
         loop.cancelTimer(query.timer);
-        count(query.state);
+        count(query.state, outcome);
+        if (query.onTrial) {
+            guard.tell(questionOf(query, guard_report::ended));
+        }
         auto reply = makeReply(query.state, outcome);
         const auto done = std::move(query.done);
         queries.erase(reply.query.query);
         done(std::move(reply));
     }
 
-    void count(const query_state &state)
+    void count(const query_state &state, query_outcome outcome)
     {
+        figures.quarantined.add(outcome == query_outcome::quarantined ? 1 : 0);
         figures.queries.add();
         figures.attempts.add(state.attempts);
         figures.extraAttempts.add(state.extraAttempts);
@@ -322,6 +391,7 @@
     coordinator_figures figures;
     peer_numbers peers;
     peer_number selfNumber;
+    request_guard guard;
     serving_table services;
     std::shared_ptr<const fleet_view> view = std::make_shared<const fleet_view>();
     std::unordered_map<query_number, std::unique_ptr<active_query>> queries;
@@ -351,6 +421,7 @@
     auto &my = *m_implementation;
     const bool alone = my.policy.ownership == ownership_policy::every_daemon;
     my.services.adopt(*view, *owners, alone ? std::optional(my.selfNumber) : std::nullopt, my.policy.hedging, my.peers);
+    my.guard.setView(view);
     my.view = std::move(view);
 }
 
@@ -370,12 +441,17 @@
     plan.leastCoverage = request.terms->leastCoverage;
     plan.extraLoadShare = request.terms->extraLoadShare;
     auto query = std::make_unique<active_query>();
+    query->plan = plan;
     query->state = makeQuery(plan, service->serving);
     query->request = std::move(request);
     query->service = std::move(service);
     query->done = std::move(done);
-    my.queries.emplace(my.lastQuery, std::move(query));
-    my.dispatch(my.lastQuery, query_started {});
+    auto &kept = *my.queries.emplace(my.lastQuery, std::move(query)).first->second;
+    if (my.guard.isQuarantined(kept.request.request)) {
+        my.dispatch(my.lastQuery, crash_judged {.quarantined = true});
+    } else {
+        my.begin(kept);
+    }
     return true;
 }
 
@@ -394,6 +470,11 @@
     m_implementation->losePeer(loss);
 }
 
+request_guard &coordinator::guard()
+{
+    return m_implementation->guard;
+}
+
 std::size_t coordinator::openQueries() const
 {
     return m_implementation->queries.size();
--- a/Source/Request/coordinator.h
+++ b/Source/Request/coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "request_guard.h"
 #include "search_types.h"
 
 #include <memory>
@@ -29,6 +30,7 @@
     {
         hedge_policy hedging = hedge_policy::quantile;
         ownership_policy ownership = ownership_policy::owner_per_server;
+        trial_policy trials = trial_policy::new_requests;
     };
 
     coordinator(reactor &loop, identity self, transport out, policies chosen, metrics &figures);
@@ -44,6 +46,8 @@
     /// An owner's answer, from a peer or from this daemon.
     void receive(shard_answer answer);
     void peerLost(const peer_loss &loss);
+    /// Takes the messages about requests that crash servers, and lists and lifts quarantines.
+    request_guard &guard();
 
     std::size_t openQueries() const;
 
--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -41,9 +41,9 @@
     never,
 };
 
-retry_rule ruleFor(attempt_failure failure)
+retry_rule ruleFor(const shard_answer &answer)
 {
-    switch (failure) {
+    switch (answer.failure) {
     case attempt_failure::snapshot_not_held:
     case attempt_failure::shard_not_here:
     case attempt_failure::not_owner:
@@ -51,7 +51,8 @@
     case attempt_failure::domain_out:
         return retry_rule::free;
     case attempt_failure::server_lost:
-        return retry_rule::after_judgement;
+        // A server that could not be reached was not lost to this request.
+        return answer.outcome == run_outcome::not_run ? retry_rule::free : retry_rule::after_judgement;
     case attempt_failure::quarantined:
     case attempt_failure::cancelled:
         return retry_rule::never;
@@ -122,10 +123,10 @@
             return;
         }
         close(answer.shard, *attempt);
-        if (answer.outcome == run_outcome::done) {
+        if (answer.outcome == run_outcome::done && answer.failure == attempt_failure::none) {
             takeResult(answer, *attempt);
         } else {
-            failed(answer.shard, *attempt, answer.failure, answer.snapshot, ruleFor(answer.failure));
+            failed(answer.shard, *attempt, answer.failure, answer.snapshot, ruleFor(answer));
         }
         finishWhenDone();
     }
@@ -264,9 +265,11 @@
         m_state.answered += 1;
         m_state.pending -= shard.exhausted ? 0 : 1;
         cancelOpen(answer.shard);
+        if (m_state.phase == query_phase::canary || shard.crashed) {
+            m_actions.emplace_back(report_cleared {});
+        }
         if (m_state.phase == query_phase::canary) {
             m_state.phase = query_phase::fanned_out;
-            m_actions.emplace_back(report_cleared {});
             fanOut();
         }
     }
@@ -282,8 +285,9 @@
         if (failure == attempt_failure::snapshot_not_held) {
             vote(shard, held);
         }
-        if (failure == attempt_failure::server_lost) {
+        if (rule == retry_rule::after_judgement) {
             shard.crashPending = true;
+            shard.crashed = true;
             m_actions.emplace_back(report_crash {index, attempt.server});
         }
         if (failure == attempt_failure::quarantined) {
@@ -491,7 +495,7 @@
 
     bool mayHedge(const shard_state &shard) const
     {
-        return !shard.answered && shard.openCount == 1 && shard.attemptCount < mostAttemptsPerShard && shard.lastFailure != attempt_failure::server_lost;
+        return !shard.answered && shard.openCount == 1 && shard.attemptCount < mostAttemptsPerShard && !shard.crashed;
     }
 
     monotonic_time nextHedgeTime() const
--- a/Source/Request/query_state.h
+++ b/Source/Request/query_state.h
@@ -32,6 +32,8 @@
     bool answered = false;
     /// Waits for crash_judged.
     bool crashPending = false;
+    /// A server was lost while it ran the shard request.
+    bool crashed = false;
     bool snapshotMissed = false;
     /// No attempt is left.
     bool exhausted = false;
@@ -143,7 +145,7 @@
     server_number server;
 };
 
-/// The canary shard was answered, so the request is safe to fan out.
+/// A shard that was on trial was answered, so the request is safe to run.
 struct report_cleared
 {
 };
--- a/Source/Version/settings.h
+++ b/Source/Version/settings.h
@@ -25,6 +25,12 @@
     every_daemon,
 };
 
+/// Whether a request not seen lately runs on one shard before it goes to all.
+enum class trial_policy {
+    none,
+    new_requests,
+};
+
 /// A daemon's settings, from its TOML file.
 struct daemon_settings
 {
@@ -44,6 +50,7 @@
     std::string operatorTokenDigest;
     hedge_policy hedging = hedge_policy::quantile;
     ownership_policy ownership = ownership_policy::owner_per_server;
+    trial_policy trials = trial_policy::new_requests;
     milliseconds ownershipLease {2000};
     milliseconds heartbeat {500};
     bool recordTrace = false;
--- a/Source/Version/settings_parser.cxx
+++ b/Source/Version/settings_parser.cxx
@@ -34,6 +34,7 @@
             {"quantile_with_suppression", hedge_policy::quantile_with_suppression}});
     reader.choice(
         "ownership", settings.ownership, {{"owner_per_server", ownership_policy::owner_per_server}, {"every_daemon", ownership_policy::every_daemon}});
+    reader.choice("trials", settings.trials, {{"none", trial_policy::none}, {"new_requests", trial_policy::new_requests}});
     reader.integer("ownership_lease_ms", settings.ownershipLease, leaseRangeMs);
     reader.integer("heartbeat_ms", settings.heartbeat, heartbeatRangeMs);
     reader.boolean("record_trace", settings.recordTrace);
--- a/Tests/Request/callers_api_test.cxx
+++ b/Tests/Request/callers_api_test.cxx
@@ -103,7 +103,7 @@
             [this](const cancel_batch &) {
                 m_cancels += 1;
             }},
-        {},
+        {.trials = trial_policy::none},
         m_figures};
     callers_api m_api {m_loop,
         {[this](search_request request, search_callback done) { return m_coordinator.search(std::move(request), std::move(done)); },
