--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "burn_slice.h"
+
 #include <Version/version.h>
 
 #include <cstdint>
@@ -235,6 +237,15 @@
 };
 
 /// Everything that peer links carry; new kinds go to the end.
-using peer_message = std::variant<search_batch, shard_answer, cancel_batch, execute_request, execute_answer, guard_question, guard_answer, quarantine_notice>;
+using peer_message = std::variant<search_batch,
+    shard_answer,
+    cancel_batch,
+    execute_request,
+    execute_answer,
+    burn_request,
+    burn_reply,
+    guard_question,
+    guard_answer,
+    quarantine_notice>;
 
 } // namespace daisystile
