--- a/Source/Version/settings.h
+++ b/Source/Version/settings.h
@@ -51,7 +51,7 @@
     hedge_policy hedging = hedge_policy::quantile;
     ownership_policy ownership = ownership_policy::owner_per_server;
     trial_policy trials = trial_policy::new_requests;
-    milliseconds ownershipLease {2000};
+    milliseconds ownershipLease {4000};
     milliseconds heartbeat {500};
     bool recordTrace = false;
 };
