--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -48,6 +48,8 @@
     cancelled,
     malformed,
     peer_lost,
+    platform_down,
+    key_reused,
 };
 
 struct shard_attempt
--- /dev/null
+++ b/Source/Request/claim_journal_platform.cxx
@@ -0,0 +1,372 @@
+#include "claim_journal.h"
+
+#include <algorithm>
+
+// The side of the journal that faces the platform: loading, taking over, writing, reading back.
+
+namespace daisystile {
+
+struct claim_journal::event_applier
+{
+    claim_journal &self;
+
+    void operator()(const claim_made &event) const
+    {
+        self.m_kept[event.key] = {event.request, false, run_outcome::unknown, {}, event.expiresAt};
+        expire(event.key, event.expiresAt);
+    }
+
+    void operator()(const claim_ended &event) const
+    {
+        auto &kept = self.m_kept[event.key];
+        kept.ended = true;
+        kept.outcome = event.outcome;
+        kept.body = event.body;
+        kept.expiresAt = event.expiresAt;
+        expire(event.key, event.expiresAt);
+    }
+
+    void operator()(const claim_released &event) const
+    {
+        self.m_kept.erase(event.key);
+    }
+
+    void expire(const claim_key &key, std::int64_t expiresAt) const
+    {
+        self.m_expiries.emplace(expiresAt, key);
+        self.m_presentExpiry = std::max(self.m_presentExpiry, expiresAt);
+    }
+};
+
+void claim_journal::reset()
+{
+    m_platformDown = false;
+    m_writeInDoubt = false;
+    m_takeoverWritten = false;
+    m_contact.reset();
+    m_retryAt = m_time.now;
+    m_pending.clear();
+    m_attempts.clear();
+    m_kept.clear();
+    m_expiries.clear();
+    m_segmentExpiries.clear();
+    m_presentExpiry = 0;
+    std::erase_if(m_open, [](const auto &entry) { return !entry.second.running; });
+}
+
+void claim_journal::fence()
+{
+    m_contact.reset();
+    for (const auto &ask : std::exchange(m_queue, {})) {
+        answer(ask.waiter, run_outcome::unknown, attempt_failure::not_owner);
+    }
+    for (auto &[key, claim] : m_open) {
+        if (!claim.running) {
+            answerAll(std::exchange(claim.waiters, {}), run_outcome::unknown, attempt_failure::not_owner);
+        }
+    }
+    reset();
+    m_phase = m_ending ? phase::idle : phase::fenced;
+    m_ending = false;
+    m_retryAt = m_time.now + m_limits.fencedPause;
+}
+
+void claim_journal::platformFailed()
+{
+    m_platformDown = true;
+    m_retryAt = m_time.now + m_limits.retryDelay;
+    refuseClaims();
+}
+
+// The reply proves what held when the call left at the earliest.
+void claim_journal::contacted()
+{
+    m_contact = m_flightSince;
+    m_platformDown = false;
+    m_retryAt = m_time.now;
+}
+
+void claim_journal::listed(const segments_listed &result)
+{
+    m_flight = flight::none;
+    if (m_phase != phase::loading) {
+        return;
+    }
+    if (!result.segments || !load(*result.segments)) {
+        platformFailed();
+        return;
+    }
+    m_platformDown = false;
+    m_phase = phase::holding;
+}
+
+bool claim_journal::load(const std::vector<platform_object> &segments)
+{
+    reset();
+    m_segment = 1;
+    m_etag.clear();
+    m_lines.clear();
+    m_waitOutLease = false;
+    std::map<std::uint64_t, const platform_object *> ordered;
+    for (const auto &object : segments) {
+        const auto number = segmentNumber(m_partition, object.key);
+        if (!number) {
+            return false;
+        }
+        ordered[*number] = &object;
+    }
+    for (const auto &[number, object] : ordered) {
+        const auto segment = parseSegment(object->value);
+        if (!segment) {
+            return false;
+        }
+        loadSegment(number, *object, *segment);
+    }
+    return true;
+}
+
+void claim_journal::loadSegment(std::uint64_t number, const platform_object &object, const journal_segment &segment)
+{
+    m_segment = number;
+    m_etag = object.etag;
+    m_lines = object.value.substr(object.value.find('\n') + 1);
+    m_waitOutLease = !segment.header.released;
+    for (const auto &event : segment.events) {
+        std::visit(event_applier {*this}, event);
+    }
+    if (segment.header.sealed) {
+        startNextSegment();
+    }
+}
+
+void claim_journal::startNextSegment()
+{
+    m_segmentExpiries[m_segment] = m_presentExpiry;
+    m_presentExpiry = 0;
+    m_segment += 1;
+    m_etag.clear();
+    m_lines.clear();
+}
+
+void claim_journal::written(const write_result &result)
+{
+    m_flight = flight::none;
+    if (m_phase != phase::holding || m_attempts.empty()) {
+        return;
+    }
+    if (const auto *done = std::get_if<object_written>(&result)) {
+        contacted();
+        committed(write_attempt(m_attempts.back()), done->etag);
+    } else if (std::holds_alternative<platform_unavailable>(result)) {
+        m_attempts.pop_back();
+        platformFailed();
+    } else if (std::holds_alternative<write_conflict>(result)) {
+        // The winner may be an earlier write of our own.
+        startRead();
+    } else if (m_writeInDoubt) {
+        platformFailed();
+    } else {
+        // One lost answer is no outage: writing again on the same condition tells what became of the first write.
+        m_writeInDoubt = true;
+        m_retryAt = m_time.now;
+    }
+}
+
+void claim_journal::committed(const write_attempt &attempt, const std::string &etag)
+{
+    m_etag = etag;
+    m_attempts.clear();
+    m_writeInDoubt = false;
+    std::vector<claim_key> claims;
+    for (std::size_t i = 0; i < attempt.events; ++i) {
+        auto &pending = m_pending.front();
+        m_lines += pending.line;
+        // A result is kept since it was reported, and its key may have been released and claimed again since.
+        if (const auto *made = std::get_if<claim_made>(&pending.event)) {
+            event_applier {*this}(*made);
+            claims.push_back(made->key);
+        } else if (const auto *ended = std::get_if<claim_ended>(&pending.event)) {
+            m_presentExpiry = std::max(m_presentExpiry, ended->expiresAt);
+        }
+        m_pending.pop_front();
+    }
+    if (attempt.released) {
+        reset();
+        m_ending = false;
+        m_phase = phase::idle;
+        return;
+    }
+    if (!m_takeoverWritten) {
+        m_takeoverWritten = true;
+        m_claimsFrom = m_time.now + (m_waitOutLease ? m_limits.takeoverWait : milliseconds {0});
+    }
+    if (attempt.sealed) {
+        startNextSegment();
+    }
+    for (const auto &key : claims) {
+        claimCommitted(key);
+    }
+}
+
+void claim_journal::claimCommitted(const claim_key &key)
+{
+    const auto found = m_open.find(key);
+    if (found == m_open.end()) {
+        return;
+    }
+    auto &claim = found->second;
+    if (claim.waiters.empty()) {
+        // Its callers were told not_run.
+        m_open.erase(found);
+        m_kept.erase(key);
+        append(claim_released {key});
+        return;
+    }
+    claim.running = true;
+    monotonic_time deadline {};
+    for (const auto &waiting : claim.waiters) {
+        deadline = std::max(deadline, waiting.deadline);
+    }
+    m_actions.emplace_back(start_run {key, deadline});
+}
+
+void claim_journal::read(const read_result &result)
+{
+    m_flight = flight::none;
+    if (m_phase != phase::holding) {
+        return;
+    }
+    if (std::holds_alternative<platform_unavailable>(result)) {
+        platformFailed();
+        return;
+    }
+    const auto *object = std::get_if<platform_object>(&result);
+    const bool unchanged = object == nullptr ? m_etag.empty() : object->etag == m_etag;
+    if (unchanged) {
+        contacted();
+    } else if (object == nullptr) {
+        fence();
+    } else {
+        readBack(*object);
+    }
+}
+
+void claim_journal::readBack(const platform_object &object)
+{
+    const auto segment = parseSegment(object.value);
+    const auto isOurs = [&](const write_attempt &attempt) {
+        return segment && segment->header.writer == segment_writer {m_self.owner, m_self.life, attempt.batch};
+    };
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), isOurs);
+    if (found == m_attempts.end()) {
+        fence();
+        return;
+    }
+    contacted();
+    committed(write_attempt(*found), object.etag);
+}
+
+bool claim_journal::releaseDue() const
+{
+    return m_ending && m_takeoverWritten && m_pending.empty() && m_open.empty();
+}
+
+std::optional<monotonic_time> claim_journal::writeAt() const
+{
+    if (!m_takeoverWritten || !m_attempts.empty() || releaseDue()) {
+        return m_retryAt;
+    }
+    if (m_pending.empty()) {
+        return std::nullopt;
+    }
+    const auto isClaim = [](const pending_event &pending) { return std::holds_alternative<claim_made>(pending.event); };
+    const bool claimWaits = std::any_of(m_pending.begin(), m_pending.end(), isClaim);
+    const auto due = claimWaits || m_ending ? m_pending.front().since : m_pending.front().since + m_limits.resultDelay;
+    return std::max({due, m_lastWrite + m_limits.writeInterval, m_retryAt});
+}
+
+std::optional<monotonic_time> claim_journal::platformCallAt() const
+{
+    if (m_flight != flight::none) {
+        return std::nullopt;
+    }
+    if (m_phase == phase::loading) {
+        return m_retryAt;
+    }
+    if (m_phase != phase::holding) {
+        return std::nullopt;
+    }
+    const auto renewal = m_platformDown || !m_contact ? m_retryAt : std::max(m_retryAt, *m_contact + m_limits.renewInterval);
+    const auto write = writeAt();
+    return write ? std::min(*write, renewal) : renewal;
+}
+
+void claim_journal::startPlatformCall()
+{
+    const auto due = platformCallAt();
+    if (!due || m_time.now < *due) {
+        return;
+    }
+    if (m_phase == phase::loading) {
+        m_flight = flight::list;
+        m_flightSince = m_time.now;
+        m_actions.emplace_back(list_segments {segmentPrefix(m_partition)});
+        return;
+    }
+    const auto write = writeAt();
+    if (write && *write <= m_time.now) {
+        startWrite();
+    } else {
+        startRead();
+    }
+}
+
+void claim_journal::startWrite()
+{
+    write_attempt attempt {.batch = ++m_self.batch};
+    std::string lines;
+    const auto least = possiblyWritten();
+    for (const auto &pending : m_pending) {
+        if (attempt.events >= least && lines.size() + pending.line.size() > m_limits.batchBytes && attempt.events > 0) {
+            break;
+        }
+        lines += pending.line;
+        attempt.events += 1;
+    }
+    attempt.released = releaseDue();
+    attempt.sealed = !attempt.released && m_lines.size() + lines.size() >= m_limits.segmentBytes;
+    m_attempts.push_back(attempt);
+    m_flight = flight::write;
+    m_flightSince = m_time.now;
+    m_lastWrite = m_time.now;
+    const segment_header header {m_self, attempt.sealed, attempt.released};
+    const auto condition = m_etag.empty() ? write_condition(if_absent {}) : write_condition(if_version {m_etag});
+    m_actions.emplace_back(write_segment {segmentKey(m_partition, m_segment), encodeSegmentHeader(header) + m_lines + lines, condition});
+}
+
+void claim_journal::startRead()
+{
+    m_flight = flight::read;
+    m_flightSince = m_time.now;
+    m_actions.emplace_back(read_segment {segmentKey(m_partition, m_segment)});
+}
+
+void claim_journal::expireKept()
+{
+    const auto expired = m_time.wallSeconds - m_limits.clockSkewSeconds;
+    while (!m_expiries.empty() && m_expiries.begin()->first < expired) {
+        const auto [expiresAt, key] = *m_expiries.begin();
+        m_expiries.erase(m_expiries.begin());
+        const auto kept = m_kept.find(key);
+        if (kept != m_kept.end() && kept->second.expiresAt <= expiresAt && !m_open.contains(key)) {
+            m_kept.erase(kept);
+        }
+    }
+    // The last segment stays: it carries the numbering on.
+    while (leaseHolds() && m_segmentExpiries.size() > 1 && m_segmentExpiries.begin()->second < expired) {
+        m_actions.emplace_back(remove_segment {segmentKey(m_partition, m_segmentExpiries.begin()->first)});
+        m_segmentExpiries.erase(m_segmentExpiries.begin());
+    }
+}
+
+} // namespace daisystile
