--- a/Source/Request/claim_journal_platform.cxx
+++ b/Source/Request/claim_journal_platform.cxx
@@ -56,6 +56,12 @@
 
 void claim_journal::fence()
 {
+    if (!m_takeoverWritten && !m_ending) {
+        // The earlier owner wrote between our list and our write: read anew at once.
+        reset();
+        m_phase = phase::loading;
+        return;
+    }
     m_contact.reset();
     for (const auto &ask : std::exchange(m_queue, {})) {
         answer(ask.waiter, run_outcome::unknown, attempt_failure::not_owner);
