Request: Decide claims of requests that may run once

The fuzz found and this mends: released while an earlier lease ran, owner again during the release, a sealed segment taken for proof of ownership, waiters from before the load.

--- a/Source/Request/callers_json.cxx
+++ b/Source/Request/callers_json.cxx
@@ -50,6 +50,10 @@
         return "malformed";
     case attempt_failure::peer_lost:
         return "peer_lost";
+    case attempt_failure::platform_down:
+        return "platform_down";
+    case attempt_failure::key_reused:
+        return "key_reused";
     }
     return "unknown";
 }
--- a/Source/Request/claim_journal.cxx
+++ b/Source/Request/claim_journal.cxx
@@ -71,6 +71,11 @@
 
 void claim_journal::gained()
 {
+    if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const write_attempt &attempt) { return attempt.released; })) {
+        // The next owner may not wait for us any more.
+        m_regained = true;
+        return;
+    }
     m_ending = false;
     if (m_phase == phase::idle) {
         reset();
@@ -80,7 +85,9 @@
 
 void claim_journal::ended()
 {
-    if (m_phase == phase::holding && m_takeoverWritten) {
+    m_regained = false;
+    // Before its first claim it may not release: the lease of the owner before it still runs.
+    if (m_phase == phase::holding && m_takeoverWritten && m_time.now >= m_claimsFrom) {
         m_ending = true;
         refuseClaims();
         return;
@@ -222,11 +229,8 @@
     }
 }
 
-void claim_journal::admitQueue()
+void claim_journal::askQueueAgain()
 {
-    if (!claimsAllowed()) {
-        return;
-    }
     for (const auto &ask : std::exchange(m_queue, {})) {
         asked(ask);
     }
@@ -234,7 +238,9 @@
 
 void claim_journal::expireWaiters()
 {
-    const auto late = [this](monotonic_time deadline) { return deadline <= m_time.now; };
+    const auto late = [this](monotonic_time deadline) {
+        return deadline <= m_time.now;
+    };
     for (auto ask = m_queue.begin(); ask != m_queue.end();) {
         if (!late(ask->deadline)) {
             ++ask;
@@ -246,11 +252,12 @@
     std::vector<claim_key> abandoned;
     for (auto &[key, claim] : m_open) {
         const auto outcome = claim.running ? run_outcome::unknown : unclaimedOutcome();
+        const auto failure = claim.running ? attempt_failure::timed_out : attempt_failure::too_late;
         std::erase_if(claim.waiters, [&](const waiting_caller &waiting) {
             if (!late(waiting.deadline)) {
                 return false;
             }
-            answer(waiting.waiter, outcome, claim.running ? attempt_failure::timed_out : attempt_failure::too_late);
+            answer(waiting.waiter, outcome, failure);
             return true;
         });
         if (!claim.running && claim.waiters.empty()) {
@@ -291,7 +298,9 @@
 
 void claim_journal::advance()
 {
-    admitQueue();
+    if (claimsAllowed()) {
+        askQueueAgain();
+    }
     expireWaiters();
     expireKept();
     if (m_phase == phase::fenced && m_time.now >= m_retryAt) {
@@ -304,7 +313,9 @@
 std::optional<monotonic_time> claim_journal::wakeAt() const
 {
     std::optional<monotonic_time> earliest = platformCallAt();
-    const auto consider = [&](monotonic_time time) { earliest = earliest ? std::min(*earliest, time) : time; };
+    const auto consider = [&](monotonic_time time) {
+        earliest = earliest ? std::min(*earliest, time) : time;
+    };
     if (m_phase == phase::fenced) {
         consider(m_retryAt);
     }
--- a/Source/Request/claim_journal.h
+++ b/Source/Request/claim_journal.h
@@ -210,7 +210,7 @@
     bool claimsAllowed() const;
 
     void advance();
-    void admitQueue();
+    void askQueueAgain();
     void expireWaiters();
     void expireKept();
     void startPlatformCall();
@@ -237,6 +237,8 @@
     phase m_phase = phase::idle;
     flight m_flight = flight::none;
     bool m_ending = false;
+    /// Owner again, while the write that gives the journal up is under way.
+    bool m_regained = false;
     bool m_platformDown = false;
     bool m_writeInDoubt = false;
     bool m_takeoverWritten = false;
--- a/Source/Request/claim_journal_platform.cxx
+++ b/Source/Request/claim_journal_platform.cxx
@@ -72,8 +72,9 @@
         }
     }
     reset();
-    m_phase = m_ending ? phase::idle : phase::fenced;
+    m_phase = m_ending && !m_regained ? phase::idle : phase::fenced;
     m_ending = false;
+    m_regained = false;
     m_retryAt = m_time.now + m_limits.fencedPause;
 }
 
@@ -199,12 +200,14 @@
     if (attempt.released) {
         reset();
         m_ending = false;
-        m_phase = phase::idle;
+        m_phase = std::exchange(m_regained, false) ? phase::loading : phase::idle;
         return;
     }
     if (!m_takeoverWritten) {
         m_takeoverWritten = true;
         m_claimsFrom = m_time.now + (m_waitOutLease ? m_limits.takeoverWait : milliseconds {0});
+        // Those that asked before the journal was loaded may ask for what it holds.
+        askQueueAgain();
     }
     if (attempt.sealed) {
         startNextSegment();
@@ -221,18 +224,19 @@
         return;
     }
     auto &claim = found->second;
-    if (claim.waiters.empty()) {
-        // Its callers were told not_run.
+    monotonic_time deadline {};
+    for (const auto &waiting : claim.waiters) {
+        deadline = std::max(deadline, waiting.deadline);
+    }
+    if (deadline <= m_time.now) {
+        // Its callers were told not_run, or are told so now.
+        answerAll(claim.waiters, unclaimedOutcome(), attempt_failure::too_late);
         m_open.erase(found);
         m_kept.erase(key);
         append(claim_released {key});
         return;
     }
     claim.running = true;
-    monotonic_time deadline {};
-    for (const auto &waiting : claim.waiters) {
-        deadline = std::max(deadline, waiting.deadline);
-    }
     m_actions.emplace_back(start_run {key, deadline});
 }
 
@@ -268,8 +272,15 @@
         fence();
         return;
     }
-    contacted();
-    committed(write_attempt(*found), object.etag);
+    const write_attempt attempt = *found;
+    if (attempt.sealed) {
+        // Another owner may already have started the next segment: no proof of ownership.
+        m_platformDown = false;
+        m_retryAt = m_time.now;
+    } else {
+        contacted();
+    }
+    committed(attempt, object.etag);
 }
 
 bool claim_journal::releaseDue() const
@@ -285,7 +296,9 @@
     if (m_pending.empty()) {
         return std::nullopt;
     }
-    const auto isClaim = [](const pending_event &pending) { return std::holds_alternative<claim_made>(pending.event); };
+    const auto isClaim = [](const pending_event &pending) {
+        return std::holds_alternative<claim_made>(pending.event);
+    };
     const bool claimWaits = std::any_of(m_pending.begin(), m_pending.end(), isClaim);
     const auto due = claimWaits || m_ending ? m_pending.front().since : m_pending.front().since + m_limits.resultDelay;
     return std::max({due, m_lastWrite + m_limits.writeInterval, m_retryAt});
--- a/Tests/Request/claim_fuzz_test.cxx
+++ b/Tests/Request/claim_fuzz_test.cxx
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace daisystile;
@@ -88,6 +89,7 @@
             } else if (const auto *run = std::get_if<start_run>(&action)) {
                 m_records[run->key.key.value].runs += 1;
                 EXPECT_EQ(m_records[run->key.key.value].runs, 1) << "key " << run->key.key.value << " runs twice";
+                EXPECT_TRUE(isAwaited(run->key.key.value)) << "key " << run->key.key.value << " runs after all its callers were answered";
                 runs += 1;
                 owner.running.push_back(run->key);
             } else if (const auto *removed = std::get_if<remove_segment>(&action)) {
@@ -99,6 +101,11 @@
         }
     }
 
+    bool isAwaited(const std::string &key) const
+    {
+        return std::any_of(m_waiters.begin(), m_waiters.end(), [&](const auto &entry) { return entry.second == key; });
+    }
+
     void check(const answer_waiter &answer)
     {
         const auto key = m_waiters.at(answer.waiter);
