--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -2,6 +2,7 @@
 
 /// Public header of the connection library: peer links, ownership, slots, membership.
 
+#include "burn_slice.h"
 #include "connection_error.h"
 #include "control_codec.h"
 #include "control_messages.h"
@@ -9,7 +10,9 @@
 #include "frame_reader.h"
 #include "member_table.h"
 #include "membership.h"
+#include "owner_history.h"
 #include "owner_map.h"
+#include "ownership.h"
 #include "peer_codec.h"
 #include "peer_messages.h"
 #include "peer_network.h"
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -2,6 +2,12 @@
 
 /// Public header of the request library: admission, fan-out, hedging, merging, the callers' interface.
 
+#include "burn_html.h"
+#include "burn_json.h"
+#include "burn_recorder.h"
+#include "burn_report.h"
+#include "burn_service.h"
+#include "burn_text.h"
 #include "callers_api.h"
 #include "callers_json.h"
 #include "coordinator.h"
