--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -16,4 +16,7 @@
 #include "peer_codec.h"
 #include "peer_messages.h"
 #include "peer_network.h"
+#include "send_check.h"
 #include "server_owner.h"
+#include "slot_gate.h"
+#include "slot_queue.h"
--- a/Tests/Connection/ownership_fuzz_test.cxx
+++ b/Tests/Connection/ownership_fuzz_test.cxx
@@ -85,7 +85,7 @@
             m_fleet.leaving.insert(m_troubled);
         }
         // In the last case the others are wrong.
-        const milliseconds detection = kind == 2 ? milliseconds {0} : settings.lossDetection;
+        const milliseconds detection = kind == 2 ? milliseconds {0} : m_settings.lossDetection;
         m_backAt = m_fleet.now + detection + milliseconds {m_random(8000)};
         queueNews(m_fleet.now + detection, true);
     }
@@ -132,7 +132,7 @@
         m_calmUntil = m_fleet.now + milliseconds {m_random(10000)};
     }
 
-    const ownership_settings settings;
+    const ownership_settings m_settings;
     lease_fleet m_fleet;
     pcg32 m_random;
     std::string m_troubled;
