Request: Hold customers to their contracts over the whole fleet

Cause: requests land unevenly, and a limit kept by each daemon alone is either passed by the sum or refuses customers within it. Change: each daemon holds a home part of each contract; parts that it doesn't need it deposits for a time with the customer's keeper, chosen by rendezvous hashing, which lends them by demand for a shorter time. Times count from before the sending, so that a loan ends before its deposit does. Requests wait a part of their time for a share, then are refused with 429.

--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -236,6 +236,38 @@
     }
 };
 
+/// A daemon's word to a customer's share keeper; amounts in millionths of the contract.
+struct share_report
+{
+    customer_id customer;
+    /// The sender's clock, for the grant to send back.
+    std::int64_t sentAtUs = 0;
+    /// The keeper's clock in its newest grant; 0 when there was none.
+    std::int64_t keeperStampUs = 0;
+    std::uint32_t deposit = 0;
+    std::uint32_t wanted = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(customer, sentAtUs, keeperStampUs, deposit, wanted);
+    }
+};
+
+/// A loan, for a time that counts from the report's sending.
+struct share_grant
+{
+    customer_id customer;
+    std::int64_t sentAtUs = 0;
+    std::int64_t keeperStampUs = 0;
+    std::uint32_t loan = 0;
+    std::uint32_t loanMs = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(customer, sentAtUs, keeperStampUs, loan, loanMs);
+    }
+};
+
 /// Everything that peer links carry; new kinds go to the end.
 using peer_message = std::variant<search_batch,
     shard_answer,
@@ -246,6 +278,8 @@
     burn_reply,
     guard_question,
     guard_answer,
-    quarantine_notice>;
+    quarantine_notice,
+    share_report,
+    share_grant>;
 
 } // namespace daisystile
--- a/Source/Request/callers_api.cxx
+++ b/Source/Request/callers_api.cxx
@@ -165,19 +165,49 @@
         noted.refusal = reply.outcome == query_outcome::too_little_coverage ? "too_little_coverage" : "";
     }
 
+    using admitted_call = std::function<void(milliseconds left, const http_responder &respond)>;
+
+    // Runs the call once its contract has room; its release comes with its answer.
+    void runWithinContract(const std::shared_ptr<const contract> &terms, milliseconds wait, const http_responder &respond, admitted_call run)
+    {
+        if (!uses.admit) {
+            run(wait, respond);
+            return;
+        }
+        const auto until = loop.now() + wait;
+        uses.admit(terms, wait, [this, terms, until, respond, run = std::move(run)](const std::optional<admission_refusal> &refusal) {
+            if (refusal) {
+                respond(toResponse(toProblem(*refusal)));
+                return;
+            }
+            run(timeLeft(loop.now(), until), [this, terms, respond](http_response response) {
+                uses.release(terms->customer);
+                respond(std::move(response));
+            });
+        });
+    }
+
     leaf::result<void> query(checked_call call, const http_request &request, const shared_ended_request &noted, const http_responder &respond)
     {
         BOOST_LEAF_AUTO(body, parseQueryBody(request.body));
         const auto print = fingerprintOf(call.target.service, body);
-        search_request search {call.target.service, std::move(call.terms), print, std::move(body), call.wait};
+        const search_request search {call.target.service, call.terms, print, std::move(body), call.wait};
+        runWithinContract(
+            call.terms, call.wait, respond, [this, search, noted](milliseconds left, const http_responder &answer) { runSearch(search, left, noted, answer); });
+        return {};
+    }
+
+    void runSearch(search_request search, milliseconds left, const shared_ended_request &noted, const http_responder &respond)
+    {
+        search.wait = left;
+        const auto service = search.service;
         const auto answer = [noted, respond](const search_reply &reply) {
             noteReply(reply, *noted);
             respond(toResponse(reply));
         };
         if (!uses.search(std::move(search), answer)) {
-            return leaf::new_error(request_error {request_failure::service_unknown, call.target.service.value});
+            refuse({request_failure::service_unknown, service.value}, respond);
         }
-        return {};
     }
 
     leaf::result<void> execute(checked_call call, const http_request &request, const http_responder &respond)
@@ -190,7 +220,12 @@
             return leaf::new_error(request_error {request_failure::field_wrong, "Idempotency-Key"});
         }
         const auto print = fingerprintOf(call.target.service, request.body);
-        uses.execute({call.target.service, std::move(call.terms), {key}, print, request.body, call.wait}, respond);
+        const execute_submission submission {call.target.service, call.terms, {key}, print, request.body, call.wait};
+        runWithinContract(call.terms, call.wait, respond, [this, submission](milliseconds left, const http_responder &answer) {
+            auto admitted = submission;
+            admitted.wait = left;
+            uses.execute(std::move(admitted), answer);
+        });
         return {};
     }
 
--- a/Source/Request/callers_api.h
+++ b/Source/Request/callers_api.h
@@ -2,6 +2,7 @@
 
 #include "burn_recorder.h"
 #include "callers_json.h"
+#include "contract_limits.h"
 #include "coordinator.h"
 
 #include <functional>
@@ -35,6 +36,9 @@
         std::function<std::string()> metricsText;
         /// Told of each request's end once its customer is known; caller's mistakes left out.
         std::function<void(const ended_request &, const contract &)> ended;
+        /// Holds the customer to its contract; whoever is let in is released when answered.
+        std::function<void(const std::shared_ptr<const contract> &, milliseconds, admission_callback)> admit;
+        std::function<void(const customer_id &)> release;
     };
 
     callers_api(reactor &loop, services uses, metrics &figures);
--- a/Source/Request/callers_json.cxx
+++ b/Source/Request/callers_json.cxx
@@ -108,6 +108,15 @@
     return {.status = statusOf(error.failure), .title = "request refused", .detail = detail.str()};
 }
 
+problem toProblem(const admission_refusal &refusal)
+{
+    const bool rate = refusal.reason == gate_verdict::over_rate;
+    return {.status = 429,
+        .title = "over the contract",
+        .detail = rate ? "the contract's rate and burst are used up" : "the contract's concurrency is used up",
+        .retryAfter = refusal.retryAfter};
+}
+
 // The parser's stack is its own, so deep nesting costs memory only; still nobody needs it.
 static bool nestsTooDeep(std::string_view body)
 {
--- a/Source/Request/callers_json.h
+++ b/Source/Request/callers_json.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contract_limits.h"
 #include "search_types.h"
 
 #include <Process/process.h>
@@ -29,6 +30,7 @@
 http_response toResponse(const problem &error);
 /// The problem that a request error is to its caller.
 problem toProblem(const request_error &error);
+problem toProblem(const admission_refusal &refusal);
 
 /// Checks {"query": ...} and gives it back with sorted keys and no spaces, so that equal queries have equal texts.
 /// Errors: request_error{body_malformed, field_missing, field_unknown, field_wrong}.
--- a/Source/Request/keeper_choice.cxx
+++ b/Source/Request/keeper_choice.cxx
@@ -27,6 +27,11 @@
     return chooseBest(key, members, count, [&region](const member &entry) { return entry.region == region; });
 }
 
+std::vector<const member *> chooseKeepers(std::uint64_t key, const std::vector<member> &members, std::size_t count)
+{
+    return chooseBest(key, members, count, [](const member &) { return true; });
+}
+
 std::vector<const member *> chooseInDomain(std::uint64_t key, const failure_domain_name &domain, const std::vector<member> &members, std::size_t count)
 {
     return chooseBest(key, members, count, [&domain](const member &entry) { return entry.domain == domain; });
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -11,6 +11,8 @@
 #include "callers_api.h"
 #include "callers_json.h"
 #include "clear_requests.h"
+#include "contract_gate.h"
+#include "contract_limits.h"
 #include "coordinator.h"
 #include "crash_guard.h"
 #include "extra_load_budget.h"
@@ -26,3 +28,4 @@
 #include "service_index.h"
 #include "serving_state.h"
 #include "serving_table.h"
+#include "share_book.h"
