--- a/Source/Load/load_answer.h
+++ b/Source/Load/load_answer.h
@@ -32,6 +32,8 @@
     std::uint64_t covered = 0;
     /// Covered shards and listed missing ones don't add up, or one is listed twice.
     bool incoherent = false;
+    /// Results that belong to another query, shard or snapshot; counted when the stream says so.
+    std::uint64_t falseResults = 0;
     std::string snapshot;
     std::map<std::string, std::uint64_t> missingReasons;
 };
--- a/Source/Load/load_figures.cxx
+++ b/Source/Load/load_figures.cxx
@@ -25,6 +25,7 @@
     shards += other.shards;
     covered += other.covered;
     incoherent += other.incoherent;
+    falseResults += other.falseResults;
     for (const auto &[reason, count] : other.missingReasons) {
         missingReasons[reason] += count;
     }
@@ -50,6 +51,7 @@
     figures.shards += answer.shards;
     figures.covered += answer.covered;
     figures.incoherent += answer.incoherent ? 1 : 0;
+    figures.falseResults += answer.falseResults;
     for (const auto &[reason, count] : answer.missingReasons) {
         figures.missingReasons[reason] += count;
     }
--- a/Source/Load/load_figures.h
+++ b/Source/Load/load_figures.h
@@ -22,6 +22,7 @@
     std::uint64_t shards = 0;
     std::uint64_t covered = 0;
     std::uint64_t incoherent = 0;
+    std::uint64_t falseResults = 0;
     std::map<std::string, std::uint64_t> missingReasons;
 
     std::uint64_t count() const;
--- a/Source/Load/load_plan.cxx
+++ b/Source/Load/load_plan.cxx
@@ -87,6 +87,15 @@
         }
     }
 
+    void take(const json &value, const std::string &path, bool &target)
+    {
+        if (value.is_boolean()) {
+            target = value.get<bool>();
+        } else {
+            m_mistakes.push_back(path + ": expected true or false");
+        }
+    }
+
     template<std::integral T> void take(const json &value, const std::string &path, T &target)
     {
         if (value.is_number_unsigned()) {
@@ -162,6 +171,7 @@
     reader.read("from", stream.from);
     reader.read("to", stream.to);
     reader.read("timeout", stream.timeout);
+    reader.read("check_results", stream.checkResults);
     reader.readList("targets", stream.targets, [&](const json &value, const std::string &where) {
         std::size_t position = 0;
         reader.take(value, where, position);
--- a/Source/Load/load_plan.h
+++ b/Source/Load/load_plan.h
@@ -33,6 +33,8 @@
     /// Positions in the plan's targets; empty for all.
     std::vector<std::size_t> targets;
     milliseconds timeout {2000};
+    /// Compares every result with what the backend server stand-ins give.
+    bool checkResults = false;
 };
 
 /// One HTTP call to a stand-in's or daemon's control interface at a stated time.
--- a/Source/Load/load_report.cxx
+++ b/Source/Load/load_report.cxx
@@ -50,6 +50,7 @@
         {"covered", figures.covered},
         {"coverage", coverageOf(figures)},
         {"incoherent", figures.incoherent},
+        {"false_results", figures.falseResults},
         {"missing", figures.missingReasons},
         {"outcomes", outcomes}};
 }
--- a/Source/Load/load_worker.cxx
+++ b/Source/Load/load_worker.cxx
@@ -1,5 +1,7 @@
 #include "load_worker.h"
 
+#include "result_check.h"
+
 #include <sys/timerfd.h>
 #include <unistd.h>
 
@@ -102,10 +104,19 @@
     m_client.send(std::move(call), [this, request, key, sentAt](http_result result) { ended(request, key, sentAt, result); });
 }
 
+load_answer load_worker::answerOf(const arrival &request, const http_result &result) const
+{
+    const auto &stream = m_plan.streams[request.stream];
+    auto answer = classify(stream.kind, result);
+    if (stream.checkResults && (answer.kind == answer_kind::complete || answer.kind == answer_kind::partial)) {
+        checkResults(fillNumber(stream.body, request.number), std::get<http_reply>(result).body, answer);
+    }
+    return answer;
+}
+
 void load_worker::ended(const arrival &request, const std::string &key, microseconds sentAt, const http_result &result)
 {
-    const auto answer = classify(m_plan.streams[request.stream].kind, result);
-    m_figures.take(m_plan, request, key, sentAt, elapsed(), answer);
+    m_figures.take(m_plan, request, key, sentAt, elapsed(), answerOf(request, result));
     m_open -= 1;
     stopWhenIdle();
 }
--- a/Source/Load/load_worker.h
+++ b/Source/Load/load_worker.h
@@ -21,6 +21,7 @@
     void sendDue();
     void send(const arrival &request);
     void ended(const arrival &request, const std::string &key, microseconds sentAt, const http_result &result);
+    load_answer answerOf(const arrival &request, const http_result &result) const;
     void armTimer();
     void stopWhenIdle();
     microseconds elapsed() const;
--- a/Tests/Load/load_answer_test.cxx
+++ b/Tests/Load/load_answer_test.cxx
@@ -1,4 +1,5 @@
 #include "Load/load_answer.h"
+#include "Load/result_check.h"
 
 #include <gtest/gtest.h>
 
@@ -53,3 +54,22 @@
     EXPECT_EQ(classify(request_kind::query, http_failure {http_failure_kind::timed_out}).kind, answer_kind::timed_out);
     EXPECT_EQ(classify(request_kind::query, http_failure {http_failure_kind::reset}).kind, answer_kind::failed);
 }
+
+TEST(load_answer, findsResultsOfAnotherQueryShardOrSnapshot)
+{
+    const std::string query = R"({"query":"x"})";
+    const auto idOf = [](const std::string &text, const std::string &snapshot, std::uint64_t shard) {
+        return "s" + std::to_string(shard) + "-" + std::to_string(stableHash(text + "/" + snapshot, shard * 3 + 1) % 1'000'000);
+    };
+    const auto falseResultsOf = [&](const std::string &first, const std::string &second) {
+        load_answer answer {.kind = answer_kind::complete, .shards = 2, .covered = 2, .snapshot = "s1"};
+        checkResults(query, R"({"results":[{"id":")" + first + R"("},{"id":")" + second + R"("}]})", answer);
+        return answer.falseResults + (answer.incoherent ? 100 : 0);
+    };
+    const auto good = idOf(query, "s1", 0);
+    EXPECT_EQ(falseResultsOf(good, idOf(query, "s1", 1)), 0U);
+    EXPECT_EQ(falseResultsOf(good, idOf(query, "s2", 1)), 1U);
+    EXPECT_EQ(falseResultsOf(good, idOf("{}", "s1", 1)), 1U);
+    EXPECT_EQ(falseResultsOf(good, "s1" + good.substr(2)), 1U);
+    EXPECT_EQ(falseResultsOf(good, good), 100U);
+}
