--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -55,6 +55,8 @@
         return answer.outcome == run_outcome::not_run ? retry_rule::free : retry_rule::after_judgement;
     case attempt_failure::quarantined:
     case attempt_failure::cancelled:
+    case attempt_failure::platform_down:
+    case attempt_failure::key_reused:
         return retry_rule::never;
     case attempt_failure::none:
     case attempt_failure::shed:
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -15,6 +15,7 @@
 #include "contract_limits.h"
 #include "coordinator.h"
 #include "crash_guard.h"
+#include "daemon_process.h"
 #include "extra_load_budget.h"
 #include "keeper_choice.h"
 #include "query_decision.h"
--- /dev/null
+++ b/Tests/Request/claim_journal_test.cxx
@@ -0,0 +1,285 @@
+#include "Request/claim_journal.h"
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+namespace {
+
+// One journal and the calls that it has made, answered by the test.
+class claim_journal_test : public testing::Test
+{
+protected:
+    void decide(const journal_event &event)
+    {
+        for (auto &action : m_journal.decide(event, {m_now, m_wall})) {
+            if (auto *answer = std::get_if<answer_waiter>(&action)) {
+                m_answers[answer->waiter] = *answer;
+            } else if (auto *run = std::get_if<start_run>(&action)) {
+                m_runs.push_back(run->key.key.value);
+            } else {
+                m_calls.push_back(std::move(action));
+            }
+        }
+    }
+
+    void pass(milliseconds time)
+    {
+        m_now += time;
+        decide(time_passed {});
+    }
+
+    template<class Call> Call take()
+    {
+        EXPECT_FALSE(m_calls.empty());
+        if (m_calls.empty() || !std::holds_alternative<Call>(m_calls.front())) {
+            ADD_FAILURE() << "another call, or none, was made";
+            return {};
+        }
+        auto call = std::get<Call>(m_calls.front());
+        m_calls.pop_front();
+        return call;
+    }
+
+    // Becomes the owner of an empty journal.
+    void own()
+    {
+        decide(ownership_gained {});
+        take<list_segments>();
+        decide(segments_listed {std::vector<platform_object>()});
+        take<write_segment>();
+        decide(segment_written {object_written {"1"}});
+        pass(m_limits.writeInterval);
+    }
+
+    void ask(waiter_id waiter, const std::string &key, std::uint64_t request = 1, milliseconds wait = seconds {2})
+    {
+        decide(execute_asked {waiter, {{"c"}, {"s"}, {key}}, {request}, 60, m_now + wait});
+    }
+
+    void report(const std::string &key, run_outcome outcome, const std::string &body = {})
+    {
+        decide(run_reported {{{"c"}, {"s"}, {key}}, outcome, attempt_failure::none, body});
+    }
+
+    run_outcome outcome(waiter_id waiter)
+    {
+        EXPECT_TRUE(m_answers.contains(waiter));
+        return m_answers[waiter].outcome;
+    }
+
+    journal_limits m_limits;
+    monotonic_time m_now {seconds {100}};
+    std::int64_t m_wall = 1000000;
+    claim_journal m_journal {0, {"d1"}, {1}};
+    std::deque<journal_action> m_calls;
+    std::map<waiter_id, answer_waiter> m_answers;
+    std::vector<std::string> m_runs;
+};
+
+} // namespace
+
+TEST_F(claim_journal_test, runsOnlyAfterTheClaimIsWrittenAndKeepsTheResult)
+{
+    own();
+    ask(1, "k");
+    const auto write = take<write_segment>();
+    EXPECT_TRUE(m_runs.empty());
+    EXPECT_EQ(std::get<if_version>(write.condition).etag, "1");
+    decide(segment_written {object_written {"2"}});
+    EXPECT_EQ(m_runs, std::vector<std::string> {"k"});
+    ask(2, "k");
+    report("k", run_outcome::done, "r");
+    EXPECT_EQ(m_answers[1].body, "r");
+    EXPECT_EQ(m_answers[2].body, "r");
+    ask(3, "k");
+    EXPECT_EQ(m_answers[3].body, "r");
+    EXPECT_EQ(m_runs.size(), 1U);
+}
+
+TEST_F(claim_journal_test, sharesWritesWithinTheInterval)
+{
+    own();
+    ask(1, "a");
+    take<write_segment>();
+    ask(2, "b");
+    decide(segment_written {object_written {"2"}});
+    ask(3, "c");
+    EXPECT_TRUE(m_calls.empty());
+    pass(m_limits.writeInterval);
+    take<write_segment>();
+    decide(segment_written {object_written {"3"}});
+    EXPECT_EQ(m_runs, (std::vector<std::string> {"a", "b", "c"}));
+}
+
+TEST_F(claim_journal_test, readsBackALostAnswer)
+{
+    own();
+    ask(1, "k");
+    const auto first = take<write_segment>();
+    decide(segment_written {write_unknown {"lost"}});
+    take<write_segment>();
+    decide(segment_written {write_conflict {}});
+    const auto readBack = take<read_segment>();
+    EXPECT_EQ(readBack.key, first.key);
+    decide(segment_read {platform_object {first.key, "2", first.value}});
+    EXPECT_EQ(m_runs, std::vector<std::string> {"k"});
+}
+
+TEST_F(claim_journal_test, neverRunsAClaimThatWasRefusedBeforeItsWriteWasKnown)
+{
+    own();
+    ask(1, "k");
+    const auto first = take<write_segment>();
+    decide(segment_written {write_unknown {"lost"}});
+    take<write_segment>();
+    decide(segment_written {write_unknown {"lost"}});
+    EXPECT_EQ(outcome(1), run_outcome::not_run);
+    pass(m_limits.retryDelay);
+    take<write_segment>();
+    decide(segment_written {write_conflict {}});
+    take<read_segment>();
+    decide(segment_read {platform_object {first.key, "2", first.value}});
+    EXPECT_TRUE(m_runs.empty());
+    // Released in the journal, so that a resend can run.
+    pass(m_limits.resultDelay);
+    EXPECT_NE(take<write_segment>().value.find("released\":"), std::string::npos);
+}
+
+TEST_F(claim_journal_test, saysNotRunAtOnceWhileThePlatformIsDownAndUnknownAfterItsLease)
+{
+    own();
+    ask(1, "k");
+    take<write_segment>();
+    decide(segment_written {platform_unavailable {"down"}});
+    EXPECT_EQ(outcome(1), run_outcome::not_run);
+    ask(2, "k");
+    EXPECT_EQ(outcome(2), run_outcome::not_run);
+    EXPECT_EQ(m_answers[2].failure, attempt_failure::platform_down);
+    pass(m_limits.lease);
+    ask(3, "k");
+    EXPECT_EQ(outcome(3), run_outcome::unknown);
+    EXPECT_TRUE(m_runs.empty());
+}
+
+TEST_F(claim_journal_test, leavesAJournalThatAnotherWroteTo)
+{
+    own();
+    ask(1, "k");
+    const auto write = take<write_segment>();
+    decide(segment_written {write_conflict {}});
+    take<read_segment>();
+    const segment_header other {{{"d2"}, {1}, 9}, false, false};
+    decide(segment_read {platform_object {write.key, "7", encodeSegmentHeader(other)}});
+    EXPECT_EQ(outcome(1), run_outcome::unknown);
+    ask(2, "x");
+    EXPECT_EQ(m_answers[2].failure, attempt_failure::not_owner);
+    pass(m_limits.fencedPause);
+    take<list_segments>();
+}
+
+TEST_F(claim_journal_test, waitsOutAnEarlierOwnersLeaseAndTellsItsClaimsUnknown)
+{
+    const segment_header header {{{"d2"}, {1}, 9}, false, false};
+    const auto claimed = encodeClaimEvent(claim_made {{{"c"}, {"s"}, {"old"}}, {1}, m_wall + 60});
+    decide(ownership_gained {});
+    take<list_segments>();
+    decide(segments_listed {std::vector<platform_object> {{segmentKey(0, 1), "5", encodeSegmentHeader(header) + claimed}}});
+    take<write_segment>();
+    decide(segment_written {object_written {"6"}});
+    ask(1, "old");
+    EXPECT_EQ(outcome(1), run_outcome::unknown);
+    ask(2, "new", 1, seconds {20});
+    EXPECT_FALSE(m_answers.contains(2));
+    while (m_runs.empty() && m_now < monotonic_time(seconds {120})) {
+        pass(milliseconds {100});
+        if (m_calls.empty()) {
+            continue;
+        }
+        if (std::holds_alternative<read_segment>(m_calls.front())) {
+            decide(segment_read {platform_object {take<read_segment>().key, "6", "unchanged"}});
+        } else {
+            EXPECT_GE(m_now, monotonic_time(seconds {100}) + m_limits.takeoverWait);
+            take<write_segment>();
+            decide(segment_written {object_written {"8"}});
+        }
+    }
+    EXPECT_EQ(m_runs, std::vector<std::string> {"new"});
+}
+
+TEST_F(claim_journal_test, refusesAKeyThatComesWithAnotherRequest)
+{
+    own();
+    ask(1, "k", 1);
+    ask(2, "k", 2);
+    EXPECT_EQ(m_answers[2].failure, attempt_failure::key_reused);
+    take<write_segment>();
+    decide(segment_written {object_written {"2"}});
+    report("k", run_outcome::done, "r");
+    ask(3, "k", 2);
+    EXPECT_EQ(m_answers[3].failure, attempt_failure::key_reused);
+}
+
+TEST_F(claim_journal_test, allowsAKeyAgainThatDidNotRun)
+{
+    own();
+    ask(1, "k");
+    take<write_segment>();
+    decide(segment_written {object_written {"2"}});
+    report("k", run_outcome::not_run);
+    EXPECT_EQ(outcome(1), run_outcome::not_run);
+    ask(2, "k");
+    pass(m_limits.writeInterval);
+    take<write_segment>();
+    decide(segment_written {object_written {"3"}});
+    EXPECT_EQ(m_runs, (std::vector<std::string> {"k", "k"}));
+}
+
+TEST_F(claim_journal_test, releasesTheJournalWhenItLeavesAfterItsRuns)
+{
+    own();
+    ask(1, "k");
+    take<write_segment>();
+    decide(segment_written {object_written {"2"}});
+    decide(ownership_ended {});
+    ask(2, "x");
+    EXPECT_EQ(m_answers[2].failure, attempt_failure::not_owner);
+    report("k", run_outcome::done, "r");
+    EXPECT_EQ(outcome(1), run_outcome::done);
+    pass(m_limits.writeInterval);
+    take<write_segment>();
+    decide(segment_written {object_written {"3"}});
+    const auto last = take<write_segment>();
+    EXPECT_TRUE(parseSegment(last.value)->header.released);
+    decide(segment_written {object_written {"4"}});
+    EXPECT_TRUE(m_journal.idle());
+}
+
+TEST_F(claim_journal_test, sealsLargeSegmentsAndRemovesExpiredOnes)
+{
+    m_limits.segmentBytes = 200;
+    m_journal = claim_journal(0, {"d1"}, {1}, m_limits);
+    own();
+    std::size_t removed = 0;
+    for (int i = 0; i < 40; ++i) {
+        ask(static_cast<waiter_id>(i), "key" + std::to_string(i));
+        m_wall += 20;
+        for (int step = 0; step < 3; ++step) {
+            pass(m_limits.writeInterval);
+            while (!m_calls.empty()) {
+                if (std::holds_alternative<write_segment>(m_calls.front())) {
+                    EXPECT_LT(take<write_segment>().value.size(), 1000U);
+                    decide(segment_written {object_written {"e" + std::to_string(i * 3 + step)}});
+                } else {
+                    EXPECT_TRUE(std::holds_alternative<remove_segment>(m_calls.front()));
+                    m_calls.pop_front();
+                    removed += 1;
+                }
+            }
+        }
+        report("key" + std::to_string(i), run_outcome::done);
+    }
+    EXPECT_EQ(m_runs.size(), 40U);
+    EXPECT_GT(removed, 5U);
+    EXPECT_LT(m_journal.keptKeys(), 15U);
+}
