--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -22,7 +22,8 @@
                       queries.peerLost(loss);
                   }}),
           owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
-          queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership}, registry),
+          queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership, daemonSettings.trials}, registry),
+          limits(loop, identity.id, transport().send, registry),
           callers(loop, services(), registry),
           figures(registry)
     {
@@ -58,6 +59,12 @@
         uses.metricsText = [this] {
             return figures.text();
         };
+        uses.admit = [this](const std::shared_ptr<const contract> &terms, milliseconds wait, admission_callback done) {
+            limits.admit(terms, wait, std::move(done));
+        };
+        uses.release = [this](const customer_id &customer) {
+            limits.release(customer);
+        };
         return uses;
     }
 
@@ -86,6 +93,31 @@
         queries.receive(std::move(answer));
     }
 
+    void take(const peer_identity &from, const guard_question &question)
+    {
+        queries.guard().receive(from.id, question);
+    }
+
+    void take(const peer_identity &, const guard_answer &answer)
+    {
+        queries.guard().receive(answer);
+    }
+
+    void take(const peer_identity &, const quarantine_notice &notice)
+    {
+        queries.guard().receive(notice);
+    }
+
+    void take(const peer_identity &from, const share_report &report)
+    {
+        limits.receive(from.id, report);
+    }
+
+    void take(const peer_identity &from, const share_grant &grant)
+    {
+        limits.receive(from.id, grant);
+    }
+
     // Kinds that are not served here yet.
     template<class Message> void take(const peer_identity &, const Message &)
     {
@@ -111,6 +143,7 @@
         }
         network.setPeers(peers);
         queries.setView(view, std::make_shared<const owner_map>(view));
+        limits.setView(view);
         callers.setView(view);
     }
 
@@ -130,6 +163,7 @@
     peer_network network;
     server_owner owner;
     coordinator queries;
+    contract_limits limits;
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
