Request: Be ready only once home parts of contracts count

Cause: a daemon that has just started refused customers within their contracts while its former life's deposits might still be lent. Change: the balancer hears ready after that time.

--- a/Source/Request/contract_limits.cxx
+++ b/Source/Request/contract_limits.cxx
@@ -218,6 +218,11 @@
     m_implementation->adopt();
 }
 
+bool contract_limits::settled() const
+{
+    return m_implementation->loop.now() >= m_implementation->startedAt + m_implementation->times.deposit;
+}
+
 void contract_limits::admit(const std::shared_ptr<const contract> &terms, milliseconds wait, admission_callback done)
 {
     m_implementation->admit(terms, wait, std::move(done));
--- a/Source/Request/contract_limits.h
+++ b/Source/Request/contract_limits.h
@@ -32,6 +32,9 @@
 
     void setView(std::shared_ptr<const fleet_view> view);
 
+    /// False while this daemon's former life may still have lent its part of the contracts.
+    bool settled() const;
+
     /// Calls back at once or, while the share is fetched, within a part of the wait. Each request let in must be released.
     void admit(const std::shared_ptr<const contract> &terms, milliseconds wait, admission_callback done);
     void release(const customer_id &customer);
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -54,7 +54,7 @@
             respond(notYetServed());
         };
         uses.accepting = [this] {
-            return !draining && views.current()->ready;
+            return !draining && views.current()->ready && limits.settled();
         };
         uses.metricsText = [this] {
             return figures.text();
