Connection: Record and replay decisions of slot gates

Cause: an incident with a backend server could not be turned into a test. Names of attempt failures move to the connection library, so that traces and answers share them.

--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -8,6 +8,7 @@
 #include "control_messages.h"
 #include "datagram_socket.h"
 #include "frame_reader.h"
+#include "gate_trace.h"
 #include "member_table.h"
 #include "membership.h"
 #include "owner_history.h"
--- /dev/null
+++ b/Source/Connection/gate_trace.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "slot_gate.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace daisystile {
+
+/// One event of a slot gate as recorded, with what was decided; time is counted from the start of the trace.
+struct gate_trace_step
+{
+    microseconds at {0};
+    gate_event event;
+    std::vector<gate_action> actions;
+};
+
+/// The text of one step, such as "1200 request_arrived id=1 rank=interactive deadline_us=90000 => run id=1".
+std::string toText(const gate_trace_step &step);
+/// What a step's actions look like in text; empty without any.
+std::string toText(const std::vector<gate_action> &actions);
+
+/// A line that is no step of a trace.
+struct trace_mistake
+{
+    std::size_t line = 0;
+    std::string expected;
+    std::string found;
+};
+
+/// The first step whose actions differ from the recorded ones.
+struct trace_difference
+{
+    std::size_t line = 0;
+    std::string expected;
+    std::string found;
+};
+
+struct replayed_trace
+{
+    std::size_t steps = 0;
+    /// One line a step, with the actions found now.
+    std::string decisions;
+    std::optional<trace_difference> difference;
+};
+
+/// Runs a recorded trace through a new gate. The first line names the gate's slots: "slot_gate slots=3".
+std::variant<replayed_trace, trace_mistake> replayGateTrace(std::string_view text);
+
+/// Keeps the first steps of a gate's life, up to a bound in steps; a trace without its start can't be replayed.
+class gate_recorder
+{
+public:
+    gate_recorder(std::uint32_t slots, std::size_t limit);
+
+    void add(monotonic_time now, const gate_event &event, const std::vector<gate_action> &actions);
+    /// The trace as replayGateTrace() reads it.
+    std::string text() const;
+
+private:
+    std::uint32_t m_slots;
+    std::size_t m_limit;
+    std::optional<monotonic_time> m_start;
+    std::vector<gate_trace_step> m_steps;
+};
+
+} // namespace daisystile
--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -54,6 +54,9 @@
     key_reused,
 };
 
+/// The name that callers, logs and traces show.
+const char *toString(attempt_failure failure);
+
 struct shard_attempt
 {
     shard_index shard;
--- a/Source/Request/callers_json.h
+++ b/Source/Request/callers_json.h
@@ -42,6 +42,5 @@
 
 /// 200 for whole and partial answers, a problem with the coverage for others.
 http_response toResponse(const search_reply &reply);
-const char *toString(attempt_failure failure);
 
 } // namespace daisystile
