--- a/Source/Connection/backend_protocol.cxx
+++ b/Source/Connection/backend_protocol.cxx
@@ -1,5 +1,7 @@
 #include "backend_protocol.h"
 
+#include <nlohmann/json.hpp>
+
 #include <charconv>
 
 namespace daisystile {
@@ -7,7 +9,8 @@
 static constexpr int statusDone = 200;
 static constexpr int statusSnapshotNotHeld = 409;
 static constexpr int statusShardNotHere = 421;
-static constexpr int statusShed = 503;
+static constexpr int statusCancelled = 499;
+static constexpr int statusUnavailable = 503;
 static constexpr milliseconds cancelTimeout {1000};
 
 std::string backendRequestId(const query_reference &query, const shard_attempt &attempt)
@@ -106,6 +109,19 @@
     return answer;
 }
 
+static attempt_failure reasonOfUnavailable(const std::string &body)
+{
+    const auto problem = nlohmann::json::parse(body, nullptr, false);
+    const auto title = problem.is_object() ? problem.value("title", nlohmann::json()) : nlohmann::json();
+    if (title == "draining") {
+        return attempt_failure::draining;
+    }
+    if (title == "deadline passed") {
+        return attempt_failure::too_late;
+    }
+    return attempt_failure::shed;
+}
+
 static shard_answer readReply(const std::string &requestId, http_reply reply)
 {
     switch (reply.status) {
@@ -118,8 +134,10 @@
         return readSnapshotNotHeld(reply);
     case statusShardNotHere:
         return failed(run_outcome::not_run, attempt_failure::shard_not_here);
-    case statusShed:
-        return failed(run_outcome::not_run, attempt_failure::shed);
+    case statusCancelled:
+        return failed(run_outcome::unknown, attempt_failure::cancelled);
+    case statusUnavailable:
+        return failed(run_outcome::not_run, reasonOfUnavailable(reply.body));
     default:
         return failed(run_outcome::unknown, attempt_failure::malformed);
     }
--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -7,6 +7,7 @@
 #include "control_codec.h"
 #include "control_messages.h"
 #include "datagram_socket.h"
+#include "fleet_member.h"
 #include "frame_reader.h"
 #include "member_table.h"
 #include "membership.h"
@@ -19,4 +20,5 @@
 #include "send_check.h"
 #include "server_owner.h"
 #include "slot_gate.h"
+#include "slot_keeper.h"
 #include "slot_queue.h"
--- a/Source/Connection/ownership.cxx
+++ b/Source/Connection/ownership.cxx
@@ -32,6 +32,11 @@
         m_servers.begin(), m_servers.end(), [&](const auto &item) { return item.second.serving == serving_state::serving && item.second.leaseUntil > now; }));
 }
 
+bool ownership::servingAny() const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [](const auto &item) { return item.second.serving != serving_state::idle; });
+}
+
 bool ownership::isOwner(const server_record &record) const
 {
     return record.owner == m_self;
--- a/Source/Connection/ownership.h
+++ b/Source/Connection/ownership.h
@@ -121,6 +121,8 @@
     /// The end of the lease on a server; in the past when there is none.
     monotonic_time leaseUntil(const backend_server_id &server) const;
     std::size_t heldCount(monotonic_time now) const;
+    /// True while a server is served, or was and still has requests of this daemon.
+    bool servingAny() const;
 
 private:
     enum class serving_state {
--- a/Source/Connection/server_owner.cxx
+++ b/Source/Connection/server_owner.cxx
@@ -2,90 +2,166 @@
 
 #include "backend_protocol.h"
 
-#include <algorithm>
-
 namespace daisystile {
 
-server_owner::server_owner(reactor &loop, const view_publisher &views, answer_sink sink)
+// A slot more than a server has, for a cancellation beside its requests. Several owners in a row, or the two sides of a
+// partition, stay far below what a server accepts.
+static constexpr long connectionsPerServer = 5;
+static constexpr long connectionsInAll = 16384;
+
+server_owner::server_owner(reactor &loop, ownership_policy policy, answer_sink sink, quiet_sink quiet)
     : m_loop(loop),
-      m_views(views),
       m_sink(std::move(sink)),
-      m_http(loop)
+      m_http(loop, {connectionsPerServer, connectionsInAll}),
+      m_slots(loop, m_http, policy, std::move(quiet))
 {
 }
 
-const backend_server *server_owner::findServer(const fleet_view &view, const service_name &service, const backend_server_id &server) const
+void server_owner::setView(std::shared_ptr<const fleet_view> view)
 {
-    const auto found = view.config->services.find(service);
-    if (found == view.config->services.end()) {
-        return nullptr;
-    }
-    const auto &servers = found->second->servers;
-    const auto match = std::find_if(servers.begin(), servers.end(), [&](const backend_server &candidate) { return candidate.id == server; });
-    return match == servers.end() ? nullptr : &*match;
+    m_slots.setView(std::move(view));
+}
+
+void server_owner::change(const lease_change &change)
+{
+    m_slots.change(change);
+}
+
+slot_keeper &server_owner::slots()
+{
+    return m_slots;
+}
+
+std::size_t server_owner::openAttempts() const
+{
+    return m_open.size();
 }
 
 void server_owner::search(const daemon_id &coordinator, const search_batch &batch)
 {
+    const auto shared = std::make_shared<const search_batch>(batch);
     const auto deadline = m_loop.now() + milliseconds {batch.deadlineMs};
-    for (const auto &attempt : batch.attempts) {
-        run(coordinator, batch, attempt, deadline);
+    for (const auto &attempt : shared->attempts) {
+        admit({coordinator, shared, attempt, deadline});
     }
 }
 
-void server_owner::run(const daemon_id &coordinator, const search_batch &batch, const shard_attempt &attempt, monotonic_time deadline)
+void server_owner::admit(open_attempt attempt)
 {
-    const auto view = m_views.current();
-    const auto *server = findServer(*view, batch.service, attempt.server);
-    if (server == nullptr) {
-        refuse(coordinator, batch, attempt, attempt_failure::not_owner);
+    const auto requestId = backendRequestId(attempt.batch->query, attempt.attempt);
+    const auto [found, isNew] = m_open.try_emplace(requestId, std::move(attempt));
+    // A frame that came twice is answered once.
+    if (!isNew) {
         return;
     }
-    const auto left = timeLeft(m_loop.now(), deadline);
-    if (left == milliseconds::zero()) {
-        refuse(coordinator, batch, attempt, attempt_failure::too_late);
+    const auto &batch = *found->second.batch;
+    slot_request request;
+    request.service = batch.service;
+    request.server = found->second.attempt.server;
+    request.rank = batch.rank;
+    request.deadline = found->second.deadline;
+    request.request = batch.request;
+    request.run = [this, requestId](slot_ticket_id ticket, const backend_server &server) {
+        send(requestId, ticket, server);
+    };
+    request.refuse = [this, requestId](attempt_failure failure) {
+        refuse(requestId, failure);
+    };
+    const auto ticket = m_slots.enter(std::move(request));
+    if (const auto waiting = m_open.find(requestId); waiting != m_open.end()) {
+        waiting->second.ticket = ticket;
+    }
+}
+
+void server_owner::send(const std::string &requestId, slot_ticket_id ticket, const backend_server &server)
+{
+    auto &attempt = m_open.at(requestId);
+    attempt.ticket = ticket;
+    attempt.sent = true;
+    attempt.server = server.address;
+    auto call = makeSearchCall(*attempt.batch, attempt.attempt, server.address, timeLeft(m_loop.now(), attempt.deadline));
+    m_http.send(std::move(call), [this, requestId](http_result result) { finish(requestId, std::move(result)); });
+}
+
+void server_owner::finish(const std::string &requestId, http_result result)
+{
+    const auto ended = m_open.extract(requestId);
+    if (ended.empty()) {
         return;
     }
-    auto call = makeSearchCall(batch, attempt, server->address, left);
-    auto requestId = backendRequestId(batch.query, attempt);
-    m_running[requestId] = {coordinator, batch.query, attempt, server->address, requestId};
-    m_http.send(std::move(call), [this, requestId](http_result result) {
-        auto running = m_running.extract(requestId);
-        if (!running.empty()) {
-            finish(running.mapped(), std::move(result));
-        }
-    });
+    const auto &attempt = ended.mapped();
+    auto read = readSearchAnswer(requestId, std::move(result));
+    const auto end = endOf(read);
+    const auto ticket = attempt.ticket;
+    if (end == request_end::timed_out) {
+        // The server may still be at it; its slot is free once it has been told to stop.
+        sendCancel(attempt, requestId, [this, ticket] { m_slots.leave(ticket, request_end::timed_out); });
+    } else {
+        m_slots.leave(ticket, end);
+    }
+    answer(attempt, std::move(read));
 }
 
-void server_owner::finish(const running_attempt &running, http_result result)
+void server_owner::refuse(const std::string &requestId, attempt_failure failure)
 {
-    auto answer = readSearchAnswer(running.requestId, std::move(result));
-    answer.query = running.query;
-    answer.shard = running.attempt.shard;
-    answer.attempt = running.attempt.attempt;
-    answer.server = running.attempt.server;
-    m_sink(running.coordinator, std::move(answer));
+    const auto refused = m_open.extract(requestId);
+    if (refused.empty()) {
+        return;
+    }
+    shard_answer notRun;
+    notRun.outcome = run_outcome::not_run;
+    notRun.failure = failure;
+    answer(refused.mapped(), std::move(notRun));
 }
 
-void server_owner::refuse(const daemon_id &coordinator, const search_batch &batch, const shard_attempt &attempt, attempt_failure failure)
+void server_owner::answer(const open_attempt &attempt, shard_answer answer)
 {
-    shard_answer answer;
-    answer.query = batch.query;
-    answer.shard = attempt.shard;
-    answer.attempt = attempt.attempt;
-    answer.server = attempt.server;
-    answer.outcome = run_outcome::not_run;
-    answer.failure = failure;
-    m_sink(coordinator, std::move(answer));
+    answer.query = attempt.batch->query;
+    answer.shard = attempt.attempt.shard;
+    answer.attempt = attempt.attempt.attempt;
+    answer.server = attempt.attempt.server;
+    answer.load = m_slots.loadOf(answer.server);
+    m_sink(attempt.coordinator, std::move(answer));
 }
 
 void server_owner::cancel(const cancel_batch &batch)
 {
     for (const auto &attempt : batch.attempts) {
-        const auto found = m_running.find(backendRequestId(batch.query, attempt));
-        if (found != m_running.end()) {
-            m_http.send(makeCancelCall(found->second.server, found->second.requestId), [](const http_result &) {});
+        const auto requestId = backendRequestId(batch.query, attempt);
+        const auto found = m_open.find(requestId);
+        if (found == m_open.end()) {
+            continue;
         }
+        if (found->second.sent) {
+            sendCancel(found->second, requestId, [] {});
+        } else {
+            m_slots.withdraw(found->second.ticket);
+        }
+    }
+}
+
+void server_owner::sendCancel(const open_attempt &attempt, const std::string &requestId, std::function<void()> done)
+{
+    m_http.send(makeCancelCall(attempt.server, requestId), [done = std::move(done)](const http_result &) { done(); });
+}
+
+request_end endOf(const shard_answer &answer)
+{
+    switch (answer.failure) {
+    case attempt_failure::none:
+        return request_end::good;
+    case attempt_failure::shed:
+        return request_end::shed;
+    case attempt_failure::draining:
+        return request_end::draining;
+    case attempt_failure::server_lost:
+        return request_end::lost;
+    case attempt_failure::timed_out:
+        return request_end::timed_out;
+    case attempt_failure::cancelled:
+        return request_end::cancelled;
+    default:
+        return request_end::neutral;
     }
 }
 
--- a/Source/Connection/server_owner.h
+++ b/Source/Connection/server_owner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peer_messages.h"
+#include "slot_keeper.h"
 
 #include <functional>
 #include <map>
@@ -14,33 +15,50 @@
 public:
     using answer_sink = std::function<void(const daemon_id &, shard_answer)>;
 
-    server_owner(reactor &loop, const view_publisher &views, answer_sink sink);
+    /// Told when nothing runs any more on a server that was to be given up.
+    using quiet_sink = std::function<void(server_quiet)>;
+
+    server_owner(reactor &loop, ownership_policy policy, answer_sink sink, quiet_sink quiet);
+
+    void setView(std::shared_ptr<const fleet_view> view);
+    void change(const lease_change &change);
 
     /// Each attempt is answered exactly once through the sink.
     void search(const daemon_id &coordinator, const search_batch &batch);
     /// Attempts under way are dropped at the server; their answers still come, as cancelled.
     void cancel(const cancel_batch &batch);
+    std::size_t openAttempts() const;
+
+    /// The slots, for requests of other kinds on the same servers.
+    slot_keeper &slots();
 
 private:
-    struct running_attempt
+    struct open_attempt
     {
         daemon_id coordinator;
-        query_reference query;
+        std::shared_ptr<const search_batch> batch;
         shard_attempt attempt;
+        monotonic_time deadline;
+        slot_ticket_id ticket = 0;
+        bool sent = false;
         ip_address server;
-        std::string requestId;
     };
 
-    void run(const daemon_id &coordinator, const search_batch &batch, const shard_attempt &attempt, monotonic_time deadline);
-    void finish(const running_attempt &running, http_result result);
-    void refuse(const daemon_id &coordinator, const search_batch &batch, const shard_attempt &attempt, attempt_failure failure);
-    const backend_server *findServer(const fleet_view &view, const service_name &service, const backend_server_id &server) const;
+    void admit(open_attempt attempt);
+    void send(const std::string &requestId, slot_ticket_id ticket, const backend_server &server);
+    void finish(const std::string &requestId, http_result result);
+    void answer(const open_attempt &attempt, shard_answer answer);
+    void refuse(const std::string &requestId, attempt_failure failure);
+    void sendCancel(const open_attempt &attempt, const std::string &requestId, std::function<void()> done);
 
     reactor &m_loop;
-    const view_publisher &m_views;
     answer_sink m_sink;
     http_client m_http;
-    std::map<std::string, running_attempt> m_running;
+    slot_keeper m_slots;
+    std::map<std::string, open_attempt> m_open;
 };
 
+/// What the end of a request tells of its server.
+request_end endOf(const shard_answer &answer);
+
 } // namespace daisystile
--- a/Source/Connection/slot_gate.cxx
+++ b/Source/Connection/slot_gate.cxx
@@ -61,7 +61,7 @@
 
 std::uint16_t slot_gate::handover() const
 {
-    return static_cast<std::uint16_t>(m_checking ? 1 : m_limit);
+    return static_cast<std::uint16_t>(m_limit);
 }
 
 microseconds slot_gate::warmLatency() const
