--- a/Source/Request/daemon.h
+++ b/Source/Request/daemon_process.h
@@ -16,13 +16,13 @@
 };
 
 /// One daemon: a control thread and a traffic thread, joined by published versions.
-class daemon
+class daemon_process
 {
 public:
-    explicit daemon(daemon_settings settings);
-    ~daemon();
-    daemon(const daemon &) = delete;
-    daemon &operator=(const daemon &) = delete;
+    explicit daemon_process(daemon_settings settings);
+    ~daemon_process();
+    daemon_process(const daemon_process &) = delete;
+    daemon_process &operator=(const daemon_process &) = delete;
 
     /// Opens all listening addresses. Errors: process_error{address_in_use}.
     leaf::result<daemon_addresses> listen();
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -47,7 +47,7 @@
 
 static int serve(daemon_settings settings)
 {
-    daemon server(std::move(settings));
+    daemon_process server(std::move(settings));
     return leaf::try_handle_all(
         [&]() -> leaf::result<int> {
             BOOST_LEAF_AUTO(addresses, server.listen());
