--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -5,6 +5,8 @@
 namespace daisystile {
 
 static constexpr milliseconds hostsInterval {500};
+// A fleet that starts as a whole has owners for its servers only after this.
+static constexpr milliseconds settleTime {2500};
 static constexpr milliseconds releaseCheckInterval {20};
 
 struct control_runtime::implementation
@@ -15,11 +17,13 @@
           figures(registry),
           http(loop),
           platform(http, {daemonSettings.platform, daemonSettings.domain}),
-          follower(loop, platform, [this](std::shared_ptr<const configuration> config) {
-              view.config = std::move(config);
-              view.ready = true;
-              publish();
-          }),
+          follower(loop,
+              platform,
+              [this](std::shared_ptr<const configuration> config) {
+                  view.config = std::move(config);
+                  view.ready = true;
+                  publish();
+              }),
           fleet(loop, daemonSettings, registry, fleetCallbacks())
     {
         self.id = identity.id;
@@ -78,6 +82,7 @@
     void publish()
     {
         view.number += 1;
+        view.ready = configured && settled;
         const auto published = std::make_shared<const fleet_view>(view);
         views.publish(published);
         follow.viewChanged();
@@ -105,6 +110,8 @@
     fleet_member fleet;
     ip_address controlAddress;
     followers follow;
+    bool configured = false;
+    bool settled = false;
 };
 
 control_runtime::control_runtime(const daemon_settings &settings, const peer_identity &self, view_publisher &views, metrics &registry)
@@ -132,6 +139,10 @@
     self.follow = std::move(follow);
     self.fleet.setHosts({});
     self.fleet.start(self.self);
+    self.loop.after(settleTime, [&self] {
+        self.settled = true;
+        self.publish();
+    });
     self.follower.start();
     self.readHosts();
 }
