--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -21,7 +21,7 @@
               platform,
               [this](std::shared_ptr<const configuration> config) {
                   view.config = std::move(config);
-                  view.ready = true;
+                  configured = true;
                   publish();
               }),
           fleet(loop, daemonSettings, registry, fleetCallbacks())
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -26,7 +26,8 @@
               daemonSettings.ownership,
               [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); },
               [this](server_quiet quiet) { serverQuiet(std::move(quiet)); }),
-          queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership}, registry),
+          queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership, daemonSettings.trials}, registry),
+          limits(loop, identity.id, transport().send, registry),
           callers(loop, services(), registry),
           figures(registry)
     {
@@ -62,6 +63,12 @@
         uses.metricsText = [this] {
             return figures.text();
         };
+        uses.admit = [this](const std::shared_ptr<const contract> &terms, milliseconds wait, admission_callback done) {
+            limits.admit(terms, wait, std::move(done));
+        };
+        uses.release = [this](const customer_id &customer) {
+            limits.release(customer);
+        };
         return uses;
     }
 
@@ -90,6 +97,31 @@
         queries.receive(std::move(answer));
     }
 
+    void take(const peer_identity &from, const guard_question &question)
+    {
+        queries.guard().receive(from.id, question);
+    }
+
+    void take(const peer_identity &, const guard_answer &answer)
+    {
+        queries.guard().receive(answer);
+    }
+
+    void take(const peer_identity &, const quarantine_notice &notice)
+    {
+        queries.guard().receive(notice);
+    }
+
+    void take(const peer_identity &from, const share_report &report)
+    {
+        limits.receive(from.id, report);
+    }
+
+    void take(const peer_identity &from, const share_grant &grant)
+    {
+        limits.receive(from.id, grant);
+    }
+
     // Kinds that are not served here yet.
     template<class Message> void take(const peer_identity &, const Message &)
     {
@@ -116,6 +148,7 @@
         network.setPeers(peers);
         owner.setView(view);
         queries.setView(view, std::make_shared<const owner_map>(view));
+        limits.setView(view);
         callers.setView(view);
     }
 
@@ -135,6 +168,7 @@
     peer_network network;
     server_owner owner;
     coordinator queries;
+    contract_limits limits;
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
