--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -7,6 +7,7 @@
 #include "control_codec.h"
 #include "control_messages.h"
 #include "datagram_socket.h"
+#include "execute_runner.h"
 #include "frame_reader.h"
 #include "member_table.h"
 #include "membership.h"
--- /dev/null
+++ b/Source/Connection/execute_runner.cxx
@@ -0,0 +1,156 @@
+#include "execute_runner.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+static constexpr int statusDone = 200;
+static constexpr int statusSnapshotNotHeld = 409;
+static constexpr int statusNotHere = 421;
+static constexpr int statusShed = 503;
+// A duplicate that comes later than this after the deadline is refused as too late anyway.
+static constexpr milliseconds duplicateHold {60000};
+
+std::string backendRequestId(const query_reference &query)
+{
+    return query.coordinator.value + '-' + std::to_string(query.life.value) + '-' + std::to_string(query.query.value);
+}
+
+http_call makeExecuteCall(const execute_request &request, const ip_address &server, milliseconds left)
+{
+    http_call call;
+    call.method = "POST";
+    call.address = server;
+    call.path = "/execute";
+    call.headers = {{"Idempotency-Key", request.key.value}, {"Request-Id", backendRequestId(request.query)}, {"Deadline", std::to_string(left.count())}};
+    call.body = request.body;
+    call.timeout = left;
+    call.sendAtMostOnce = true;
+    return call;
+}
+
+static execute_answer ended(run_outcome outcome, attempt_failure failure)
+{
+    execute_answer answer;
+    answer.outcome = outcome;
+    answer.failure = failure;
+    return answer;
+}
+
+static execute_answer readReply(const std::string &requestId, http_reply reply)
+{
+    switch (reply.status) {
+    case statusSnapshotNotHeld:
+        return ended(run_outcome::not_run, attempt_failure::snapshot_not_held);
+    case statusNotHere:
+        return ended(run_outcome::not_run, attempt_failure::shard_not_here);
+    case statusShed:
+        return ended(run_outcome::not_run, attempt_failure::shed);
+    case statusDone:
+        break;
+    default:
+        return ended(run_outcome::unknown, attempt_failure::malformed);
+    }
+    const auto found = reply.headers.find("request-id");
+    if (found == reply.headers.end() || found->second != requestId) {
+        return ended(run_outcome::unknown, attempt_failure::malformed);
+    }
+    auto answer = ended(run_outcome::done, attempt_failure::none);
+    answer.body = std::move(reply.body);
+    return answer;
+}
+
+execute_answer readExecuteAnswer(const std::string &requestId, http_result result)
+{
+    if (auto *reply = std::get_if<http_reply>(&result)) {
+        return readReply(requestId, std::move(*reply));
+    }
+    const auto &failure = std::get<http_failure>(result);
+    const auto outcome = failure.mayHaveBeenSent ? run_outcome::unknown : run_outcome::not_run;
+    return ended(outcome, failure.kind == http_failure_kind::timed_out ? attempt_failure::timed_out : attempt_failure::server_lost);
+}
+
+execute_runner::execute_runner(reactor &loop, const view_publisher &views, callbacks notify)
+    : m_loop(loop),
+      m_views(views),
+      m_notify(std::move(notify)),
+      m_http(loop)
+{
+}
+
+std::size_t execute_runner::openRequests() const
+{
+    return m_open;
+}
+
+bool execute_runner::isDuplicate(const execute_request &request, monotonic_time deadline)
+{
+    const auto now = m_loop.now();
+    while (!m_seenOrder.empty() && m_seenOrder.front().until <= now) {
+        m_seen.erase(m_seenOrder.front().query);
+        m_seenOrder.pop_front();
+    }
+    if (!m_seen.insert(request.query).second) {
+        return true;
+    }
+    m_seenOrder.push_back({deadline + duplicateHold, request.query});
+    return false;
+}
+
+void execute_runner::run(const daemon_id &from, execute_request request)
+{
+    const auto deadline = m_loop.now() + milliseconds {request.deadlineMs};
+    if (isDuplicate(request, deadline)) {
+        return;
+    }
+    m_open += 1;
+    const auto entered = std::make_shared<const entered_request>(entered_request {from, std::move(request), deadline});
+    slot_ticket ticket {entered->request.service, entered->request.server, entered->request.rank, deadline, {}, {}};
+    ticket.run = [this, entered] {
+        send(*entered);
+    };
+    ticket.refuse = [this, entered](attempt_failure failure) {
+        finish(*entered, ended(run_outcome::not_run, failure));
+    };
+    m_notify.enter(std::move(ticket));
+}
+
+static const backend_server *findServer(const fleet_view &view, const execute_request &request)
+{
+    const auto found = view.config->services.find(request.service);
+    if (found == view.config->services.end()) {
+        return nullptr;
+    }
+    const auto &servers = found->second->servers;
+    const auto match = std::find_if(servers.begin(), servers.end(), [&](const backend_server &server) { return server.id == request.server; });
+    return match == servers.end() ? nullptr : &*match;
+}
+
+void execute_runner::send(const entered_request &entered)
+{
+    const auto view = m_views.current();
+    const auto *server = findServer(*view, entered.request);
+    const auto left = timeLeft(m_loop.now(), entered.deadline);
+    if (server == nullptr || left == milliseconds::zero()) {
+        m_notify.leave(entered.request.server, request_fate::refused);
+        finish(entered, ended(run_outcome::not_run, server == nullptr ? attempt_failure::not_owner : attempt_failure::too_late));
+        return;
+    }
+    const auto call = makeExecuteCall(entered.request, server->address, left);
+    m_http.send(call, [this, entered](http_result result) {
+        auto answer = readExecuteAnswer(backendRequestId(entered.request.query), std::move(result));
+        const bool refused = answer.outcome == run_outcome::not_run && answer.failure == attempt_failure::shed;
+        const auto fate = answer.outcome == run_outcome::done ? request_fate::answered : refused ? request_fate::refused : request_fate::lost;
+        m_notify.leave(entered.request.server, fate);
+        finish(entered, std::move(answer));
+    });
+}
+
+void execute_runner::finish(const entered_request &entered, execute_answer answer)
+{
+    m_open -= 1;
+    answer.query = entered.request.query;
+    m_notify.answer(entered.from, std::move(answer));
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Connection/execute_runner.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "peer_messages.h"
+
+#include <deque>
+#include <functional>
+#include <set>
+
+namespace daisystile {
+
+/// Lets a request into a backend server's slots, or refuses it: exactly one of the two is called, at once or later.
+struct slot_ticket
+{
+    service_name service;
+    backend_server_id server;
+    urgency rank = urgency::normal;
+    monotonic_time deadline;
+    std::function<void()> run;
+    std::function<void(attempt_failure)> refuse;
+};
+
+enum class request_fate {
+    answered,
+    refused,
+    lost,
+};
+
+/// Runs execute requests on the backend servers that this daemon owns. A request is sent once and never again.
+class execute_runner
+{
+public:
+    struct callbacks
+    {
+        std::function<void(const daemon_id &, execute_answer)> answer;
+        std::function<void(slot_ticket)> enter;
+        /// A request that was let in has ended.
+        std::function<void(const backend_server_id &, request_fate)> leave;
+    };
+
+    execute_runner(reactor &loop, const view_publisher &views, callbacks notify);
+
+    /// Answered exactly once; a duplicate of a request is dropped.
+    void run(const daemon_id &from, execute_request request);
+    std::size_t openRequests() const;
+
+private:
+    struct entered_request
+    {
+        daemon_id from;
+        execute_request request;
+        monotonic_time deadline;
+    };
+    struct seen_request
+    {
+        monotonic_time until;
+        query_reference query;
+    };
+
+    bool isDuplicate(const execute_request &request, monotonic_time deadline);
+    void send(const entered_request &entered);
+    void finish(const entered_request &entered, execute_answer answer);
+
+    reactor &m_loop;
+    const view_publisher &m_views;
+    callbacks m_notify;
+    http_client m_http;
+    std::set<query_reference> m_seen;
+    std::deque<seen_request> m_seenOrder;
+    std::size_t m_open = 0;
+};
+
+/// The request's name at a backend server.
+std::string backendRequestId(const query_reference &query);
+http_call makeExecuteCall(const execute_request &request, const ip_address &server, milliseconds left);
+/// not_run only when no byte can have reached the server or the server said so.
+execute_answer readExecuteAnswer(const std::string &requestId, http_result result);
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Request/journal_keeper.cxx
@@ -0,0 +1,187 @@
+#include "journal_keeper.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+// A daemon that has just started knows only itself; it must not take the journals from their owners.
+static constexpr milliseconds choiceSettleTime {1000};
+
+std::uint32_t journalOf(const claim_key &key)
+{
+    const auto hash = stableHash(key.key.value, stableHash(key.service.value, stableHash(key.customer.value)));
+    return static_cast<std::uint32_t>(hash % journalPartitions);
+}
+
+const member *journalOwner(std::uint32_t partition, const std::vector<member> &members)
+{
+    const member *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const auto &candidate : members) {
+        if (candidate.state == member_state::leaving || candidate.state == member_state::dead) {
+            continue;
+        }
+        const auto score = stableHash(candidate.id.value, partition + 1);
+        if (best == nullptr || score > bestScore) {
+            best = &candidate;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+static journal_time timeNow(const reactor &loop)
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return {loop.now(), std::chrono::duration_cast<seconds>(wall).count()};
+}
+
+struct journal_keeper::action_performer
+{
+    journal_keeper &self;
+    std::uint32_t partition;
+
+    void operator()(const list_segments &action) const
+    {
+        self.m_platform.list(action.prefix, [decide = self.decider(partition)](list_result result) {
+            segments_listed listed;
+            if (auto *list = std::get_if<object_list>(&result)) {
+                listed.segments = std::move(list->objects);
+            }
+            decide(listed);
+        });
+    }
+
+    void operator()(write_segment &action) const
+    {
+        self.m_platform.put(action.key, std::move(action.value), action.condition, [decide = self.decider(partition)](write_result result) {
+            decide(segment_written {std::move(result)});
+        });
+    }
+
+    void operator()(const read_segment &action) const
+    {
+        self.m_platform.get(action.key, [decide = self.decider(partition)](read_result result) { decide(segment_read {std::move(result)}); });
+    }
+
+    void operator()(const remove_segment &action) const
+    {
+        self.m_platform.remove(action.key, always {}, [](const remove_result &) {});
+    }
+
+    void operator()(const start_run &action) const
+    {
+        self.m_run(action);
+    }
+
+    void operator()(answer_waiter &action) const
+    {
+        auto waiter = self.m_waiters.extract(action.waiter);
+        if (!waiter.empty()) {
+            waiter.mapped()(std::move(action));
+        }
+    }
+};
+
+journal_keeper::journal_keeper(reactor &loop, platform_client &platform, const peer_identity &self, run_callback run)
+    : m_loop(loop),
+      m_platform(platform),
+      m_self(self),
+      m_run(std::move(run))
+{
+    for (std::uint32_t partition = 0; partition < journalPartitions; ++partition) {
+        m_journals.at(partition).journal = std::make_unique<claim_journal>(partition, self.id, self.life);
+    }
+}
+
+journal_keeper::~journal_keeper()
+{
+    *m_alive = false;
+}
+
+std::function<void(const journal_event &)> journal_keeper::decider(std::uint32_t partition)
+{
+    return [this, alive = m_alive, partition](const journal_event &event) {
+        if (*alive) {
+            decide(partition, event);
+        }
+    };
+}
+
+void journal_keeper::decide(std::uint32_t partition, const journal_event &event)
+{
+    for (auto &action : m_journals.at(partition).journal->decide(event, timeNow(m_loop))) {
+        std::visit(action_performer {*this, partition}, action);
+    }
+    setWake(partition);
+}
+
+void journal_keeper::setWake(std::uint32_t partition)
+{
+    auto &kept = m_journals.at(partition);
+    m_loop.cancelTimer(kept.wake);
+    kept.wake = 0;
+    if (const auto at = kept.journal->wakeAt()) {
+        // The loop counts whole milliseconds.
+        const auto wait = timeLeft(m_loop.now(), *at) + milliseconds {1};
+        kept.wake = m_loop.after(wait, [this, partition] { decide(partition, time_passed {}); });
+    }
+}
+
+void journal_keeper::setView(std::shared_ptr<const fleet_view> view)
+{
+    m_view = std::move(view);
+    adoptChoices();
+}
+
+void journal_keeper::adoptChoices()
+{
+    m_loop.cancelTimer(m_settle);
+    m_settle = 0;
+    const auto now = m_loop.now();
+    for (std::uint32_t partition = 0; partition < journalPartitions; ++partition) {
+        auto &kept = m_journals.at(partition);
+        const auto *owner = journalOwner(partition, m_view->members);
+        const bool chosen = !m_leaving && m_view->ready && owner != nullptr && owner->id == m_self.id;
+        if (chosen && !kept.chosen) {
+            kept.chosenSince = now;
+        }
+        kept.chosen = chosen;
+        if (!chosen && kept.owned) {
+            kept.owned = false;
+            decide(partition, ownership_ended {});
+        } else if (chosen && !kept.owned && now >= kept.chosenSince + choiceSettleTime) {
+            kept.owned = true;
+            DAISYSTILE_LOG(INFO, "journal") << "Taking over." << field("journal", partition);
+            decide(partition, ownership_gained {});
+        } else if (chosen && !kept.owned && m_settle == 0) {
+            m_settle = m_loop.after(choiceSettleTime, [this] { adoptChoices(); });
+        }
+    }
+}
+
+void journal_keeper::ask(execute_asked ask, answer_callback callback)
+{
+    const auto partition = journalOf(ask.key);
+    ask.waiter = m_nextWaiter++;
+    m_waiters.emplace(ask.waiter, std::move(callback));
+    decide(partition, ask);
+}
+
+void journal_keeper::report(const run_reported &report)
+{
+    decide(journalOf(report.key), report);
+}
+
+void journal_keeper::leave()
+{
+    m_leaving = true;
+    adoptChoices();
+}
+
+bool journal_keeper::idle() const
+{
+    return std::all_of(m_journals.begin(), m_journals.end(), [](const kept_journal &kept) { return kept.journal->idle(); });
+}
+
+} // namespace daisystile
--- a/Tests/StandIns/platform_store.cxx
+++ b/Tests/StandIns/platform_store.cxx
@@ -37,7 +37,7 @@
     return etag;
 }
 
-write_result platform_store::put(const std::string &key, std::string value, const write_conditions &conditions)
+store_result platform_store::put(const std::string &key, std::string value, const write_conditions &conditions)
 {
     if (value.size() > valueBytes) {
         return write_refusal::too_large;
@@ -50,7 +50,7 @@
     return etag;
 }
 
-write_result platform_store::remove(const std::string &key, const write_conditions &conditions)
+store_result platform_store::remove(const std::string &key, const write_conditions &conditions)
 {
     if (!holds(key, conditions)) {
         return write_refusal::precondition_failed;
--- a/Tests/StandIns/platform_store.h
+++ b/Tests/StandIns/platform_store.h
@@ -39,7 +39,7 @@
 };
 
 /// The etag of what was written, or why nothing was.
-using write_result = std::variant<std::string, write_refusal>;
+using store_result = std::variant<std::string, write_refusal>;
 
 /// The platform's objects with their history.
 class platform_store
@@ -47,9 +47,9 @@
 public:
     static constexpr std::size_t valueBytes = 1U << 20U;
 
-    write_result put(const std::string &key, std::string value, const write_conditions &conditions);
+    store_result put(const std::string &key, std::string value, const write_conditions &conditions);
     /// A key that is absent counts as deleted, unless an etag was asked for.
-    write_result remove(const std::string &key, const write_conditions &conditions);
+    store_result remove(const std::string &key, const write_conditions &conditions);
     const stored_object *find(const std::string &key) const;
     std::vector<stored_object> list(const std::string &prefix) const;
     std::uint64_t revision() const;
--- a/Tests/StandIns/platform_store_test.cxx
+++ b/Tests/StandIns/platform_store_test.cxx
@@ -9,14 +9,14 @@
 {
     platform_store store;
     const auto first = std::get<std::string>(store.put("a/b", "1", {.ifAbsent = true}));
-    EXPECT_EQ(store.put("a/b", "2", {.ifAbsent = true}), write_result(write_refusal::precondition_failed));
-    EXPECT_EQ(store.put("a/c", "2", {.ifMatch = first}), write_result(write_refusal::precondition_failed));
+    EXPECT_EQ(store.put("a/b", "2", {.ifAbsent = true}), store_result(write_refusal::precondition_failed));
+    EXPECT_EQ(store.put("a/c", "2", {.ifMatch = first}), store_result(write_refusal::precondition_failed));
     const auto second = std::get<std::string>(store.put("a/b", "2", {.ifMatch = first}));
-    EXPECT_EQ(store.put("a/b", "3", {.ifMatch = first}), write_result(write_refusal::precondition_failed));
-    EXPECT_EQ(store.remove("a/b", {.ifMatch = first}), write_result(write_refusal::precondition_failed));
+    EXPECT_EQ(store.put("a/b", "3", {.ifMatch = first}), store_result(write_refusal::precondition_failed));
+    EXPECT_EQ(store.remove("a/b", {.ifMatch = first}), store_result(write_refusal::precondition_failed));
     EXPECT_TRUE(std::holds_alternative<std::string>(store.remove("a/b", {.ifMatch = second})));
     EXPECT_EQ(store.find("a/b"), nullptr);
-    EXPECT_EQ(store.put("x", std::string(platform_store::valueBytes + 1, 'x'), {}), write_result(write_refusal::too_large));
+    EXPECT_EQ(store.put("x", std::string(platform_store::valueBytes + 1, 'x'), {}), store_result(write_refusal::too_large));
 }
 
 TEST(platform_store, tellsEventsInOrderUntilCompacted)
