--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -13,6 +13,7 @@
 #include "clear_requests.h"
 #include "coordinator.h"
 #include "crash_guard.h"
+#include "daemon_process.h"
 #include "extra_load_budget.h"
 #include "keeper_choice.h"
 #include "query_decision.h"
