Request: Serve execute requests in the daemon

The daemon answered every execute with 'not served'. It now runs them through the journals, and gives its journals up when it leaves, for at most 1.5 s when the platform does not answer.

--- a/Source/Request/execute_service.cxx
+++ b/Source/Request/execute_service.cxx
@@ -7,6 +7,8 @@
 static constexpr milliseconds askAgainDelay {200};
 // The journal's owner answers a little before the caller stops waiting.
 static constexpr milliseconds answerMargin {20};
+// A journal that can't be released in time, as in an outage, is taken over like that of a lost daemon.
+static constexpr milliseconds longestRelease {1500};
 // For a customer whose contract is not known here yet.
 static constexpr seconds usualRetention {3600};
 
@@ -188,12 +190,16 @@
 
 void execute_service::leave()
 {
-    m_journals.leave();
+    if (!m_leaveUntil) {
+        m_leaveUntil = m_loop.now() + longestRelease;
+        m_journals.leave();
+    }
 }
 
 bool execute_service::idle() const
 {
-    return m_callers.empty() && m_journals.idle();
+    const bool released = m_journals.idle() || (m_leaveUntil && m_loop.now() >= *m_leaveUntil);
+    return m_callers.empty() && m_claimed.empty() && released;
 }
 
 } // namespace daisystile
--- a/Source/Request/execute_service.h
+++ b/Source/Request/execute_service.h
@@ -74,6 +74,7 @@
     /// Bodies of requests that wait for their claims, or run.
     std::map<claim_key, claimed_body> m_claimed;
     std::uint64_t m_nextNumber = 1;
+    std::optional<monotonic_time> m_leaveUntil;
 };
 
 /// The answer to a caller: 200 with the result, or a problem that states not_run or unknown.
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -2,6 +2,7 @@
 
 #include "callers_api.h"
 #include "coordinator.h"
+#include "execute_service.h"
 
 #include <thread>
 
@@ -20,9 +21,14 @@
               {[this](const peer_identity &from, peer_message message) { receive(from, std::move(message)); },
                   [this](const peer_loss &loss) {
                       queries.peerLost(loss);
+                      executes.peerLost(loss);
                   }}),
           owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
           queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership}, registry),
+          platformHttp(loop),
+          platform(platformHttp, {daemonSettings.platform, daemonSettings.domain}),
+          runner(loop, publisher, runnerCallbacks()),
+          executes(loop, platform, identity, executeTransport()),
           callers(loop, services(), registry),
           figures(registry)
     {
@@ -43,14 +49,40 @@
         return out;
     }
 
+    execute_runner::callbacks runnerCallbacks()
+    {
+        execute_runner::callbacks notify;
+        notify.answer = [this](const daemon_id &to, execute_answer answer) {
+            deliver(to, std::move(answer));
+        };
+        notify.enter = [](const slot_ticket &ticket) {
+            ticket.run();
+        };
+        notify.leave = [](const backend_server_id &, request_fate) {
+        };
+        return notify;
+    }
+
+    execute_service::transport executeTransport()
+    {
+        execute_service::transport out;
+        out.send = [this](const daemon_id &to, const peer_message &message) {
+            return network.send(to, message);
+        };
+        out.runHere = [this](execute_request request) {
+            runner.run(self.id, std::move(request));
+        };
+        return out;
+    }
+
     callers_api::services services()
     {
         callers_api::services uses;
         uses.search = [this](search_request request, search_callback done) {
             return queries.search(std::move(request), std::move(done));
         };
-        uses.execute = [](const execute_submission &, const http_responder &respond) {
-            respond(notYetServed());
+        uses.execute = [this](execute_submission submission, http_responder respond) {
+            executes.submit(std::move(submission), std::move(respond));
         };
         uses.accepting = [this] {
             return !draining && views.current()->ready;
@@ -61,11 +93,6 @@
         return uses;
     }
 
-    static http_response notYetServed()
-    {
-        return {.status = 503, .body = R"({"title":"execute is not served","outcome":"not_run"})", .contentType = "application/problem+json"};
-    }
-
     void receive(const peer_identity &from, peer_message message)
     {
         std::visit([&](auto &kind) { take(from, kind); }, message);
@@ -86,6 +113,20 @@
         queries.receive(std::move(answer));
     }
 
+    void take(const peer_identity &from, execute_request &request)
+    {
+        if (request.server.value.empty()) {
+            executes.receive(from.id, request);
+        } else {
+            runner.run(from.id, std::move(request));
+        }
+    }
+
+    void take(const peer_identity &, const execute_answer &answer)
+    {
+        executes.receive(answer);
+    }
+
     // Kinds that are not served here yet.
     template<class Message> void take(const peer_identity &, const Message &)
     {
@@ -100,6 +141,15 @@
         }
     }
 
+    void deliver(const daemon_id &to, execute_answer answer)
+    {
+        if (to == self.id) {
+            executes.receive(answer);
+        } else {
+            network.send(to, std::move(answer));
+        }
+    }
+
     void adoptView()
     {
         const auto view = views.current();
@@ -110,13 +160,19 @@
             }
         }
         network.setPeers(peers);
-        queries.setView(view, std::make_shared<const owner_map>(view));
+        const auto owners = std::make_shared<const owner_map>(view);
+        queries.setView(view, owners);
+        executes.setView(view, owners);
         callers.setView(view);
     }
 
     void checkDrained(const std::function<void()> &drained)
     {
-        if (queries.openQueries() == 0 && server->openRequests() == 0 && owner.openAttempts() == 0) {
+        const bool callersDone = queries.openQueries() == 0 && server->openRequests() == 0;
+        if (callersDone && owner.openAttempts() == 0 && runner.openRequests() == 0) {
+            executes.leave();
+        }
+        if (callersDone && owner.openAttempts() == 0 && runner.openRequests() == 0 && executes.idle()) {
             drained();
             return;
         }
@@ -130,6 +186,10 @@
     peer_network network;
     server_owner owner;
     coordinator queries;
+    http_client platformHttp;
+    platform_client platform;
+    execute_runner runner;
+    execute_service executes;
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
