--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -86,7 +86,7 @@
             executes.submit(std::move(submission), std::move(respond));
         };
         uses.accepting = [this] {
-            return !draining && views.current()->ready;
+            return !draining && views.current()->ready && limits.settled();
         };
         uses.metricsText = [this] {
             return figures.text();
