--- a/Source/Connection/backend_protocol.cxx
+++ b/Source/Connection/backend_protocol.cxx
@@ -109,7 +109,7 @@
     return answer;
 }
 
-static attempt_failure reasonOfUnavailable(const std::string &body)
+attempt_failure reasonOfUnavailable(const std::string &body)
 {
     const auto problem = nlohmann::json::parse(body, nullptr, false);
     const auto title = problem.is_object() ? problem.value("title", nlohmann::json()) : nlohmann::json();
@@ -152,4 +152,24 @@
     return failed(failure.mayHaveBeenSent ? run_outcome::unknown : run_outcome::not_run, failureOf(failure.kind));
 }
 
+request_end endOf(attempt_failure failure)
+{
+    switch (failure) {
+    case attempt_failure::none:
+        return request_end::good;
+    case attempt_failure::shed:
+        return request_end::shed;
+    case attempt_failure::draining:
+        return request_end::draining;
+    case attempt_failure::server_lost:
+        return request_end::lost;
+    case attempt_failure::timed_out:
+        return request_end::timed_out;
+    case attempt_failure::cancelled:
+        return request_end::cancelled;
+    default:
+        return request_end::neutral;
+    }
+}
+
 } // namespace daisystile
--- a/Source/Connection/server_owner.cxx
+++ b/Source/Connection/server_owner.cxx
@@ -91,7 +91,7 @@
     }
     const auto &attempt = ended.mapped();
     auto read = readSearchAnswer(requestId, std::move(result));
-    const auto end = endOf(read);
+    const auto end = endOf(read.failure);
     const auto ticket = attempt.ticket;
     if (end == request_end::timed_out) {
         // The server may still be at it; its slot is free once it has been told to stop.
@@ -145,24 +145,4 @@
     m_http.send(makeCancelCall(attempt.server, requestId), [done = std::move(done)](const http_result &) { done(); });
 }
 
-request_end endOf(const shard_answer &answer)
-{
-    switch (answer.failure) {
-    case attempt_failure::none:
-        return request_end::good;
-    case attempt_failure::shed:
-        return request_end::shed;
-    case attempt_failure::draining:
-        return request_end::draining;
-    case attempt_failure::server_lost:
-        return request_end::lost;
-    case attempt_failure::timed_out:
-        return request_end::timed_out;
-    case attempt_failure::cancelled:
-        return request_end::cancelled;
-    default:
-        return request_end::neutral;
-    }
-}
-
 } // namespace daisystile
--- a/Source/Connection/server_owner.h
+++ b/Source/Connection/server_owner.h
@@ -58,7 +58,4 @@
     std::map<std::string, open_attempt> m_open;
 };
 
-/// What the end of a request tells of its server.
-request_end endOf(const shard_answer &answer);
-
 } // namespace daisystile
