--- a/Source/Connection/backend_protocol.h
+++ b/Source/Connection/backend_protocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peer_messages.h"
+#include "slot_gate.h"
 
 #include <string>
 
@@ -16,4 +17,9 @@
 /// A reply that names another request is foreign: its own was run, or not, nobody knows.
 shard_answer readSearchAnswer(const std::string &requestId, http_result result);
 
+/// Why a server that answers 503 did not run the request, from its problem document.
+attempt_failure reasonOfUnavailable(const std::string &body);
+/// What the end of a request tells of its server.
+request_end endOf(attempt_failure failure);
+
 } // namespace daisystile
--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -2,23 +2,12 @@
 
 #include "config_follower.h"
 
-#include <algorithm>
-
 namespace daisystile {
 
 static constexpr milliseconds hostsInterval {500};
-
-static member memberOf(const platform_host &host)
-{
-    member result;
-    result.id = host.id;
-    result.domain = host.domain;
-    result.region = host.region;
-    result.traffic = host.traffic;
-    result.control = host.control;
-    result.state = host.leaving ? member_state::leaving : member_state::alive;
-    return result;
-}
+// A fleet that starts as a whole has owners for its servers only after this.
+static constexpr milliseconds settleTime {2500};
+static constexpr milliseconds releaseCheckInterval {20};
 
 struct control_runtime::implementation
 {
@@ -28,11 +17,14 @@
           figures(registry),
           http(loop),
           platform(http, {daemonSettings.platform, daemonSettings.domain}),
-          follower(loop, platform, [this](std::shared_ptr<const configuration> config) {
-              view.config = std::move(config);
-              view.ready = true;
-              publish();
-          })
+          follower(loop,
+              platform,
+              [this](std::shared_ptr<const configuration> config) {
+                  view.config = std::move(config);
+                  configured = true;
+                  publish();
+              }),
+          fleet(loop, daemonSettings, registry, fleetCallbacks())
     {
         self.id = identity.id;
         self.life = identity.life;
@@ -40,6 +32,22 @@
         self.region = daemonSettings.region;
     }
 
+    fleet_member::callbacks fleetCallbacks()
+    {
+        fleet_member::callbacks notify;
+        notify.membersChanged = [this](std::vector<member> members) {
+            view.members = std::move(members);
+            publish();
+        };
+        notify.leaseChanged = [this](const lease_change &change) {
+            follow.leaseChanged(change);
+        };
+        notify.superseded = [this] {
+            follow.superseded();
+        };
+        return notify;
+    }
+
     void readHosts()
     {
         platform.hosts([this](const host_result &result) {
@@ -50,24 +58,35 @@
         });
     }
 
+    // The list lags: it only says where other daemons may be found.
     void adoptHosts(const std::vector<platform_host> &hosts)
     {
-        std::vector<member> members {self};
+        std::vector<listed_host> listed;
         for (const auto &host : hosts) {
-            if (host.id != self.id) {
-                members.push_back(memberOf(host));
-            }
+            listed.push_back({host.control, host.leaving});
         }
-        std::sort(members.begin(), members.end(), [](const member &left, const member &right) { return left.id < right.id; });
-        view.members = std::move(members);
-        publish();
+        fleet.setHosts(std::move(listed));
+    }
+
+    // Leaving is over when the servers have been given up, or their leases have ended.
+    void waitForRelease(const std::function<void()> &left, monotonic_time until)
+    {
+        if (fleet.holdsServers() && loop.now() < until) {
+            loop.after(releaseCheckInterval, [this, left, until] { waitForRelease(left, until); });
+            return;
+        }
+        fleet.finishLeaving();
+        left();
     }
 
     void publish()
     {
         view.number += 1;
-        views.publish(std::make_shared<const fleet_view>(view));
-        viewChanged();
+        view.ready = configured && settled;
+        const auto published = std::make_shared<const fleet_view>(view);
+        views.publish(published);
+        follow.viewChanged();
+        fleet.setView(published);
     }
 
     http_response answer(const http_request &request) const
@@ -88,8 +107,11 @@
     config_follower follower;
     std::unique_ptr<http_server> operators;
     fleet_view view;
-    std::function<void()> viewChanged = [] {
-    };
+    fleet_member fleet;
+    ip_address controlAddress;
+    followers follow;
+    bool configured = false;
+    bool settled = false;
 };
 
 control_runtime::control_runtime(const daemon_settings &settings, const peer_identity &self, view_publisher &views, metrics &registry)
@@ -105,23 +127,40 @@
     BOOST_LEAF_ASSIGN(self.operators,
         http_server::listen(
             self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { respond(self.answer(request)); }));
-    return addresses {self.operators->address(), self.settings.control};
+    BOOST_LEAF_ASSIGN(self.controlAddress, self.fleet.listen());
+    return addresses {self.operators->address(), self.controlAddress};
 }
 
-void control_runtime::start(const ip_address &traffic, std::function<void()> viewChanged)
+void control_runtime::start(const ip_address &traffic, followers follow)
 {
     auto &self = *m_implementation;
     self.self.traffic = traffic;
-    self.self.control = self.settings.control;
-    self.viewChanged = std::move(viewChanged);
-    self.view.members = {self.self};
+    self.self.control = self.controlAddress;
+    self.follow = std::move(follow);
+    self.fleet.setHosts({});
+    self.fleet.start(self.self);
+    self.loop.after(settleTime, [&self] {
+        self.settled = true;
+        self.publish();
+    });
     self.follower.start();
     self.readHosts();
 }
 
-void control_runtime::announceLeaving()
+void control_runtime::serverQuiet(const server_quiet &quiet)
+{
+    m_implementation->loop.post([this, quiet] { m_implementation->fleet.serverQuiet(quiet); });
+}
+
+void control_runtime::startLeaving()
 {
-    m_implementation->self.state = member_state::leaving;
+    m_implementation->fleet.startLeaving();
+}
+
+void control_runtime::finishLeaving(const std::function<void()> &left)
+{
+    auto &self = *m_implementation;
+    self.waitForRelease(left, self.loop.now() + self.settings.ownershipLease);
 }
 
 reactor &control_runtime::loop()
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -2,6 +2,7 @@
 
 #include "callers_api.h"
 #include "coordinator.h"
+#include "execute_service.h"
 
 #include <thread>
 
@@ -20,10 +21,19 @@
               {[this](const peer_identity &from, peer_message message) { receive(from, std::move(message)); },
                   [this](const peer_loss &loss) {
                       queries.peerLost(loss);
+                      executes.peerLost(loss);
                   }}),
-          owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
+          owner(
+              loop,
+              daemonSettings.ownership,
+              [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); },
+              [this](server_quiet quiet) { serverQuiet(std::move(quiet)); }),
           queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership, daemonSettings.trials}, registry),
           limits(loop, identity.id, transport().send, registry),
+          platformHttp(loop),
+          platform(platformHttp, {daemonSettings.platform, daemonSettings.domain}),
+          runner(loop, runnerCallbacks()),
+          executes(loop, platform, identity, executeTransport()),
           callers(loop, services(), registry),
           figures(registry)
     {
@@ -44,14 +54,41 @@
         return out;
     }
 
+    execute_runner::callbacks runnerCallbacks()
+    {
+        execute_runner::callbacks notify;
+        notify.answer = [this](const daemon_id &to, execute_answer answer) {
+            deliver(to, std::move(answer));
+        };
+        notify.enter = [this](slot_request request) {
+            owner.slots().enter(std::move(request));
+        };
+        notify.leave = [this](slot_ticket_id ticket, request_end end) {
+            owner.slots().leave(ticket, end);
+        };
+        return notify;
+    }
+
+    execute_service::transport executeTransport()
+    {
+        execute_service::transport out;
+        out.send = [this](const daemon_id &to, const peer_message &message) {
+            return network.send(to, message);
+        };
+        out.runHere = [this](execute_request request) {
+            runner.run(self.id, std::move(request));
+        };
+        return out;
+    }
+
     callers_api::services services()
     {
         callers_api::services uses;
         uses.search = [this](search_request request, search_callback done) {
             return queries.search(std::move(request), std::move(done));
         };
-        uses.execute = [](const execute_submission &, const http_responder &respond) {
-            respond(notYetServed());
+        uses.execute = [this](execute_submission submission, http_responder respond) {
+            executes.submit(std::move(submission), std::move(respond));
         };
         uses.accepting = [this] {
             return !draining && views.current()->ready && limits.settled();
@@ -68,11 +105,6 @@
         return uses;
     }
 
-    static http_response notYetServed()
-    {
-        return {.status = 503, .body = R"({"title":"execute is not served","outcome":"not_run"})", .contentType = "application/problem+json"};
-    }
-
     void receive(const peer_identity &from, peer_message message)
     {
         std::visit([&](auto &kind) { take(from, kind); }, message);
@@ -93,6 +125,20 @@
         queries.receive(std::move(answer));
     }
 
+    void take(const peer_identity &from, execute_request &request)
+    {
+        if (request.server.value.empty()) {
+            executes.receive(from.id, request);
+        } else {
+            runner.run(from.id, std::move(request));
+        }
+    }
+
+    void take(const peer_identity &, const execute_answer &answer)
+    {
+        executes.receive(answer);
+    }
+
     void take(const peer_identity &from, const guard_question &question)
     {
         queries.guard().receive(from.id, question);
@@ -132,6 +178,15 @@
         }
     }
 
+    void deliver(const daemon_id &to, execute_answer answer)
+    {
+        if (to == self.id) {
+            executes.receive(answer);
+        } else {
+            network.send(to, std::move(answer));
+        }
+    }
+
     void adoptView()
     {
         const auto view = views.current();
@@ -142,14 +197,21 @@
             }
         }
         network.setPeers(peers);
-        queries.setView(view, std::make_shared<const owner_map>(view));
+        owner.setView(view);
+        const auto owners = std::make_shared<const owner_map>(view);
+        queries.setView(view, owners);
+        executes.setView(view, owners);
         limits.setView(view);
         callers.setView(view);
     }
 
     void checkDrained(const std::function<void()> &drained)
     {
-        if (queries.openQueries() == 0 && server->openRequests() == 0 && owner.openAttempts() == 0) {
+        const bool callersDone = queries.openQueries() == 0 && server->openRequests() == 0;
+        if (callersDone && owner.openAttempts() == 0 && runner.openRequests() == 0) {
+            executes.leave();
+        }
+        if (callersDone && owner.openAttempts() == 0 && runner.openRequests() == 0 && executes.idle()) {
             drained();
             return;
         }
@@ -164,9 +226,14 @@
     server_owner owner;
     coordinator queries;
     contract_limits limits;
+    http_client platformHttp;
+    platform_client platform;
+    execute_runner runner;
+    execute_service executes;
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
+    std::function<void(server_quiet)> serverQuiet;
     bool draining = false;
     std::thread thread;
 };
@@ -192,8 +259,9 @@
     return addresses {self.server->address(), traffic};
 }
 
-void traffic_runtime::start()
+void traffic_runtime::start(std::function<void(server_quiet)> serverQuiet)
 {
+    m_implementation->serverQuiet = std::move(serverQuiet);
     m_implementation->thread = std::thread([this] { m_implementation->loop.run(); });
 }
 
@@ -202,6 +270,11 @@
     m_implementation->loop.post([this] { m_implementation->adoptView(); });
 }
 
+void traffic_runtime::leaseChanged(const lease_change &change)
+{
+    m_implementation->loop.post([this, change] { m_implementation->owner.change(change); });
+}
+
 void traffic_runtime::drain(std::function<void()> drained)
 {
     m_implementation->loop.post([this, drained = std::move(drained)] {
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -25,12 +25,15 @@
     /// Errors: process_error{address_in_use}.
     leaf::result<addresses> listen();
 
-    /// Starts the thread.
-    void start();
+    /// Starts the thread, which tells when nothing runs any more on a server that was to be given up.
+    void start(std::function<void(server_quiet)> serverQuiet);
 
     /// A new view was published; safe from any thread.
     void viewChanged();
 
+    /// A lease of this daemon began, goes on or ends; safe from any thread.
+    void leaseChanged(const lease_change &change);
+
     /// Takes no new work, finishes what runs, then calls back on the traffic thread; safe from any thread.
     void drain(std::function<void()> drained);
 
