--- a/Utilities/bench.d/thin.py
+++ b/Utilities/bench.d/thin.py
@@ -27,10 +27,7 @@
     texts = {name: fleet.create_service(service) for name, service in services.items()}
     for i in range(daemons):
         fleet.start_daemon(f"entry-{i}", domains[i % len(domains)], sizes.SFAX["region"], **settings)
-    fleet.tool("domain", "apply", fleet.write("domains.toml", domains_text(domains, sizes.SFAX["region"])))
-    for name, text in texts.items():
-        fleet.tool("service", "apply", fleet.write(name + ".json", text))
-    fleet.tool("contract", "apply", fleet.write("marshals.toml", contract("marshals", TOKEN, list(services), 100000)))
+    fleet.seed_config(domains_text(domains, sizes.SFAX["region"]), texts.values(), [("marshals", contract("marshals", TOKEN, list(services), 100000))])
     fleet.wait_all_ready()
     return texts
 
--- a/Utilities/local_fleet.py
+++ b/Utilities/local_fleet.py
@@ -197,7 +197,7 @@
 
     def tool(self, *arguments, via=None, check=True, timeout=60):
         """Runs the operators' tool; returns its completed process."""
-        environment = dict(os.environ, DAISYSTILE_ADDRESS=self.operators(via), DAISYSTILE_TOKEN=OPERATOR_TOKEN)
+        environment = dict(os.environ, DAISYSTILE_DAEMON=self.operators(via), DAISYSTILE_TOKEN=OPERATOR_TOKEN, DAISYSTILE_OPERATOR="local")
         done = subprocess.run(
             [self.program("daisystile"), *arguments], env=environment, capture_output=True, text=True, timeout=timeout, stdin=subprocess.DEVNULL
         )
@@ -218,6 +218,19 @@
                 raise RuntimeError(f"waited {timeout} s in vain for {what}")
             time.sleep(0.05)
 
+    def seed_config(self, domains="", services=(), contracts=()):
+        """Puts a first configuration into an empty platform, as an accepted change would leave it."""
+        objects = [("domains", "fleet", domains)] if domains else []
+        objects += [("service", text["name"], json.dumps(text)) for text in services]
+        objects += [("contract", customer, text) for customer, text in contracts]
+        entries = []
+        for number, (kind, name, text) in enumerate(objects, 1):
+            folder = {"domains": "domains", "service": "services", "contract": "contracts"}[kind]
+            record = {"kind": kind, "name": name, "version": 1, "change_id": "first", "previous": "", "operator": "local", "at": 0, "text": text}
+            call(self.platform.addresses["http"], "PUT", f"/objects/config/{folder}/{name}/first", record)
+            entries.append({"kind": kind, "name": name, "version": 1, "change_id": "first", "number": number})
+        call(self.platform.addresses["http"], "PUT", "/objects/config/head", {"number": len(objects), "entries": entries})
+
     def wait_all_ready(self, timeout=30):
         def ready():
             return all(call(address, "GET", "/healthz/ready")[0] == 200 for address in self.callers())
