--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -2,6 +2,7 @@
 
 /// Public header of the request library: admission, fan-out, hedging, merging, the callers' interface.
 
+#include "burn_endpoint.h"
 #include "burn_html.h"
 #include "burn_json.h"
 #include "burn_recorder.h"
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -1,5 +1,6 @@
 #include "traffic_runtime.h"
 
+#include "burn_service.h"
 #include "callers_api.h"
 #include "coordinator.h"
 
@@ -20,9 +21,11 @@
               {[this](const peer_identity &from, peer_message message) { receive(from, std::move(message)); },
                   [this](const peer_loss &loss) {
                       queries.peerLost(loss);
+                      burn.peerLost(loss);
                   }}),
           owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
           queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership}, registry),
+          burn(loop, identity.id, [this](const daemon_id &to, const peer_message &message) { return network.send(to, message); }),
           callers(loop, services(), registry),
           figures(registry)
     {
@@ -58,6 +61,9 @@
         uses.metricsText = [this] {
             return figures.text();
         };
+        uses.ended = [this](const ended_request &request, const contract &terms) {
+            burn.ended(request, terms);
+        };
         return uses;
     }
 
@@ -86,6 +92,16 @@
         queries.receive(std::move(answer));
     }
 
+    void take(const peer_identity &from, const burn_request &request)
+    {
+        burn.receive(from.id, request);
+    }
+
+    void take(const peer_identity &from, const burn_reply &reply)
+    {
+        burn.receive(from.id, reply);
+    }
+
     // Kinds that are not served here yet.
     template<class Message> void take(const peer_identity &, const Message &)
     {
@@ -112,6 +128,7 @@
         network.setPeers(peers);
         queries.setView(view, std::make_shared<const owner_map>(view));
         callers.setView(view);
+        burn.setView(view);
     }
 
     void checkDrained(const std::function<void()> &drained)
@@ -130,6 +147,7 @@
     peer_network network;
     server_owner owner;
     coordinator queries;
+    burn_service burn;
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
@@ -168,6 +186,11 @@
     m_implementation->loop.post([this] { m_implementation->adoptView(); });
 }
 
+void traffic_runtime::reportBurn(std::function<void(burn_report)> done)
+{
+    m_implementation->loop.post([this, done = std::move(done)] { m_implementation->burn.report(done); });
+}
+
 void traffic_runtime::drain(std::function<void()> drained)
 {
     m_implementation->loop.post([this, drained = std::move(drained)] {
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "burn_report.h"
+
 #include <Connection/connection.h>
 
 #include <functional>
@@ -31,6 +33,9 @@
     /// A new view was published; safe from any thread.
     void viewChanged();
 
+    /// Gathers the burn report of all daemons; safe from any thread, calls back on the traffic thread.
+    void reportBurn(std::function<void(burn_report)> done);
+
     /// Takes no new work, finishes what runs, then calls back on the traffic thread; safe from any thread.
     void drain(std::function<void()> drained);
 
--- a/Tests/Request/burn_service_test.cxx
+++ b/Tests/Request/burn_service_test.cxx
@@ -1,3 +1,4 @@
+#include "Request/burn_endpoint.h"
 #include "Request/burn_service.h"
 
 #include <gtest/gtest.h>
@@ -90,3 +91,26 @@
     daemons.silent = {"d3"};
     EXPECT_EQ(daemons.report().unanswered, (std::vector<daemon_id> {{"d3"}}));
 }
+
+TEST(burn_endpoint, servesEachFormatAndRefusesOthers)
+{
+    reactor loop;
+    const auto handler = burnReportHandler(loop, [](const std::function<void(burn_report)> &done) { done({.answered = {{"d1"}}}); });
+    const auto answerTo = [&](const std::string &path, const std::string &format) {
+        http_response answer;
+        http_request request {.method = "GET", .path = path};
+        if (!format.empty()) {
+            request.query["format"] = format;
+        }
+        handler(request, [&](http_response response) { answer = std::move(response); });
+        loop.post([&] { loop.stop(); });
+        loop.run();
+        return answer;
+    };
+    const std::string path = "/v1/admin/report/burn";
+    EXPECT_EQ(answerTo(path, "").contentType, "application/json");
+    EXPECT_EQ(answerTo(path, "text").body.substr(0, 18), "Service-level burn");
+    EXPECT_EQ(answerTo(path, "html").contentType, "text/html; charset=utf-8");
+    EXPECT_EQ(answerTo(path, "pdf").status, 400);
+    EXPECT_EQ(answerTo("/v1/admin/report/other", "").status, 404);
+}
