Tool: Add the operators' API and the command-line tool

Cause: operators had no way to put a contract, a service or a failure-domain state in force. Change: the operators' API under /v1/admin/ with token check, whole check first, conflict with both texts, history and loss check of failure-domain changes; a writer that carries out the pure acceptance; the tool with contract, service, domain, status and config subcommands, one file each, and distinct exit codes.

--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -15,6 +15,8 @@
 #include "crash_guard.h"
 #include "extra_load_budget.h"
 #include "keeper_choice.h"
+#include "operators_api.h"
+#include "operators_json.h"
 #include "query_decision.h"
 #include "query_state.h"
 #include "recent_latencies.h"
--- /dev/null
+++ b/Source/Tool/config_command.cxx
@@ -0,0 +1,58 @@
+#include "config_command.h"
+
+#include <iostream>
+
+namespace daisystile {
+
+namespace {
+
+template<class T> std::string mistakesIn(const parsed<T> &result)
+{
+    const auto *mistakes = std::get_if<config_mistakes>(&result);
+    return mistakes == nullptr ? "" : toString(*mistakes);
+}
+
+std::string checkText(const std::string &kind, const std::string &text, const std::string &file)
+{
+    if (kind == "contract") {
+        return mistakesIn(parseContract(text, file));
+    }
+    if (kind == "service") {
+        return mistakesIn(parseService(text, file));
+    }
+    if (kind == "domains") {
+        return mistakesIn(parseFailureDomains(text, file));
+    }
+    if (kind == "tool") {
+        return mistakesIn(parseToolSettings(text, file));
+    }
+    return mistakesIn(parseDaemonSettings(text, file));
+}
+
+} // namespace
+
+int checkConfig(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Checks a file without a daemon and reports every mistake.", ' ', DAISYSTILE_VERSION);
+    TCLAP::UnlabeledValueArg<std::string> file("FILE", "The file.", true, "", "FILE", line);
+    std::vector<std::string> kinds {"daemon", "contract", "service", "domains", "tool"};
+    TCLAP::ValuesConstraint<std::string> allowed(kinds);
+    TCLAP::ValueArg<std::string> kind("k", "kind", "What the file holds.", false, "daemon", &allowed, line);
+    if (const auto code = parseCommandLine(line, arguments)) {
+        return *code;
+    }
+    const auto text = readTextFile(file.getValue());
+    if (!text) {
+        std::cerr << file.getValue() << ": expected a file, found none that can be read\n";
+        return exit_usage;
+    }
+    const auto mistakes = checkText(kind.getValue(), *text, file.getValue());
+    if (!mistakes.empty()) {
+        std::cerr << mistakes;
+        return exit_rejected;
+    }
+    std::cout << file.getValue() << ": valid\n";
+    return exit_done;
+}
+
+} // namespace daisystile
--- a/Source/Version/change_acceptance.cxx
+++ b/Source/Version/change_acceptance.cxx
@@ -157,7 +157,7 @@
     if (!m_own) {
         return writeRecord(if_absent {});
     }
-    const bool same = m_own->text == m_record.text && m_own->previous == m_record.previous && m_own->version == m_record.version;
+    const bool same = (m_request.derived || m_own->text == m_record.text) && m_own->previous == m_record.previous && m_own->version == m_record.version;
     if (same) {
         m_record = *m_own;
         return writeHead();
@@ -242,7 +242,7 @@
 change_action change_acceptance::accepted(bool resent)
 {
     m_uncertain = false;
-    if (resent && m_own->text != m_request.text) {
+    if (resent && !m_request.derived && m_own->text != m_request.text) {
         return giveUp("the change id was used for another text");
     }
     return change_outcome {change_accepted {resent ? *m_own : m_record, m_head, resent}};
--- a/Source/Version/change_acceptance.h
+++ b/Source/Version/change_acceptance.h
@@ -23,6 +23,8 @@
     std::string text;
     /// The operator sent this change before and was not told its outcome.
     bool resent = false;
+    /// The text was worked out from the newest one, so a resend may bring another.
+    bool derived = false;
 };
 
 /// The platform holds the change; it will be in force everywhere and stay until a later one.
--- a/Source/Version/config_mistake.h
+++ b/Source/Version/config_mistake.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -32,6 +33,9 @@
 /// One line a mistake.
 std::string toString(const config_mistakes &mistakes);
 
+/// True for lower-case letters, digits and hyphens, as in names of customers, services and failure domains.
+bool isName(std::string_view text);
+
 /// What a parse function returns: the value, or every mistake at once.
 template<class T> using parsed = std::variant<T, config_mistakes>;
 
--- /dev/null
+++ b/Source/Version/domain_states.cxx
@@ -0,0 +1,123 @@
+#include "domain_states.h"
+
+#include <algorithm>
+#include <set>
+
+namespace daisystile {
+
+namespace {
+
+constexpr std::size_t shownShards = 10;
+
+using domain_set = std::set<failure_domain_name>;
+
+domain_set outOfService(const std::vector<failure_domain> &states)
+{
+    domain_set out;
+    for (const auto &state : states) {
+        if (state.out) {
+            out.insert(state.name);
+        }
+    }
+    return out;
+}
+
+class served_parts
+{
+public:
+    served_parts(const service &target, const domain_set &out)
+    {
+        for (const auto &server : target.servers) {
+            if (out.count(server.domain) == 0) {
+                m_servers.insert(server.id);
+            }
+        }
+    }
+
+    bool anyServer() const
+    {
+        return !m_servers.empty();
+    }
+
+    bool holds(const shard_placement &shard) const
+    {
+        return std::any_of(shard.replicas.begin(), shard.replicas.end(), [this](const backend_server_id &id) { return m_servers.count(id) > 0; });
+    }
+
+private:
+    std::set<backend_server_id> m_servers;
+};
+
+std::string lostShards(const service &target, const served_parts &before, const served_parts &after)
+{
+    std::string list;
+    std::size_t lost = 0;
+    for (std::size_t shard = 0; shard < target.shards.size(); ++shard) {
+        if (!before.holds(target.shards[shard]) || after.holds(target.shards[shard])) {
+            continue;
+        }
+        lost += 1;
+        if (lost <= shownShards) {
+            list += (lost == 1 ? " " : ", ") + std::to_string(shard);
+        }
+    }
+    if (lost == 0) {
+        return "";
+    }
+    const auto rest = lost > shownShards ? " and " + std::to_string(lost - shownShards) + " more" : "";
+    return "service " + target.name.value + ": no replica for shards" + list + rest;
+}
+
+} // namespace
+
+std::variant<std::vector<failure_domain>, domain_unknown>
+changedDomains(const std::vector<failure_domain> &states, const std::vector<failure_domain> &seen, const domain_state_change &change)
+{
+    std::map<failure_domain_name, failure_domain> all;
+    for (const auto &state : states) {
+        all[state.name] = state;
+    }
+    for (const auto &domain : seen) {
+        all.try_emplace(domain.name, domain);
+    }
+    const auto target = all.find(change.domain);
+    if (target == all.end()) {
+        domain_unknown unknown;
+        for (const auto &[name, state] : all) {
+            unknown.known.push_back(name);
+        }
+        return unknown;
+    }
+    target->second.out = change.out;
+    std::vector<failure_domain> result;
+    result.reserve(all.size());
+    for (auto &[name, state] : all) {
+        result.push_back(std::move(state));
+    }
+    return result;
+}
+
+std::vector<std::string> lossesOf(const configuration &config, const std::vector<failure_domain> &before, const std::vector<failure_domain> &after)
+{
+    std::vector<std::string> losses;
+    const auto outBefore = outOfService(before);
+    const auto outAfter = outOfService(after);
+    if (outAfter.size() == after.size() && outBefore.size() < after.size()) {
+        losses.emplace_back("the last failure domain in service");
+    }
+    for (const auto &[name, target] : config.services) {
+        const served_parts partsBefore(*target, outBefore);
+        const served_parts partsAfter(*target, outAfter);
+        if (partsBefore.anyServer() && !partsAfter.anyServer()) {
+            losses.push_back("service " + name.value + ": no backend server");
+            continue;
+        }
+        const auto shards = lostShards(*target, partsBefore, partsAfter);
+        if (!shards.empty()) {
+            losses.push_back(shards);
+        }
+    }
+    return losses;
+}
+
+} // namespace daisystile
--- a/Source/Version/table_reader.h
+++ b/Source/Version/table_reader.h
@@ -103,9 +103,6 @@
     std::set<std::string> m_known;
 };
 
-/// True for names that table_reader::name() takes.
-bool isName(std::string_view text);
-
 /// Reads a whole text through one reader; the value, or all mistakes ordered by line.
 template<class T> parsed<T> parseTable(std::string_view text, std::string_view fileName, const std::function<void(table_reader &, T &)> &read)
 {
