--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -17,6 +17,8 @@
 #include "daemon_process.h"
 #include "extra_load_budget.h"
 #include "keeper_choice.h"
+#include "operators_api.h"
+#include "operators_json.h"
 #include "query_decision.h"
 #include "query_state.h"
 #include "recent_latencies.h"
