--- a/Source/Tool/command.cxx
+++ b/Source/Tool/command.cxx
@@ -83,7 +83,7 @@
           daemon("d", "daemon", "Operators' address of a daemon.", false, "", "IP:PORT", line),
           token("t", "token", "Operators' token; better given in DAISYSTILE_TOKEN or the settings file.", false, "", "TOKEN", line),
           changedBy("o", "operator", "Who makes the change, for the history.", false, "", "NAME", line),
-          format("f", "format", "text or json.", false, "", "FORMAT", line)
+          format("f", "format", "text or json; html too for reports.", false, "", "FORMAT", line)
     {
     }
 
--- a/Source/Tool/commands.cxx
+++ b/Source/Tool/commands.cxx
@@ -3,6 +3,7 @@
 #include "config_command.h"
 #include "domain_commands.h"
 #include "object_commands.h"
+#include "report_command.h"
 #include "status_command.h"
 
 namespace daisystile {
@@ -38,6 +39,7 @@
         {"domain in", "take a failure domain back into service", takeDomainIn},
         {"domain list", "list the failure domains", listDomains},
         {"status", "show a daemon, its configuration and the fleet", showStatus},
+        {"report burn", "show service-level burn over all daemons, as text, json or html", reportBurn},
         {"config check", "check a file without a daemon", checkConfig},
     };
 }
--- /dev/null
+++ b/Source/Tool/report_command.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "command.h"
+
+namespace daisystile {
+
+int reportBurn(const std::vector<std::string> &arguments);
+
+} // namespace daisystile
--- a/Source/Tool/tool_settings.cxx
+++ b/Source/Tool/tool_settings.cxx
@@ -23,7 +23,7 @@
     reader.addresses("daemons", settings.daemons);
     reader.text("token", settings.token, presence::optional);
     reader.text("operator", settings.changedBy, presence::optional);
-    reader.choice("format", settings.format, {{"text", output_format::text}, {"json", output_format::json}});
+    reader.choice("format", settings.format, {{"text", output_format::text}, {"json", output_format::json}, {"html", output_format::html}});
 }
 
 config_mistakes single(const std::string &source, const std::string &expected, const std::string &found)
@@ -77,11 +77,11 @@
     const auto changedBy = chosen(options.changedBy, environment, "DAISYSTILE_OPERATOR");
     settings.changedBy = changedBy.empty() ? settings.changedBy : changedBy;
     const auto format = chosen(options.format, environment, "DAISYSTILE_FORMAT");
-    if (!format.empty() && format != "text" && format != "json") {
-        return single("--format", "one of text, json", "\"" + format + "\"");
+    if (!format.empty() && format != "text" && format != "json" && format != "html") {
+        return single("--format", "one of text, json, html", "\"" + format + "\"");
     }
     if (!format.empty()) {
-        settings.format = format == "json" ? output_format::json : output_format::text;
+        settings.format = format == "json" ? output_format::json : format == "html" ? output_format::html : output_format::text;
     }
     return settings;
 }
--- a/Source/Tool/tool_settings.h
+++ b/Source/Tool/tool_settings.h
@@ -14,6 +14,8 @@
 enum class output_format {
     text,
     json,
+    /// Reports only; others show text.
+    html,
 };
 
 /// How the tool reaches a daemon; options go before the environment, the environment before the file.
