--- a/Source/Connection/execute_runner.cxx
+++ b/Source/Connection/execute_runner.cxx
@@ -1,6 +1,6 @@
 #include "execute_runner.h"
 
-#include <algorithm>
+#include "backend_protocol.h"
 
 namespace daisystile {
 
@@ -45,7 +45,7 @@
     case statusNotHere:
         return ended(run_outcome::not_run, attempt_failure::shard_not_here);
     case statusShed:
-        return ended(run_outcome::not_run, attempt_failure::shed);
+        return ended(run_outcome::not_run, reasonOfUnavailable(reply.body));
     case statusDone:
         break;
     default:
@@ -70,9 +70,8 @@
     return ended(outcome, failure.kind == http_failure_kind::timed_out ? attempt_failure::timed_out : attempt_failure::server_lost);
 }
 
-execute_runner::execute_runner(reactor &loop, const view_publisher &views, callbacks notify)
+execute_runner::execute_runner(reactor &loop, callbacks notify)
     : m_loop(loop),
-      m_views(views),
       m_notify(std::move(notify)),
       m_http(loop)
 {
@@ -105,43 +104,33 @@
     }
     m_open += 1;
     const auto entered = std::make_shared<const entered_request>(entered_request {from, std::move(request), deadline});
-    slot_ticket ticket {entered->request.service, entered->request.server, entered->request.rank, deadline, {}, {}};
-    ticket.run = [this, entered] {
-        send(*entered);
+    slot_request slot;
+    slot.service = entered->request.service;
+    slot.server = entered->request.server;
+    slot.rank = entered->request.rank;
+    slot.deadline = deadline;
+    slot.request = entered->request.request;
+    slot.run = [this, entered](slot_ticket_id ticket, const backend_server &server) {
+        send(*entered, ticket, server);
     };
-    ticket.refuse = [this, entered](attempt_failure failure) {
+    slot.refuse = [this, entered](attempt_failure failure) {
         finish(*entered, ended(run_outcome::not_run, failure));
     };
-    m_notify.enter(std::move(ticket));
+    m_notify.enter(std::move(slot));
 }
 
-static const backend_server *findServer(const fleet_view &view, const execute_request &request)
+void execute_runner::send(const entered_request &entered, slot_ticket_id ticket, const backend_server &server)
 {
-    const auto found = view.config->services.find(request.service);
-    if (found == view.config->services.end()) {
-        return nullptr;
-    }
-    const auto &servers = found->second->servers;
-    const auto match = std::find_if(servers.begin(), servers.end(), [&](const backend_server &server) { return server.id == request.server; });
-    return match == servers.end() ? nullptr : &*match;
-}
-
-void execute_runner::send(const entered_request &entered)
-{
-    const auto view = m_views.current();
-    const auto *server = findServer(*view, entered.request);
     const auto left = timeLeft(m_loop.now(), entered.deadline);
-    if (server == nullptr || left == milliseconds::zero()) {
-        m_notify.leave(entered.request.server, request_fate::refused);
-        finish(entered, ended(run_outcome::not_run, server == nullptr ? attempt_failure::not_owner : attempt_failure::too_late));
+    if (left == milliseconds::zero()) {
+        m_notify.leave(ticket, request_end::neutral);
+        finish(entered, ended(run_outcome::not_run, attempt_failure::too_late));
         return;
     }
-    const auto call = makeExecuteCall(entered.request, server->address, left);
-    m_http.send(call, [this, entered](http_result result) {
+    const auto call = makeExecuteCall(entered.request, server.address, left);
+    m_http.send(call, [this, entered, ticket](http_result result) {
         auto answer = readExecuteAnswer(backendRequestId(entered.request.query), std::move(result));
-        const bool refused = answer.outcome == run_outcome::not_run && answer.failure == attempt_failure::shed;
-        const auto fate = answer.outcome == run_outcome::done ? request_fate::answered : refused ? request_fate::refused : request_fate::lost;
-        m_notify.leave(entered.request.server, fate);
+        m_notify.leave(ticket, endOf(answer.failure));
         finish(entered, std::move(answer));
     });
 }
--- a/Source/Connection/execute_runner.h
+++ b/Source/Connection/execute_runner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer_messages.h"
+#include "slot_keeper.h"
 
 #include <deque>
 #include <functional>
@@ -8,23 +8,6 @@
 
 namespace daisystile {
 
-/// Lets a request into a backend server's slots, or refuses it: exactly one of the two is called, at once or later.
-struct slot_ticket
-{
-    service_name service;
-    backend_server_id server;
-    urgency rank = urgency::normal;
-    monotonic_time deadline;
-    std::function<void()> run;
-    std::function<void(attempt_failure)> refuse;
-};
-
-enum class request_fate {
-    answered,
-    refused,
-    lost,
-};
-
 /// Runs execute requests on the backend servers that this daemon owns. A request is sent once and never again.
 class execute_runner
 {
@@ -32,12 +15,12 @@
     struct callbacks
     {
         std::function<void(const daemon_id &, execute_answer)> answer;
-        std::function<void(slot_ticket)> enter;
+        std::function<void(slot_request)> enter;
         /// A request that was let in has ended.
-        std::function<void(const backend_server_id &, request_fate)> leave;
+        std::function<void(slot_ticket_id, request_end)> leave;
     };
 
-    execute_runner(reactor &loop, const view_publisher &views, callbacks notify);
+    execute_runner(reactor &loop, callbacks notify);
 
     /// Answered exactly once; a duplicate of a request is dropped.
     void run(const daemon_id &from, execute_request request);
@@ -57,11 +40,10 @@
     };
 
     bool isDuplicate(const execute_request &request, monotonic_time deadline);
-    void send(const entered_request &entered);
+    void send(const entered_request &entered, slot_ticket_id ticket, const backend_server &server);
     void finish(const entered_request &entered, execute_answer answer);
 
     reactor &m_loop;
-    const view_publisher &m_views;
     callbacks m_notify;
     http_client m_http;
     std::set<query_reference> m_seen;
