--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -10,6 +10,7 @@
 #include "execute_runner.h"
 #include "fleet_member.h"
 #include "frame_reader.h"
+#include "gate_trace.h"
 #include "member_table.h"
 #include "membership.h"
 #include "owner_history.h"
