--- a/Source/Request/control_runtime.h
+++ b/Source/Request/control_runtime.h
@@ -25,11 +25,25 @@
     /// Errors: process_error{address_in_use}.
     leaf::result<addresses> listen();
 
-    /// Begins to follow the platform. The addresses are told to the others.
-    void start(const ip_address &traffic, std::function<void()> viewChanged);
+    /// Called on the control thread.
+    struct followers
+    {
+        std::function<void()> viewChanged;
+        std::function<void(const lease_change &)> leaseChanged;
+        /// A later life of this daemon runs elsewhere; this one must stop.
+        std::function<void()> superseded;
+    };
+
+    /// Joins the fleet and begins to follow the platform. The addresses are told to the others.
+    void start(const ip_address &traffic, followers follow);
+
+    /// Nothing of this daemon runs on a server that it was to give up; safe from any thread.
+    void serverQuiet(const server_quiet &quiet);
 
-    /// Tells the others that this daemon is leaving.
-    void announceLeaving();
+    /// Tells the others that this daemon is leaving; they take its servers over.
+    void startLeaving();
+    /// Calls back when the servers have been given up, and tells the others that this daemon is gone.
+    void finishLeaving(const std::function<void()> &left);
 
     reactor &loop();
 
--- a/Source/Request/daemon_process.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -31,8 +31,13 @@
         }
         shuttingDown = true;
         DAISYSTILE_LOG(INFO, "daemon") << "Shutting down." << field("id", self.id.value);
-        control.announceLeaving();
-        traffic.drain([this] { control.loop().post([this] { control.loop().stop(); }); });
+        control.startLeaving();
+        traffic.drain([this] { control.loop().post([this] { leave(); }); });
+    }
+
+    void leave()
+    {
+        control.finishLeaving([this] { control.loop().stop(); });
     }
 
     daemon_settings settings;
@@ -65,8 +70,18 @@
 void daemon_process::run()
 {
     auto &self = *m_implementation;
-    self.traffic.start();
-    self.control.start(self.trafficAddress, [&self] { self.traffic.viewChanged(); });
+    self.traffic.start([&self](const server_quiet &quiet) { self.control.serverQuiet(quiet); });
+    control_runtime::followers follow;
+    follow.viewChanged = [&self] {
+        self.traffic.viewChanged();
+    };
+    follow.leaseChanged = [&self](const lease_change &change) {
+        self.traffic.leaseChanged(change);
+    };
+    follow.superseded = [&self] {
+        self.shutDown();
+    };
+    self.control.start(self.trafficAddress, std::move(follow));
     self.control.loop().run();
     self.traffic.stop();
     DAISYSTILE_LOG(INFO, "daemon") << "Stopped." << field("id", self.self.id.value);
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -23,12 +23,16 @@
                       queries.peerLost(loss);
                       executes.peerLost(loss);
                   }}),
-          owner(loop, publisher, [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); }),
+          owner(
+              loop,
+              daemonSettings.ownership,
+              [this](const daemon_id &to, shard_answer answer) { deliver(to, std::move(answer)); },
+              [this](server_quiet quiet) { serverQuiet(std::move(quiet)); }),
           queries(loop, {identity.id, identity.life}, transport(), {daemonSettings.hedging, daemonSettings.ownership, daemonSettings.trials}, registry),
           limits(loop, identity.id, transport().send, registry),
           platformHttp(loop),
           platform(platformHttp, {daemonSettings.platform, daemonSettings.domain}),
-          runner(loop, publisher, runnerCallbacks()),
+          runner(loop, runnerCallbacks()),
           executes(loop, platform, identity, executeTransport()),
           callers(loop, services(), registry),
           figures(registry)
@@ -56,10 +60,11 @@
         notify.answer = [this](const daemon_id &to, execute_answer answer) {
             deliver(to, std::move(answer));
         };
-        notify.enter = [](const slot_ticket &ticket) {
-            ticket.run();
+        notify.enter = [this](slot_request request) {
+            owner.slots().enter(std::move(request));
         };
-        notify.leave = [](const backend_server_id &, request_fate) {
+        notify.leave = [this](slot_ticket_id ticket, request_end end) {
+            owner.slots().leave(ticket, end);
         };
         return notify;
     }
@@ -192,6 +197,7 @@
             }
         }
         network.setPeers(peers);
+        owner.setView(view);
         const auto owners = std::make_shared<const owner_map>(view);
         queries.setView(view, owners);
         executes.setView(view, owners);
@@ -227,6 +233,7 @@
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
+    std::function<void(server_quiet)> serverQuiet;
     bool draining = false;
     std::thread thread;
 };
@@ -252,8 +259,9 @@
     return addresses {self.server->address(), traffic};
 }
 
-void traffic_runtime::start()
+void traffic_runtime::start(std::function<void(server_quiet)> serverQuiet)
 {
+    m_implementation->serverQuiet = std::move(serverQuiet);
     m_implementation->thread = std::thread([this] { m_implementation->loop.run(); });
 }
 
@@ -262,6 +270,11 @@
     m_implementation->loop.post([this] { m_implementation->adoptView(); });
 }
 
+void traffic_runtime::leaseChanged(const lease_change &change)
+{
+    m_implementation->loop.post([this, change] { m_implementation->owner.change(change); });
+}
+
 void traffic_runtime::drain(std::function<void()> drained)
 {
     m_implementation->loop.post([this, drained = std::move(drained)] {
--- a/Tests/Request/execute_fleet.cxx
+++ b/Tests/Request/execute_fleet.cxx
@@ -17,14 +17,28 @@
     return members;
 }
 
+// Slots without limit, for servers of the catalogue only.
+static void runOrRefuse(const fleet_view &view, const slot_request &request)
+{
+    const auto found = view.config->services.find(request.service);
+    if (found != view.config->services.end()) {
+        for (const auto &server : found->second->servers) {
+            if (server.id == request.server) {
+                request.run(0, server);
+                return;
+            }
+        }
+    }
+    request.refuse(attempt_failure::not_owner);
+}
+
 execute_fleet::node::node(execute_fleet &fleet, int index)
     : http(fleet.m_loop),
       platform(http, {fleet.m_platformServer->address(), {"domain" + std::to_string(index % 3)}, milliseconds {500}}),
       runner(fleet.m_loop,
-          views,
           {[&fleet, index](const daemon_id &to, const execute_answer &answer) { fleet.deliver(index, to, answer); },
-              [](const slot_ticket &ticket) { ticket.run(); },
-              [](const backend_server_id &, request_fate) {
+              [this](const slot_request &request) { runOrRefuse(*views.current(), request); },
+              [](slot_ticket_id, request_end) {
               }}),
       service(fleet.m_loop,
           platform,
