--- a/Tests/Promises/child_process.cxx
+++ b/Tests/Promises/child_process.cxx
@@ -25,6 +25,7 @@
 static int spawn(const std::string &path, std::vector<std::string> words, int output, const std::string &errorFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (auto &word : words) {
         arguments.push_back(word.data());
     }
--- a/Tests/Promises/execute_promises_test.cxx
+++ b/Tests/Promises/execute_promises_test.cxx
@@ -1,6 +1,7 @@
 #include "fleet_fixture.h"
 
 #include <csignal>
+#include <iostream>
 
 using namespace daisystile;
 using nlohmann::json;
@@ -106,3 +107,36 @@
         EXPECT_EQ(record["started"], 1) << key;
     }
 }
+
+TEST_F(execute_promises, requestsShareThePlatformsWrites)
+{
+    startFleet();
+    ASSERT_EQ(settle("warm-up"), "done");
+    const auto names = daemonNames();
+    const auto journalWrites = [&] {
+        return platformCounters()["puts_by_prefix"].value("journal", 0);
+    };
+    const int before = journalWrites();
+    static constexpr int perSecond = 200;
+    static constexpr int count = 5 * perSecond;
+    const auto start = std::chrono::steady_clock::now();
+    int sent = 0;
+    int done = 0;
+    int ended = 0;
+    ASSERT_TRUE(m_client.waitUntil([&] {
+        const auto due = (std::chrono::steady_clock::now() - start) * perSecond / seconds {1};
+        for (; sent < std::min<std::int64_t>(due, count); ++sent) {
+            const auto &name = names[static_cast<std::size_t>(sent) % names.size()];
+            m_client.start(executeCall(name, "logbook", "k" + std::to_string(sent)), [&](const http_result &result) {
+                ended += 1;
+                done += outcomeOf(result) == "done" ? 1 : 0;
+            });
+        }
+        return ended == count;
+    }));
+    const double writes = static_cast<double>(journalWrites() - before) / count;
+    RecordProperty("writes_per_execute", std::to_string(writes));
+    std::cout << "writes per execute " << writes << ", done " << done << " of " << count << '\n';
+    EXPECT_LT(writes, 0.2);
+    EXPECT_GT(done, count * 99 / 100);
+}
--- a/Tests/Promises/query_promises_test.cxx
+++ b/Tests/Promises/query_promises_test.cxx
@@ -15,6 +15,7 @@
     std::vector<http_call> queries(int count)
     {
         std::vector<http_call> calls;
+        calls.reserve(static_cast<std::size_t>(count));
         const auto names = daemonNames();
         for (int i = 0; i < count; ++i) {
             calls.push_back(queryCall(names[static_cast<std::size_t>(i) % names.size()], "marshal-desk", "q" + std::to_string(i)));
