--- a/Source/Request/callers_api.cxx
+++ b/Source/Request/callers_api.cxx
@@ -74,6 +74,16 @@
     return route {{rest.substr(0, slash)}, action == "query" ? verb::query : verb::execute};
 }
 
+// A key may have run before, through any daemon; only its journal knows. So a refusal that comes before
+// the journal was asked can't say that an execute request has not run.
+static refusal_outcome outcomeBeforeJournal(const http_request &request)
+{
+    static constexpr std::string_view executeEnd = "/execute";
+    const auto key = request.header("idempotency-key");
+    const bool mayHaveRun = request.path.ends_with(executeEnd) && key && !key->empty() && key->size() <= longestIdempotencyKey;
+    return mayHaveRun ? refusal_outcome::unknown : refusal_outcome::not_run;
+}
+
 struct callers_api::implementation
 {
     implementation(reactor &eventLoop, services calls, metrics &registry)
@@ -126,10 +136,11 @@
         auto noted = std::make_shared<ended_request>();
         noted->customer = call.terms->customer;
         const auto noting = notingResponder(noted, call.terms, respond);
+        const auto outcome = outcomeBeforeJournal(request);
         leaf::try_handle_all([&] { return run(std::move(call), request, noted, noting); },
-            [&](const request_error &error) { refuse(error, noting); },
+            [&](const request_error &error) { refuse(error, outcome, noting); },
             [&] {
-                refuse({request_failure::body_malformed, "request"}, noting);
+                refuse({request_failure::body_malformed, "request"}, outcome, noting);
             });
         return {};
     }
@@ -168,16 +179,20 @@
     using admitted_call = std::function<void(milliseconds left, const http_responder &respond)>;
 
     // Runs the call once its contract has room; its release comes with its answer.
-    void runWithinContract(const std::shared_ptr<const contract> &terms, milliseconds wait, const http_responder &respond, admitted_call run)
+    void runWithinContract(const std::shared_ptr<const contract> &terms,
+        milliseconds wait,
+        refusal_outcome outcome,
+        const http_responder &respond,
+        admitted_call run)
     {
         if (!uses.admit) {
             run(wait, respond);
             return;
         }
         const auto until = loop.now() + wait;
-        uses.admit(terms, wait, [this, terms, until, respond, run = std::move(run)](const std::optional<admission_refusal> &refusal) {
+        uses.admit(terms, wait, [this, terms, until, outcome, respond, run = std::move(run)](const std::optional<admission_refusal> &refusal) {
             if (refusal) {
-                respond(toResponse(toProblem(*refusal)));
+                respond(toResponse(withOutcome(toProblem(*refusal), outcome)));
                 return;
             }
             run(timeLeft(loop.now(), until), [this, terms, respond](http_response response) {
@@ -192,8 +207,9 @@
         BOOST_LEAF_AUTO(body, parseQueryBody(request.body));
         const auto print = fingerprintOf(call.target.service, body);
         const search_request search {call.target.service, call.terms, print, std::move(body), call.wait};
-        runWithinContract(
-            call.terms, call.wait, respond, [this, search, noted](milliseconds left, const http_responder &answer) { runSearch(search, left, noted, answer); });
+        runWithinContract(call.terms, call.wait, refusal_outcome::not_run, respond, [this, search, noted](milliseconds left, const http_responder &answer) {
+            runSearch(search, left, noted, answer);
+        });
         return {};
     }
 
@@ -206,7 +222,7 @@
             respond(toResponse(reply));
         };
         if (!uses.search(std::move(search), answer)) {
-            refuse({request_failure::service_unknown, service.value}, respond);
+            refuse({request_failure::service_unknown, service.value}, refusal_outcome::not_run, respond);
         }
     }
 
@@ -221,7 +237,7 @@
         }
         const auto print = fingerprintOf(call.target.service, request.body);
         const execute_submission submission {call.target.service, call.terms, {key}, print, request.body, call.wait};
-        runWithinContract(call.terms, call.wait, respond, [this, submission](milliseconds left, const http_responder &answer) {
+        runWithinContract(call.terms, call.wait, refusal_outcome::unknown, respond, [this, submission](milliseconds left, const http_responder &answer) {
             auto admitted = submission;
             admitted.wait = left;
             uses.execute(std::move(admitted), answer);
@@ -229,24 +245,34 @@
         return {};
     }
 
-    void refuse(const request_error &error, const http_responder &respond)
+    static problem withOutcome(problem refusal, refusal_outcome outcome)
+    {
+        refusal.outcome = outcome;
+        return refusal;
+    }
+
+    void refuse(const request_error &error, refusal_outcome outcome, const http_responder &respond)
     {
         refused.add();
-        respond(toResponse(toProblem(error)));
+        respond(toResponse(withOutcome(toProblem(error), outcome)));
     }
 
     void serveOrRefuse(const http_request &request, const http_responder &respond)
     {
+        const auto outcome = outcomeBeforeJournal(request);
         if (!view->ready) {
             refused.add();
-            respond(toResponse(
-                problem {.status = 503, .title = "not ready", .detail = "the newest contracts are not known yet", .retryAfter = notReadyRetryAfter}));
+            respond(toResponse(problem {.status = 503,
+                .title = "not ready",
+                .detail = "the newest contracts are not known yet",
+                .outcome = outcome,
+                .retryAfter = notReadyRetryAfter}));
             return;
         }
         leaf::try_handle_all([&] { return serve(request, respond); },
-            [&](const request_error &error) { refuse(error, respond); },
+            [&](const request_error &error) { refuse(error, outcome, respond); },
             [&] {
-                refuse({request_failure::body_malformed, "request"}, respond);
+                refuse({request_failure::body_malformed, "request"}, outcome, respond);
             });
     }
 
--- a/Tests/Request/callers_api_test.cxx
+++ b/Tests/Request/callers_api_test.cxx
@@ -181,6 +181,23 @@
     EXPECT_EQ(statusOf(query, good), 503);
 }
 
+TEST_F(callers_side, executeRefusedBeforeItsJournalIsAskedIsUnknownSinceItsKeyMayHaveRun)
+{
+    const std::map<std::string, std::string> key {{"idempotency-key", "k"}};
+    const std::map<std::string, std::string> stranger {{"idempotency-key", "k"}, {"authorization", "Bearer wrong"}};
+    const auto outcomeOf = [this](const std::string &path, const std::map<std::string, std::string> &headers, int status) {
+        EXPECT_EQ(statusOf(path, "{}", headers), status);
+        return nlohmann::json::parse(m_responses.at(0).body)["outcome"].get<std::string>();
+    };
+    EXPECT_EQ(outcomeOf("/v1/services/logbook/execute", stranger, 401), "unknown");
+    EXPECT_EQ(outcomeOf("/v1/services/gone/execute", key, 404), "unknown");
+    m_view.ready = false;
+    publish();
+    EXPECT_EQ(outcomeOf("/v1/services/logbook/execute", key, 503), "unknown");
+    EXPECT_EQ(outcomeOf("/v1/services/logbook/execute", {}, 503), "not_run");
+    EXPECT_EQ(m_executes, 0);
+}
+
 TEST_F(callers_side, answersBeforeTheWaitEndsWhenNoOwnerDoes)
 {
     m_answerAtOnce = false;
