Tool: Fetch and replay traces of slot gates

Cause: recorded decisions have to reach the operator who looks into an incident. Change: with record_trace a daemon keeps the first 20,000 steps of up to 32 gates in memory; the subcommands trace get and trace replay.

--- a/Source/Connection/slot_keeper.cxx
+++ b/Source/Connection/slot_keeper.cxx
@@ -11,6 +11,9 @@
 static constexpr milliseconds healthTimeout {500};
 static constexpr int statusHealthy = 200;
 
+static constexpr std::size_t mostRecordedGates = 32;
+static constexpr std::size_t mostRecordedSteps = 20000;
+
 slot_keeper::slot_keeper(reactor &loop, http_client &http, ownership_policy policy, std::function<void(server_quiet)> quiet)
     : m_loop(loop),
       m_http(http),
@@ -95,6 +98,10 @@
     if (listed != m_catalogue.end()) {
         entry.service = listed->second.service;
     }
+    if (m_recording && m_recorded < mostRecordedGates) {
+        m_recorded += 1;
+        entry.recorder.emplace(settings.slots, mostRecordedSteps);
+    }
     return entry;
 }
 
@@ -154,7 +161,12 @@
 
 void slot_keeper::apply(const backend_server_id &server, server_entry &entry, const gate_event &event)
 {
-    for (const auto &action : entry.gate.decide(event, m_loop.now())) {
+    const auto now = m_loop.now();
+    const auto actions = entry.gate.decide(event, now);
+    if (entry.recorder) {
+        entry.recorder->add(now, event, actions);
+    }
+    for (const auto &action : actions) {
         std::visit([&](const auto &some) { perform(server, entry, some); }, action);
     }
 }
@@ -299,4 +311,18 @@
     });
 }
 
+void slot_keeper::recordTraces()
+{
+    m_recording = true;
+}
+
+std::optional<std::string> slot_keeper::traceOf(const backend_server_id &server) const
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end() || !found->second.recorder) {
+        return std::nullopt;
+    }
+    return found->second.recorder->text();
+}
+
 } // namespace daisystile
--- a/Source/Connection/slot_keeper.h
+++ b/Source/Connection/slot_keeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gate_trace.h"
 #include "ownership.h"
 #include "slot_gate.h"
 
@@ -51,6 +52,11 @@
     server_load loadOf(const backend_server_id &server) const;
     std::size_t openTickets() const;
 
+    /// From now on, gates that open are recorded, a bounded number of them.
+    void recordTraces();
+    /// What was recorded of a server's gate; nothing when it is not recorded.
+    std::optional<std::string> traceOf(const backend_server_id &server) const;
+
 private:
     struct server_entry
     {
@@ -60,6 +66,7 @@
         }
 
         slot_gate gate;
+        std::optional<gate_recorder> recorder;
         service_name service;
         monotonic_time leaseUntil;
         bool stopping = false;
@@ -98,6 +105,8 @@
     std::map<backend_server_id, server_entry> m_servers;
     std::unordered_map<slot_ticket_id, slot_request> m_tickets;
     slot_ticket_id m_nextTicket = 1;
+    bool m_recording = false;
+    std::size_t m_recorded = 0;
     timer_id m_tickTimer = 0;
     timer_id m_watchTimer = 0;
     // Answers that come after the end of this object find it gone.
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -40,6 +40,9 @@
           callers(loop, services(), registry),
           figures(registry)
     {
+        if (settings.recordTrace) {
+            owner.slots().recordTraces();
+        }
     }
 
     coordinator::transport transport()
@@ -288,6 +291,12 @@
     m_implementation->loop.post([this] { m_implementation->adoptView(); });
 }
 
+void traffic_runtime::gateTrace(backend_server_id server, std::function<void(std::optional<std::string>)> done)
+{
+    m_implementation->loop.post(
+        [this, server = std::move(server), done = std::move(done)] { done(m_implementation->owner.slots().traceOf(server)); });
+}
+
 void traffic_runtime::reportBurn(std::function<void(burn_report)> done)
 {
     m_implementation->loop.post([this, done = std::move(done)] { m_implementation->burn.report(done); });
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -36,6 +36,9 @@
     /// Gathers the burn report of all daemons; safe from any thread, calls back on the traffic thread.
     void reportBurn(std::function<void(burn_report)> done);
 
+    /// What was recorded of a backend server's gate; safe from any thread, calls back on the traffic thread.
+    void gateTrace(backend_server_id server, std::function<void(std::optional<std::string>)> done);
+
     /// A lease of this daemon began, goes on or ends; safe from any thread.
     void leaseChanged(const lease_change &change);
 
--- a/Source/Tool/commands.cxx
+++ b/Source/Tool/commands.cxx
@@ -5,6 +5,7 @@
 #include "object_commands.h"
 #include "report_command.h"
 #include "status_command.h"
+#include "trace_command.h"
 
 namespace daisystile {
 
@@ -40,6 +41,8 @@
         {"domain list", "list the failure domains", listDomains},
         {"status", "show a daemon, its configuration and the fleet", showStatus},
         {"report burn", "show service-level burn over all daemons, as text, json or html", reportBurn},
+        {"trace get", "print what a daemon recorded of one backend server", getTrace},
+        {"trace replay", "replay a recorded trace and tell the first difference", replayTrace},
         {"config check", "check a file without a daemon", checkConfig},
     };
 }
