Version: Decide how configuration spreads; serve the operators' API

Cause: every daemon would have to poll the platform, and a daemon cut off from it learned nothing. Change: the pure spreading of versions: two watchers in each failure domain by rendezvous hashing, digests and pulls between peers, no serving before the platform or enough peers told the newest. The control thread serves the operators' API; it does not run the spreading yet.

--- a/Source/Request/config_follower.cxx
+++ b/Source/Request/config_follower.cxx
@@ -13,13 +13,25 @@
 
 void config_follower::start()
 {
-    readHead();
+    readHead(true);
 }
 
-void config_follower::readHead()
+void config_follower::readSoon()
 {
-    m_platform.get(headKey, [this](const read_result &result) {
-        m_loop.after(headInterval, [this] { readHead(); });
+    readHead(false);
+}
+
+std::uint64_t config_follower::number() const
+{
+    return m_number;
+}
+
+void config_follower::readHead(bool again)
+{
+    m_platform.get(headKey, [this, again](const read_result &result) {
+        if (again) {
+            m_loop.after(headInterval, [this] { readHead(true); });
+        }
         const auto *object = std::get_if<platform_object>(&result);
         if (object == nullptr || m_reading > 0) {
             return;
--- a/Source/Request/config_follower.h
+++ b/Source/Request/config_follower.h
@@ -15,9 +15,13 @@
     config_follower(reactor &loop, platform_client &platform, changed_callback changed);
 
     void start();
+    /// Reads the head now, as after a change through this daemon.
+    void readSoon();
+    /// Number of the newest head whose records are all held.
+    std::uint64_t number() const;
 
 private:
-    void readHead();
+    void readHead(bool again);
     void readRecords(const config_head &head);
     void finishRound();
 
--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -1,6 +1,7 @@
 #include "control_runtime.h"
 
 #include "config_follower.h"
+#include "operators_api.h"
 
 #include <algorithm>
 
@@ -28,11 +29,21 @@
           figures(registry),
           http(loop),
           platform(http, {daemonSettings.platform, daemonSettings.domain}),
-          follower(loop, platform, [this](std::shared_ptr<const configuration> config) {
-              view.config = std::move(config);
-              view.ready = true;
-              publish();
-          })
+          follower(loop,
+              platform,
+              [this](std::shared_ptr<const configuration> config) {
+                  view.config = std::move(config);
+                  view.ready = true;
+                  publish();
+              }),
+          admin(loop,
+              platform,
+              {identity.id, daemonSettings.domain, daemonSettings.region, daemonSettings.operatorTokenDigest},
+              {[this] { return views.current(); },
+                  [this] { return follower.number(); },
+                  [this](const change_accepted &) {
+                      follower.readSoon();
+                  }})
     {
         self.id = identity.id;
         self.life = identity.life;
@@ -70,12 +81,15 @@
         viewChanged();
     }
 
-    http_response answer(const http_request &request) const
+    void answer(const http_request &request, const http_responder &respond)
     {
         if (request.path == "/metrics") {
-            return {.status = 200, .body = figures.text(), .contentType = "text/plain; version=0.0.4"};
+            respond({.status = 200, .body = figures.text(), .contentType = "text/plain; version=0.0.4"});
+        } else if (request.path.starts_with("/v1/admin/")) {
+            admin.handle(request, respond);
+        } else {
+            respond({.status = 404, .body = R"({"title":"no such path"})", .contentType = "application/problem+json"});
         }
-        return {.status = 404, .body = R"({"title":"no such path"})", .contentType = "application/problem+json"};
     }
 
     daemon_settings settings;
@@ -86,6 +100,7 @@
     http_client http;
     platform_client platform;
     config_follower follower;
+    operators_api admin;
     std::unique_ptr<http_server> operators;
     fleet_view view;
     std::function<void()> viewChanged = [] {
@@ -104,7 +119,7 @@
     auto &self = *m_implementation;
     BOOST_LEAF_ASSIGN(self.operators,
         http_server::listen(
-            self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { respond(self.answer(request)); }));
+            self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { self.answer(request, respond); }));
     return addresses {self.operators->address(), self.settings.control};
 }
 
--- a/Source/Request/operators_api.cxx
+++ b/Source/Request/operators_api.cxx
@@ -333,6 +333,10 @@
 
 void operators_api::serveStatus(http_responder respond)
 {
+    if (!m_daemon.askNumbers) {
+        respond(statusResponse(m_settings, m_daemon.number(), *m_daemon.view(), {}));
+        return;
+    }
     m_daemon.askNumbers([this, respond = std::move(respond)](
                             const std::vector<member_number> &members) { respond(statusResponse(m_settings, m_daemon.number(), *m_daemon.view(), members)); });
 }
--- a/Source/Request/operators_api.h
+++ b/Source/Request/operators_api.h
@@ -41,7 +41,7 @@
         std::function<std::uint64_t()> number;
         /// A change was accepted through this daemon.
         std::function<void(const change_accepted &)> accepted;
-        /// Asks all members for their numbers.
+        /// Asks all members for their numbers; may be empty, then only this daemon is known.
         std::function<void(std::function<void(std::vector<member_number>)>)> askNumbers;
     };
 
--- a/Source/Version/version.h
+++ b/Source/Version/version.h
@@ -6,6 +6,7 @@
 #include "config_builder.h"
 #include "config_mistake.h"
 #include "config_record.h"
+#include "config_spread.h"
 #include "config_writer.h"
 #include "configuration.h"
 #include "domain_states.h"
--- /dev/null
+++ b/Tests/Version/config_spread_test.cxx
@@ -0,0 +1,388 @@
+#include <Version/version.h>
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace daisystile;
+
+namespace {
+
+const monotonic_time start {};
+
+config_object objectOf(std::uint64_t index)
+{
+    return {config_kind::contract, "customer-" + std::to_string(index)};
+}
+
+/// The platform's head and records, changed as accepted changes change them.
+class accepted_changes
+{
+public:
+    void accept(const config_object &object)
+    {
+        m_head.number += 1;
+        auto &entry = m_head.entries[object];
+        const config_record record {object, {entry.version.value + 1}, {"change-" + std::to_string(m_head.number)}, entry.change, "amel", 0, "text"};
+        entry = {record.version, record.change, m_head.number};
+        m_records[recordKey(object, record.change)] = record;
+    }
+
+    const config_head &head() const
+    {
+        return m_head;
+    }
+
+    list_result list() const
+    {
+        return object_list {{{headKey, std::to_string(m_head.number), toJson(m_head)}}, m_head.number};
+    }
+
+    read_result record(const config_object &object, const change_id &change) const
+    {
+        const auto key = recordKey(object, change);
+        return platform_object {key, "1", toJson(m_records.at(key))};
+    }
+
+private:
+    config_head m_head;
+    std::map<std::string, config_record> m_records;
+};
+
+member memberOf(unsigned index)
+{
+    member one;
+    one.id.value = "daemon-" + std::to_string(index);
+    one.domain.value = index % 2 == 0 ? "sfax-port" : "sfax-medina";
+    return one;
+}
+
+/// Daemons that exchange messages which are lost and delayed, restart, and lose the platform and each other.
+class spread_fleet
+{
+public:
+    spread_fleet(unsigned count, std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (unsigned index = 0; index < count; ++index) {
+            m_members.push_back(memberOf(index));
+            m_daemons.emplace_back();
+            restart(index);
+        }
+    }
+
+    void step()
+    {
+        const auto dice = m_random() % 1000;
+        if (dice < 10) {
+            m_platform.accept(objectOf(m_random() % 20));
+        } else if (dice < 12) {
+            restart(pick());
+        } else if (dice < 14) {
+            m_platformUp = chance(2);
+        } else if (dice < 16) {
+            m_domainCut = chance(3);
+        } else if (dice < 18) {
+            m_partitioned = chance(3);
+        } else if (dice < 400) {
+            m_now += milliseconds {m_random() % 50};
+            decide(pick(), spread_tick {});
+        } else {
+            deliver();
+        }
+    }
+
+    /// Everything works again; runs for some time and expects the newest everywhere.
+    void heal(seconds time)
+    {
+        m_platformUp = true;
+        m_domainCut = false;
+        m_partitioned = false;
+        const auto end = m_now + time;
+        while (m_now < end) {
+            m_now += milliseconds {10};
+            for (unsigned index = 0; index < m_daemons.size(); ++index) {
+                decide(index, spread_tick {});
+            }
+            for (int count = 0; count < 100; ++count) {
+                deliver();
+            }
+        }
+        for (const auto &one : m_daemons) {
+            EXPECT_EQ(one.spread->number(), m_platform.head().number);
+            EXPECT_TRUE(one.spread->ready());
+            EXPECT_EQ(one.spread->records().size(), m_platform.head().entries.size());
+        }
+    }
+
+    accepted_changes &platform()
+    {
+        return m_platform;
+    }
+
+private:
+    struct daemon_state
+    {
+        std::optional<config_spread> spread;
+        unsigned life = 0;
+        bool watching = false;
+        std::uint64_t watchedAfter = 0;
+        std::map<config_object, std::uint64_t> versions;
+        std::uint64_t number = 0;
+        /// The platform's number when this life began.
+        std::uint64_t numberAtStart = 0;
+        bool ready = false;
+    };
+
+    struct message
+    {
+        unsigned to;
+        unsigned life;
+        spread_event event;
+    };
+
+    bool chance(unsigned oneIn)
+    {
+        return m_random() % oneIn == 0;
+    }
+
+    unsigned pick()
+    {
+        return static_cast<unsigned>(m_random() % m_daemons.size());
+    }
+
+    void restart(unsigned index)
+    {
+        auto &one = m_daemons[index];
+        const auto life = one.life + 1;
+        one = {};
+        one.life = life;
+        one.numberAtStart = m_platform.head().number;
+        spread_settings settings;
+        settings.updateBytes = 8;
+        one.spread.emplace(settings, m_members[index], m_random(), m_now);
+        decide(index, members_told {m_members});
+    }
+
+    bool reachesPlatform(unsigned index) const
+    {
+        return m_platformUp && !(m_domainCut && index % 2 == 0);
+    }
+
+    void decide(unsigned index, const spread_event &event)
+    {
+        auto &one = m_daemons[index];
+        const auto *listed = std::get_if<head_listed>(&event);
+        const auto *list = listed == nullptr ? nullptr : std::get_if<object_list>(&listed->result);
+        for (const auto &action : one.spread->decide(event, m_now)) {
+            std::visit([&](const auto &kind) { carryOut(index, kind); }, action);
+        }
+        check(one, list == nullptr ? 0 : list->revision);
+    }
+
+    void check(daemon_state &one, std::uint64_t listedNumber)
+    {
+        ASSERT_GE(one.spread->number(), one.number);
+        one.number = one.spread->number();
+        for (const auto &[object, record] : one.spread->records()) {
+            auto &version = one.versions[object];
+            ASSERT_GE(record->version.value, version) << "a version reverted";
+            version = record->version.value;
+        }
+        if (one.ready || !one.spread->ready()) {
+            return;
+        }
+        one.ready = true;
+        ASSERT_GE(one.spread->number(), listedNumber) << "serves although the platform told of something newer";
+        if (listedNumber > 0) {
+            ASSERT_GE(one.spread->number(), one.numberAtStart) << "serves with less than was in force when it started";
+        }
+    }
+
+    template<class Event> void send(unsigned to, Event event)
+    {
+        if (m_queue.size() < mostQueued) {
+            m_queue.push_back({to, m_daemons[to].life, std::move(event)});
+        }
+    }
+
+    unsigned indexOf(const daemon_id &id) const
+    {
+        return static_cast<unsigned>(std::stoul(id.value.substr(id.value.find('-') + 1)));
+    }
+
+    bool cut(unsigned from, unsigned to) const
+    {
+        return m_partitioned && from % 2 != to % 2;
+    }
+
+    template<class Event> void sendPeer(unsigned from, const daemon_id &to, Event event)
+    {
+        const auto index = indexOf(to);
+        if (!cut(from, index) && !chance(10)) {
+            send(index, std::move(event));
+        }
+    }
+
+    void carryOut(unsigned from, const send_digest &action)
+    {
+        sendPeer(from, action.to, digest_heard {m_members[from].id, action.digest});
+    }
+
+    void carryOut(unsigned from, const send_pull &action)
+    {
+        sendPeer(from, action.to, pull_heard {m_members[from].id, action.pull});
+    }
+
+    void carryOut(unsigned from, const send_update &action)
+    {
+        sendPeer(from, action.to, update_heard {m_members[from].id, action.update});
+    }
+
+    void carryOut(unsigned from, const list_head &)
+    {
+        send(from, head_listed {reachesPlatform(from) ? m_platform.list() : list_result(platform_unavailable {"cut"})});
+    }
+
+    void carryOut(unsigned from, const read_record &action)
+    {
+        const bool up = reachesPlatform(from);
+        send(
+            from, record_read {action.object, action.change, up ? m_platform.record(action.object, action.change) : read_result(platform_unavailable {"cut"})});
+    }
+
+    void carryOut(unsigned from, const watch_head &action)
+    {
+        m_daemons[from].watching = true;
+        m_daemons[from].watchedAfter = action.after;
+    }
+
+    void carryOut(unsigned from, const stop_watch &)
+    {
+        m_daemons[from].watching = false;
+    }
+
+    void carryOut(unsigned, const config_changed &)
+    {
+    }
+
+    void endWatch(unsigned index)
+    {
+        auto &one = m_daemons[index];
+        if (!one.watching) {
+            return;
+        }
+        if (!reachesPlatform(index)) {
+            one.watching = false;
+            send(index, watch_ended {platform_unavailable {"cut"}});
+        } else if (m_platform.head().number > one.watchedAfter) {
+            one.watching = false;
+            if (chance(5)) {
+                send(index, watch_ended {watch_compacted {}});
+                return;
+            }
+            const auto list = std::get<object_list>(m_platform.list());
+            send(index, watch_ended {watch_batch {{{list.revision, list.objects[0]}}, list.revision}});
+        }
+    }
+
+    void deliver()
+    {
+        endWatch(pick());
+        if (m_queue.empty()) {
+            return;
+        }
+        const auto chosen = m_random() % m_queue.size();
+        auto one = std::move(m_queue[chosen]);
+        m_queue[chosen] = std::move(m_queue.back());
+        m_queue.pop_back();
+        if (one.life == m_daemons[one.to].life) {
+            decide(one.to, one.event);
+        }
+    }
+
+    static constexpr std::size_t mostQueued = 5000;
+
+    std::mt19937_64 m_random;
+    monotonic_time m_now = start;
+    accepted_changes m_platform;
+    std::vector<member> m_members;
+    std::vector<daemon_state> m_daemons;
+    std::vector<message> m_queue;
+    bool m_platformUp = true;
+    bool m_domainCut = false;
+    bool m_partitioned = false;
+};
+
+template<class Action> bool holds(const std::vector<spread_action> &actions)
+{
+    return std::any_of(actions.begin(), actions.end(), [](const spread_action &action) { return std::holds_alternative<Action>(action); });
+}
+
+} // namespace
+
+TEST(config_spread, servesNobodyUntilThePlatformOrEnoughPeersToldTheNewest)
+{
+    const std::vector<member> members {memberOf(0), memberOf(1), memberOf(2), memberOf(3)};
+    config_spread spread({}, members[0], 1, start);
+    spread.decide(members_told {members}, start);
+    EXPECT_TRUE(holds<list_head>(spread.decide(spread_tick {}, start)));
+    spread.decide(head_listed {platform_unavailable {"down"}}, start);
+    for (unsigned peer = 1; peer <= 2; ++peer) {
+        spread.decide(digest_heard {members[peer].id, {0, true}}, start);
+    }
+    spread.decide(digest_heard {members[3].id, {0, false}}, start);
+    const auto late = start + seconds {3};
+    spread.decide(spread_tick {}, late);
+    EXPECT_FALSE(spread.ready()) << "a peer that does not serve itself was counted";
+    spread.decide(digest_heard {members[3].id, {1, true}}, late);
+    EXPECT_FALSE(spread.ready()) << "a peer knows something newer";
+    spread.decide(update_heard {members[3].id, {0, 1, {{{objectOf(1), {1}, {"c"}, {}, "amel", 0, "text"}, 1}}}}, late);
+    EXPECT_TRUE(spread.ready());
+}
+
+TEST(config_spread, choosesTwoWatchersInEachFailureDomain)
+{
+    std::vector<member> members;
+    for (unsigned index = 0; index < 40; ++index) {
+        members.push_back(memberOf(index));
+    }
+    std::map<std::string, unsigned> watchers;
+    for (const auto &one : members) {
+        config_spread spread({}, one, 1, start);
+        spread.decide(members_told {members}, start);
+        watchers[one.domain.value] += spread.watches() ? 1 : 0;
+    }
+    EXPECT_EQ(watchers["sfax-port"], 2U);
+    EXPECT_EQ(watchers["sfax-medina"], 2U);
+}
+
+TEST(config_spread, takesNothingThatLeavesAGapOrIsOlder)
+{
+    config_spread spread({}, memberOf(0), 1, start);
+    const config_change change {{objectOf(1), {5}, {"c"}, {}, "amel", 0, "text"}, 9};
+    spread.decide(update_heard {memberOf(1).id, {4, 9, {change}}}, start);
+    EXPECT_EQ(spread.number(), 0U);
+    spread.decide(update_heard {memberOf(1).id, {0, 9, {change}}}, start);
+    EXPECT_EQ(spread.number(), 9U);
+    auto older = change;
+    older.record.version.value = 4;
+    older.number = 8;
+    spread.decide(update_heard {memberOf(1).id, {0, 8, {older}}}, start);
+    EXPECT_EQ(spread.records().at(objectOf(1))->version.value, 5U);
+}
+
+TEST(config_spread, neverRevertsAndReachesAllThroughFaultsAndRestarts)
+{
+    constexpr std::uint64_t firstSeed = 11;
+    constexpr std::uint64_t lastSeed = 14;
+    constexpr int stepsPerSeed = 100000;
+    for (auto seed = firstSeed; seed <= lastSeed; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        spread_fleet fleet(8, seed);
+        for (int step = 0; step < stepsPerSeed && !HasFatalFailure(); ++step) {
+            fleet.step();
+        }
+        fleet.heal(seconds {5});
+    }
+}
