Request: Spread configuration between daemons

Cause: every daemon polled the platform four times a second, and one cut off from it learned nothing.

--- a/Source/Connection/control_messages.h
+++ b/Source/Connection/control_messages.h
@@ -141,8 +141,17 @@
     }
 };
 
+/// Asks how new the receiver's configuration is; a config_digest answers.
+struct config_question
+{
+    template<class Archive> void serialize(Archive &)
+    {
+    }
+};
+
 /// Everything that daemons say over UDP; new kinds go to the end.
-using control_message = std::variant<probe, probe_answer, indirect_probe, table_request, table_part, lease_request, lease_answer, lease_release>;
+using control_message =
+    std::variant<probe, probe_answer, indirect_probe, table_request, table_part, lease_request, lease_answer, lease_release, config_digest, config_question>;
 
 /// One datagram between daemons.
 struct control_datagram
--- a/Source/Connection/peer_messages.h
+++ b/Source/Connection/peer_messages.h
@@ -282,6 +282,8 @@
     guard_answer,
     quarantine_notice,
     share_report,
-    share_grant>;
+    share_grant,
+    config_pull,
+    config_update>;
 
 } // namespace daisystile
--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -1,6 +1,7 @@
 #include "control_runtime.h"
 
-#include "config_follower.h"
+#include "config_shell.h"
+#include "number_survey.h"
 #include "operators_api.h"
 
 #include <algorithm>
@@ -21,6 +22,13 @@
     return result;
 }
 
+static bool sameMembers(const std::vector<member> &left, const std::vector<member> &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const member &one, const member &other) {
+        return one.id == other.id && one.domain == other.domain && one.traffic == other.traffic && one.control == other.control && one.state == other.state;
+    });
+}
+
 struct control_runtime::implementation
 {
     implementation(const daemon_settings &daemonSettings, const peer_identity &identity, view_publisher &publisher, metrics &registry)
@@ -29,26 +37,110 @@
           figures(registry),
           http(loop),
           platform(http, {daemonSettings.platform, daemonSettings.domain}),
-          follower(loop,
-              platform,
-              [this](std::shared_ptr<const configuration> config) {
-                  view.config = std::move(config);
-                  view.ready = true;
-                  publish();
-              }),
-          admin(loop,
-              platform,
-              {identity.id, daemonSettings.domain, daemonSettings.region, daemonSettings.operatorTokenDigest},
-              {[this] { return views.current(); },
-                  [this] { return follower.number(); },
-                  [this](const change_accepted &) {
-                      follower.readSoon();
-                  }})
+          survey(loop, [this](const daemon_id &to) { sendDatagram(to, config_question {}); }),
+          admin(loop, platform, {identity.id, daemonSettings.domain, daemonSettings.region, daemonSettings.operatorTokenDigest}, adminCallbacks())
     {
         self.id = identity.id;
         self.life = identity.life;
         self.domain = daemonSettings.domain;
         self.region = daemonSettings.region;
+        config = std::make_unique<config_shell>(loop, platform, self, configCallbacks());
+    }
+
+    operators_api::callbacks adminCallbacks()
+    {
+        operators_api::callbacks daemon;
+        daemon.view = [this] {
+            return views.current();
+        };
+        daemon.number = [this] {
+            return config->digest().number;
+        };
+        daemon.accepted = [this](const change_accepted &change) {
+            config->decide(change_made {change.head});
+        };
+        daemon.askNumbers = [this](std::function<void(std::vector<member_number>)> done) {
+            survey.start(others(), std::move(done));
+        };
+        return daemon;
+    }
+
+    config_shell::callbacks configCallbacks()
+    {
+        config_shell::callbacks daemon;
+        daemon.changed = [this](std::shared_ptr<const configuration> newest, bool ready) {
+            view.config = std::move(newest);
+            view.ready = ready;
+            publish();
+        };
+        daemon.sendDigest = [this](const daemon_id &to, const config_digest &digest) {
+            sendDatagram(to, digest);
+        };
+        daemon.sendPeer = [this](const daemon_id &to, const peer_message &message) {
+            peers->send(to, message);
+        };
+        return daemon;
+    }
+
+    /// UDP and TCP on the same port.
+    leaf::result<ip_address> listenControl()
+    {
+        BOOST_LEAF_ASSIGN(datagrams, datagram_socket::open(loop, settings.control, [this](const ip_address &, std::string_view bytes) { receive(bytes); }));
+        peer_network::callbacks notify;
+        notify.message = [this](const peer_identity &from, const peer_message &message) {
+            receive(from.id, message);
+        };
+        notify.lost = [](const peer_loss &) {
+        };
+        peers = std::make_unique<peer_network>(loop, peer_credentials {{self.id, self.life}, settings.peerKey}, std::move(notify));
+        return peers->listen(datagrams->address());
+    }
+
+    void sendDatagram(const daemon_id &to, const control_message &message)
+    {
+        for (const auto &one : view.members) {
+            if (one.id == to) {
+                datagrams->send(one.control, encodeControlDatagram({self.id, self.life, {}, {}, message}, settings.peerKey));
+            }
+        }
+    }
+
+    // What is not signed with the fleet's key, or can't be read, is dropped.
+    void receive(std::string_view bytes)
+    {
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(datagram, decodeControlDatagram(bytes, settings.peerKey));
+                receive(datagram);
+                return {};
+            },
+            [] {});
+    }
+
+    void receive(const control_datagram &datagram)
+    {
+        if (const auto *digest = std::get_if<config_digest>(&datagram.message)) {
+            survey.heard(datagram.sender, digest->number);
+            config->decide(digest_heard {datagram.sender, *digest});
+        } else if (std::holds_alternative<config_question>(datagram.message)) {
+            sendDatagram(datagram.sender, config->digest());
+        }
+    }
+
+    void receive(const daemon_id &from, const peer_message &message)
+    {
+        if (const auto *pull = std::get_if<config_pull>(&message)) {
+            config->decide(pull_heard {from, *pull});
+        } else if (const auto *update = std::get_if<config_update>(&message)) {
+            config->decide(update_heard {from, *update});
+        }
+    }
+
+    std::vector<member> others() const
+    {
+        auto members = view.members;
+        std::erase_if(members, [this](const member &one) { return one.id == self.id; });
+        return members;
     }
 
     void readHosts()
@@ -70,8 +162,19 @@
             }
         }
         std::sort(members.begin(), members.end(), [](const member &left, const member &right) { return left.id < right.id; });
+        if (sameMembers(members, view.members)) {
+            return;
+        }
+        std::vector<peer_address> addresses;
+        for (const auto &one : members) {
+            if (one.id != self.id) {
+                addresses.push_back({one.id, one.control});
+            }
+        }
+        peers->setPeers(addresses);
         view.members = std::move(members);
         publish();
+        config->decide(members_told {view.members});
     }
 
     void publish()
@@ -99,7 +202,10 @@
     reactor loop;
     http_client http;
     platform_client platform;
-    config_follower follower;
+    std::unique_ptr<datagram_socket> datagrams;
+    std::unique_ptr<peer_network> peers;
+    std::unique_ptr<config_shell> config;
+    number_survey survey;
     operators_api admin;
     std::unique_ptr<http_server> operators;
     fleet_view view;
@@ -120,17 +226,18 @@
     BOOST_LEAF_ASSIGN(self.operators,
         http_server::listen(
             self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { self.answer(request, respond); }));
-    return addresses {self.operators->address(), self.settings.control};
+    BOOST_LEAF_AUTO(control, self.listenControl());
+    self.self.control = control;
+    return addresses {self.operators->address(), control};
 }
 
 void control_runtime::start(const ip_address &traffic, std::function<void()> viewChanged)
 {
     auto &self = *m_implementation;
     self.self.traffic = traffic;
-    self.self.control = self.settings.control;
     self.viewChanged = std::move(viewChanged);
     self.view.members = {self.self};
-    self.follower.start();
+    self.config->start();
     self.readHosts();
 }
 
--- /dev/null
+++ b/Source/Request/number_survey.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "operators_api.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace daisystile {
+
+/// Asks all members how new their configuration is, on an operator's request only.
+class number_survey
+{
+public:
+    using send_function = std::function<void(const daemon_id &)>;
+
+    number_survey(reactor &loop, send_function ask);
+
+    /// Calls back once, when all have answered or the time to wait for them is over.
+    void start(const std::vector<member> &members, std::function<void(std::vector<member_number>)> done);
+    void heard(const daemon_id &from, std::uint64_t number);
+
+private:
+    struct survey
+    {
+        std::map<daemon_id, member_number> numbers;
+        std::size_t missing = 0;
+        std::function<void(std::vector<member_number>)> done;
+    };
+
+    static void finish(survey &one);
+
+    reactor &m_loop;
+    send_function m_ask;
+    std::vector<std::shared_ptr<survey>> m_running;
+};
+
+} // namespace daisystile
