--- a/Source/Connection/connection.h
+++ b/Source/Connection/connection.h
@@ -8,6 +8,7 @@
 #include "control_messages.h"
 #include "datagram_socket.h"
 #include "execute_runner.h"
+#include "fleet_member.h"
 #include "frame_reader.h"
 #include "member_table.h"
 #include "membership.h"
@@ -20,4 +21,5 @@
 #include "send_check.h"
 #include "server_owner.h"
 #include "slot_gate.h"
+#include "slot_keeper.h"
 #include "slot_queue.h"
--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -4,30 +4,12 @@
 #include "number_survey.h"
 #include "operators_api.h"
 
-#include <algorithm>
-
 namespace daisystile {
 
 static constexpr milliseconds hostsInterval {500};
-
-static member memberOf(const platform_host &host)
-{
-    member result;
-    result.id = host.id;
-    result.domain = host.domain;
-    result.region = host.region;
-    result.traffic = host.traffic;
-    result.control = host.control;
-    result.state = host.leaving ? member_state::leaving : member_state::alive;
-    return result;
-}
-
-static bool sameMembers(const std::vector<member> &left, const std::vector<member> &right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const member &one, const member &other) {
-        return one.id == other.id && one.domain == other.domain && one.traffic == other.traffic && one.control == other.control && one.state == other.state;
-    });
-}
+// A fleet that starts as a whole has owners for its servers only after this.
+static constexpr milliseconds settleTime {2500};
+static constexpr milliseconds releaseCheckInterval {20};
 
 struct control_runtime::implementation
 {
@@ -37,8 +19,9 @@
           figures(registry),
           http(loop),
           platform(http, {daemonSettings.platform, daemonSettings.domain}),
-          survey(loop, [this](const daemon_id &to) { sendDatagram(to, config_question {}); }),
-          admin(loop, platform, {identity.id, daemonSettings.domain, daemonSettings.region, daemonSettings.operatorTokenDigest}, adminCallbacks())
+          survey(loop, [this](const daemon_id &to) { fleet.send(to, config_question {}); }),
+          admin(loop, platform, {identity.id, daemonSettings.domain, daemonSettings.region, daemonSettings.operatorTokenDigest}, adminCallbacks()),
+          fleet(loop, daemonSettings, registry, fleetCallbacks())
     {
         self.id = identity.id;
         self.life = identity.life;
@@ -54,7 +37,7 @@
             return views.current();
         };
         daemon.number = [this] {
-            return config->digest().number;
+            return config->number();
         };
         daemon.accepted = [this](const change_accepted &change) {
             config->decide(change_made {change.head});
@@ -70,11 +53,11 @@
         config_shell::callbacks daemon;
         daemon.changed = [this](std::shared_ptr<const configuration> newest, bool ready) {
             view.config = std::move(newest);
-            view.ready = ready;
+            configured = ready;
             publish();
         };
         daemon.sendDigest = [this](const daemon_id &to, const config_digest &digest) {
-            sendDatagram(to, digest);
+            fleet.send(to, digest);
         };
         daemon.sendPeer = [this](const daemon_id &to, const peer_message &message) {
             peers->send(to, message);
@@ -82,10 +65,9 @@
         return daemon;
     }
 
-    /// UDP and TCP on the same port.
-    leaf::result<ip_address> listenControl()
+    // TCP on the port that datagrams use.
+    leaf::result<void> listenForPulls()
     {
-        BOOST_LEAF_ASSIGN(datagrams, datagram_socket::open(loop, settings.control, [this](const ip_address &, std::string_view bytes) { receive(bytes); }));
         peer_network::callbacks notify;
         notify.message = [this](const peer_identity &from, const peer_message &message) {
             receive(from.id, message);
@@ -93,37 +75,17 @@
         notify.lost = [](const peer_loss &) {
         };
         peers = std::make_unique<peer_network>(loop, peer_credentials {{self.id, self.life}, settings.peerKey}, std::move(notify));
-        return peers->listen(datagrams->address());
-    }
-
-    void sendDatagram(const daemon_id &to, const control_message &message)
-    {
-        for (const auto &one : view.members) {
-            if (one.id == to) {
-                datagrams->send(one.control, encodeControlDatagram({self.id, self.life, {}, {}, message}, settings.peerKey));
-            }
-        }
-    }
-
-    // What is not signed with the fleet's key, or can't be read, is dropped.
-    void receive(std::string_view bytes)
-    {
-        leaf::try_handle_all(
-            [&]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(datagram, decodeControlDatagram(bytes, settings.peerKey));
-                receive(datagram);
-                return {};
-            },
-            [] {});
+        BOOST_LEAF_CHECK(peers->listen(controlAddress));
+        return {};
     }
 
-    void receive(const control_datagram &datagram)
+    void receive(const daemon_id &from, const control_message &message)
     {
-        if (const auto *digest = std::get_if<config_digest>(&datagram.message)) {
-            survey.heard(datagram.sender, digest->number);
-            config->decide(digest_heard {datagram.sender, *digest});
-        } else if (std::holds_alternative<config_question>(datagram.message)) {
-            sendDatagram(datagram.sender, config->digest());
+        if (const auto *digest = std::get_if<config_digest>(&message)) {
+            survey.heard(from, digest->number);
+            config->decide(digest_heard {from, *digest});
+        } else if (std::holds_alternative<config_question>(message)) {
+            fleet.send(from, config->digest());
         }
     }
 
@@ -143,6 +105,38 @@
         return members;
     }
 
+    void adoptMembers(std::vector<member> members)
+    {
+        std::vector<peer_address> addresses;
+        for (const auto &one : members) {
+            if (one.id != self.id) {
+                addresses.push_back({one.id, one.control});
+            }
+        }
+        peers->setPeers(addresses);
+        view.members = std::move(members);
+        publish();
+        config->decide(members_told {view.members});
+    }
+
+    fleet_member::callbacks fleetCallbacks()
+    {
+        fleet_member::callbacks notify;
+        notify.membersChanged = [this](std::vector<member> members) {
+            adoptMembers(std::move(members));
+        };
+        notify.message = [this](const daemon_id &from, const control_message &message) {
+            receive(from, message);
+        };
+        notify.leaseChanged = [this](const lease_change &change) {
+            follow.leaseChanged(change);
+        };
+        notify.superseded = [this] {
+            follow.superseded();
+        };
+        return notify;
+    }
+
     void readHosts()
     {
         platform.hosts([this](const host_result &result) {
@@ -153,35 +147,35 @@
         });
     }
 
+    // The list lags: it only says where other daemons may be found.
     void adoptHosts(const std::vector<platform_host> &hosts)
     {
-        std::vector<member> members {self};
+        std::vector<listed_host> listed;
         for (const auto &host : hosts) {
-            if (host.id != self.id) {
-                members.push_back(memberOf(host));
-            }
+            listed.push_back({host.control, host.leaving});
         }
-        std::sort(members.begin(), members.end(), [](const member &left, const member &right) { return left.id < right.id; });
-        if (sameMembers(members, view.members)) {
+        fleet.setHosts(std::move(listed));
+    }
+
+    // Leaving is over when the servers have been given up, or their leases have ended.
+    void waitForRelease(const std::function<void()> &left, monotonic_time until)
+    {
+        if (fleet.holdsServers() && loop.now() < until) {
+            loop.after(releaseCheckInterval, [this, left, until] { waitForRelease(left, until); });
             return;
         }
-        std::vector<peer_address> addresses;
-        for (const auto &one : members) {
-            if (one.id != self.id) {
-                addresses.push_back({one.id, one.control});
-            }
-        }
-        peers->setPeers(addresses);
-        view.members = std::move(members);
-        publish();
-        config->decide(members_told {view.members});
+        fleet.finishLeaving();
+        left();
     }
 
     void publish()
     {
         view.number += 1;
-        views.publish(std::make_shared<const fleet_view>(view));
-        viewChanged();
+        view.ready = configured && settled;
+        const auto published = std::make_shared<const fleet_view>(view);
+        views.publish(published);
+        follow.viewChanged();
+        fleet.setView(published);
     }
 
     void answer(const http_request &request, const http_responder &respond)
@@ -202,15 +196,17 @@
     reactor loop;
     http_client http;
     platform_client platform;
-    std::unique_ptr<datagram_socket> datagrams;
-    std::unique_ptr<peer_network> peers;
     std::unique_ptr<config_shell> config;
+    std::unique_ptr<peer_network> peers;
     number_survey survey;
     operators_api admin;
     std::unique_ptr<http_server> operators;
     fleet_view view;
-    std::function<void()> viewChanged = [] {
-    };
+    fleet_member fleet;
+    ip_address controlAddress;
+    followers follow;
+    bool configured = false;
+    bool settled = false;
 };
 
 control_runtime::control_runtime(const daemon_settings &settings, const peer_identity &self, view_publisher &views, metrics &registry)
@@ -226,24 +222,41 @@
     BOOST_LEAF_ASSIGN(self.operators,
         http_server::listen(
             self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { self.answer(request, respond); }));
-    BOOST_LEAF_AUTO(control, self.listenControl());
-    self.self.control = control;
-    return addresses {self.operators->address(), control};
+    BOOST_LEAF_ASSIGN(self.controlAddress, self.fleet.listen());
+    BOOST_LEAF_CHECK(self.listenForPulls());
+    return addresses {self.operators->address(), self.controlAddress};
 }
 
-void control_runtime::start(const ip_address &traffic, std::function<void()> viewChanged)
+void control_runtime::start(const ip_address &traffic, followers follow)
 {
     auto &self = *m_implementation;
     self.self.traffic = traffic;
-    self.viewChanged = std::move(viewChanged);
-    self.view.members = {self.self};
+    self.self.control = self.controlAddress;
+    self.follow = std::move(follow);
+    self.fleet.setHosts({});
+    self.fleet.start(self.self);
+    self.loop.after(settleTime, [&self] {
+        self.settled = true;
+        self.publish();
+    });
     self.config->start();
     self.readHosts();
 }
 
-void control_runtime::announceLeaving()
+void control_runtime::serverQuiet(const server_quiet &quiet)
 {
-    m_implementation->self.state = member_state::leaving;
+    m_implementation->loop.post([this, quiet] { m_implementation->fleet.serverQuiet(quiet); });
+}
+
+void control_runtime::startLeaving()
+{
+    m_implementation->fleet.startLeaving();
+}
+
+void control_runtime::finishLeaving(const std::function<void()> &left)
+{
+    auto &self = *m_implementation;
+    self.waitForRelease(left, self.loop.now() + self.settings.ownershipLease);
 }
 
 reactor &control_runtime::loop()
