--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -10,6 +10,7 @@
 // A fleet that starts as a whole has owners for its servers only after this.
 static constexpr milliseconds settleTime {2500};
 static constexpr milliseconds releaseCheckInterval {20};
+static constexpr unsigned portAttempts = 16;
 
 struct control_runtime::implementation
 {
@@ -65,6 +66,19 @@
         return daemon;
     }
 
+    // The system gives a free UDP port, on which TCP may be taken; then another is asked for.
+    leaf::result<void> listenControl()
+    {
+        const unsigned attempts = settings.control.port == 0 ? portAttempts : 1;
+        for (unsigned attempt = 1;; ++attempt) {
+            BOOST_LEAF_ASSIGN(controlAddress, fleet.listen());
+            auto opened = listenForPulls();
+            if (opened || attempt == attempts) {
+                return opened;
+            }
+        }
+    }
+
     // TCP on the port that datagrams use.
     leaf::result<void> listenForPulls()
     {
@@ -222,8 +236,7 @@
     BOOST_LEAF_ASSIGN(self.operators,
         http_server::listen(
             self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { self.answer(request, respond); }));
-    BOOST_LEAF_ASSIGN(self.controlAddress, self.fleet.listen());
-    BOOST_LEAF_CHECK(self.listenForPulls());
+    BOOST_LEAF_CHECK(self.listenControl());
     return addresses {self.operators->address(), self.controlAddress};
 }
 
