--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -122,6 +122,7 @@
     void adoptMembers(std::vector<member> members)
     {
         std::vector<peer_address> addresses;
+        addresses.reserve(members.size());
         for (const auto &one : members) {
             if (one.id != self.id) {
                 addresses.push_back({one.id, one.control});
