--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -1,5 +1,6 @@
 #include "traffic_runtime.h"
 
+#include "burn_service.h"
 #include "callers_api.h"
 #include "coordinator.h"
 #include "execute_service.h"
@@ -21,6 +22,7 @@
               {[this](const peer_identity &from, peer_message message) { receive(from, std::move(message)); },
                   [this](const peer_loss &loss) {
                       queries.peerLost(loss);
+                      burn.peerLost(loss);
                       executes.peerLost(loss);
                   }}),
           owner(
@@ -34,6 +36,7 @@
           platform(platformHttp, {daemonSettings.platform, daemonSettings.domain}),
           runner(loop, runnerCallbacks()),
           executes(loop, platform, identity, executeTransport()),
+          burn(loop, identity.id, [this](const daemon_id &to, const peer_message &message) { return network.send(to, message); }),
           callers(loop, services(), registry),
           figures(registry)
     {
@@ -96,6 +99,9 @@
         uses.metricsText = [this] {
             return figures.text();
         };
+        uses.ended = [this](const ended_request &request, const contract &terms) {
+            burn.ended(request, terms);
+        };
         uses.admit = [this](const std::shared_ptr<const contract> &terms, milliseconds wait, admission_callback done) {
             limits.admit(terms, wait, std::move(done));
         };
@@ -125,6 +131,16 @@
         queries.receive(std::move(answer));
     }
 
+    void take(const peer_identity &from, const burn_request &request)
+    {
+        burn.receive(from.id, request);
+    }
+
+    void take(const peer_identity &from, const burn_reply &reply)
+    {
+        burn.receive(from.id, reply);
+    }
+
     void take(const peer_identity &from, execute_request &request)
     {
         if (request.server.value.empty()) {
@@ -203,6 +219,7 @@
         executes.setView(view, owners);
         limits.setView(view);
         callers.setView(view);
+        burn.setView(view);
     }
 
     void checkDrained(const std::function<void()> &drained)
@@ -230,6 +247,7 @@
     platform_client platform;
     execute_runner runner;
     execute_service executes;
+    burn_service burn;
     callers_api callers;
     metrics &figures;
     std::unique_ptr<http_server> server;
@@ -270,6 +288,11 @@
     m_implementation->loop.post([this] { m_implementation->adoptView(); });
 }
 
+void traffic_runtime::reportBurn(std::function<void(burn_report)> done)
+{
+    m_implementation->loop.post([this, done = std::move(done)] { m_implementation->burn.report(done); });
+}
+
 void traffic_runtime::leaseChanged(const lease_change &change)
 {
     m_implementation->loop.post([this, change] { m_implementation->owner.change(change); });
