--- a/Source/Connection/fleet_member.h
+++ b/Source/Connection/fleet_member.h
@@ -22,6 +22,8 @@
         /// Other members, or other states of theirs; in order of their ids, this daemon included.
         std::function<void(std::vector<member>)> membersChanged;
         std::function<void(const lease_change &)> leaseChanged;
+        /// A message of another part, such as a config_digest.
+        std::function<void(const daemon_id &, const control_message &)> message;
         /// A later life of this daemon's id runs; this one must stop.
         std::function<void()> superseded;
     };
@@ -36,6 +38,9 @@
     /// Joins the fleet; the control address of self is the one that others reach.
     void start(member self);
 
+    /// Sends to a known member; a message to another is dropped.
+    void send(const daemon_id &to, control_message message);
+
     void setHosts(std::vector<listed_host> hosts);
     /// Takes the servers and members of a published view.
     void setView(std::shared_ptr<const fleet_view> view);
