Request: Serve burn report and gate traces under the operators' API

Cause: both were recorded, but no path led to them; the tool got 404. Change: the daemon adds report/burn and trace/gate to the operators' API.

--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -278,4 +278,9 @@
     return m_implementation->loop;
 }
 
+void control_runtime::addOperatorsPath(const std::string &path, http_handler handler)
+{
+    m_implementation->admin.add(path, std::move(handler));
+}
+
 } // namespace daisystile
--- a/Source/Request/control_runtime.h
+++ b/Source/Request/control_runtime.h
@@ -47,6 +47,9 @@
 
     reactor &loop();
 
+    /// Adds a path below /v1/admin/ that another part serves.
+    void addOperatorsPath(const std::string &path, http_handler handler);
+
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/Source/Request/daemon_process.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -1,6 +1,8 @@
 #include "daemon_process.h"
 
+#include "burn_endpoint.h"
 #include "control_runtime.h"
+#include "trace_endpoint.h"
 #include "traffic_runtime.h"
 
 namespace daisystile {
@@ -23,6 +25,17 @@
     {
     }
 
+    // What the traffic thread knows is shown by the operators' API on the control thread.
+    void addOperatorsPaths()
+    {
+        control.addOperatorsPath(
+            "report/burn", burnReportHandler(control.loop(), [this](std::function<void(burn_report)> done) { traffic.reportBurn(std::move(done)); }));
+        control.addOperatorsPath(
+            "trace/gate", gateTraceHandler(control.loop(), [this](backend_server_id server, std::function<void(std::optional<std::string>)> done) {
+                traffic.gateTrace(std::move(server), std::move(done));
+            }));
+    }
+
     // A second signal changes nothing: what runs is finished all the same.
     void shutDown()
     {
@@ -61,6 +74,7 @@
 leaf::result<daemon_addresses> daemon_process::listen()
 {
     auto &self = *m_implementation;
+    self.addOperatorsPaths();
     BOOST_LEAF_AUTO(control, self.control.listen());
     BOOST_LEAF_AUTO(traffic, self.traffic.listen());
     self.trafficAddress = traffic.traffic;
--- /dev/null
+++ b/Source/Request/trace_endpoint.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <Connection/connection.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace daisystile {
+
+/// Fetches what was recorded of a backend server's gate; may call back from another thread.
+using gate_trace_source = std::function<void(backend_server_id, std::function<void(std::optional<std::string>)>)>;
+
+/// Serves GET .../trace/gate?server=ID as text; answers on the loop's thread.
+http_handler gateTraceHandler(reactor &loop, gate_trace_source fetch);
+
+} // namespace daisystile
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -293,8 +293,7 @@
 
 void traffic_runtime::gateTrace(backend_server_id server, std::function<void(std::optional<std::string>)> done)
 {
-    m_implementation->loop.post(
-        [this, server = std::move(server), done = std::move(done)] { done(m_implementation->owner.slots().traceOf(server)); });
+    m_implementation->loop.post([this, server = std::move(server), done = std::move(done)] { done(m_implementation->owner.slots().traceOf(server)); });
 }
 
 void traffic_runtime::reportBurn(std::function<void(burn_report)> done)
