Request: Learn stragglers from unanswered attempts and keep budget for retries

Cause: hedged attempts at a straggler are cancelled, so its owner never reported it slow and replicas were not changed; hedges at the 95th percentile used the whole budget, and retries of shed requests found none, which cost coverage. Change: a coordinator notes the time of attempts that are overdue or cancelled; hedges start at the 99th percentile, between two and four medians, and leave a reserve of 20 attempts; the budget saves up 50 attempts instead of 200; reports of load halve in 2 s.

--- a/Source/Request/extra_load_budget.cxx
+++ b/Source/Request/extra_load_budget.cxx
@@ -5,7 +5,8 @@
 namespace daisystile {
 
 // Unused budget above this is lost, so that a long calm can't pay for a flood of retries.
-static constexpr double largestBudget = 200;
+static constexpr double largestBudget = 50;
+static constexpr double retryReserve = 20;
 
 void extra_load_budget::firstAttempts(std::size_t count, double share)
 {
@@ -22,6 +23,11 @@
     return true;
 }
 
+bool extra_load_budget::takeForHedge()
+{
+    return m_available >= retryReserve + 1 && take();
+}
+
 double extra_load_budget::available() const
 {
     return m_available;
--- a/Source/Request/extra_load_budget.h
+++ b/Source/Request/extra_load_budget.h
@@ -10,8 +10,10 @@
 public:
     /// First attempts add their share.
     void firstAttempts(std::size_t count, double share);
-    /// False, and nothing taken, when the budget holds less.
+    /// For retries. False, and nothing taken, when the budget holds less.
     bool take(std::size_t count = 1);
+    /// For one hedge; leaves a reserve, as a retry may save a shard's coverage and a hedge only its time.
+    bool takeForHedge();
     double available() const;
 
 private:
--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -233,6 +233,7 @@
             if (attempt.open) {
                 close(index, attempt);
                 recordLatency(attempt);
+                noteSlow(attempt);
                 m_actions.emplace_back(cancel_attempt {index, attempt.number, attempt.server});
             }
         }
@@ -244,6 +245,12 @@
         m_serving.latencies.add(std::chrono::duration_cast<microseconds>(m_now - attempt.sentAt));
     }
 
+    // A straggler whose attempts are all cancelled would never be reported slow.
+    void noteSlow(const attempt_state &attempt)
+    {
+        m_serving.loads.noteSlow(attempt.server, std::chrono::duration_cast<microseconds>(m_now - attempt.sentAt), m_now);
+    }
+
     void takeResult(shard_answer &answer, const attempt_state &attempt)
     {
         if (answer.snapshot != m_state.snapshot || answer.mapVersion != m_state.index->catalogue->mapVersion) {
@@ -523,6 +530,7 @@
             if (due > m_now) {
                 next = std::min(next, due);
             } else {
+                noteSlow(shard.attempts[shard.attemptCount - 1]);
                 hedge({i}, delay);
             }
         }
@@ -532,7 +540,7 @@
     void hedge(shard_index shard, microseconds delay)
     {
         const auto server = nextServer(shard);
-        if (server && hedgeWorthwhile(m_serving, *server, delay, m_now) && m_budget.take()) {
+        if (server && hedgeWorthwhile(m_serving, *server, delay, m_now) && m_budget.takeForHedge()) {
             sendExtra(shard);
         }
     }
--- a/Source/Request/server_loads.cxx
+++ b/Source/Request/server_loads.cxx
@@ -5,7 +5,7 @@
 namespace daisystile {
 
 // A report loses half of its weight in each such time, so that a server once slow is tried again.
-static constexpr milliseconds reportHalfLife {1000};
+static constexpr milliseconds reportHalfLife {2000};
 static constexpr microseconds unknownLatency {500};
 static constexpr int mostHalvings = 20;
 
@@ -37,6 +37,17 @@
     record.reported = true;
 }
 
+void server_loads::noteSlow(server_number server, microseconds elapsed, monotonic_time now)
+{
+    auto &record = m_servers[server.value];
+    const auto latency = static_cast<std::uint32_t>(elapsed.count());
+    if (latency > record.load.latencyUs) {
+        record.load.latencyUs = latency;
+        record.reportedAt = now;
+        record.reported = true;
+    }
+}
+
 void server_loads::started(server_number server)
 {
     m_servers[server.value].outstanding += 1;
--- a/Source/Request/server_loads.h
+++ b/Source/Request/server_loads.h
@@ -23,6 +23,8 @@
 
     /// Takes in what an owner sent with an answer.
     void report(server_number server, const server_load &load, monotonic_time now);
+    /// An attempt that has taken so long is not answered yet; a report of less no longer counts.
+    void noteSlow(server_number server, microseconds elapsed, monotonic_time now);
     void started(server_number server);
     void ended(server_number server);
     /// Nothing is sent there until the time, if another replica can be had.
--- a/Source/Request/serving_state.cxx
+++ b/Source/Request/serving_state.cxx
@@ -5,11 +5,13 @@
 namespace daisystile {
 
 static constexpr microseconds fixedHedgeDelay {20'000};
-static constexpr double hedgeQuantile = 0.95;
+// Hedges beyond it stay well below the usual budget, which is then there for real stragglers.
+static constexpr double hedgeQuantile = 0.99;
 // Fewer latencies than this say nothing about the quantile.
 static constexpr std::uint64_t fewestLatencies = 64;
 static constexpr microseconds shortestHedgeDelay {1000};
 // When many servers straggle the quantile is their own latency; the median still shows what is usual.
+static constexpr int shortestDelayInMedians = 2;
 static constexpr int longestDelayInMedians = 4;
 
 void adoptCatalogue(serving_state &serving, std::shared_ptr<const service> catalogue)
@@ -28,7 +30,8 @@
     if (latencies.count() < fewestLatencies) {
         return fixedHedgeDelay;
     }
-    const auto delay = std::min(latencies.quantile(hedgeQuantile), latencies.quantile(0.5) * longestDelayInMedians);
+    const auto median = latencies.quantile(0.5);
+    const auto delay = std::clamp(latencies.quantile(hedgeQuantile), median * shortestDelayInMedians, median * longestDelayInMedians);
     return std::max(delay, shortestHedgeDelay);
 }
 
