--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -2,6 +2,7 @@
 
 /// Public header of the request library: admission, fan-out, hedging, merging, the callers' interface.
 
+#include "burn_endpoint.h"
 #include "burn_html.h"
 #include "burn_json.h"
 #include "burn_recorder.h"
@@ -18,6 +19,8 @@
 #include "daemon_process.h"
 #include "extra_load_budget.h"
 #include "keeper_choice.h"
+#include "operators_api.h"
+#include "operators_json.h"
 #include "query_decision.h"
 #include "query_state.h"
 #include "recent_latencies.h"
