--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -1,6 +1,8 @@
 #include "control_runtime.h"
 
-#include "config_follower.h"
+#include "config_shell.h"
+#include "number_survey.h"
+#include "operators_api.h"
 
 namespace daisystile {
 
@@ -8,6 +10,7 @@
 // A fleet that starts as a whole has owners for its servers only after this.
 static constexpr milliseconds settleTime {2500};
 static constexpr milliseconds releaseCheckInterval {20};
+static constexpr unsigned portAttempts = 16;
 
 struct control_runtime::implementation
 {
@@ -17,27 +20,128 @@
           figures(registry),
           http(loop),
           platform(http, {daemonSettings.platform, daemonSettings.domain}),
-          follower(loop,
-              platform,
-              [this](std::shared_ptr<const configuration> config) {
-                  view.config = std::move(config);
-                  configured = true;
-                  publish();
-              }),
+          survey(loop, [this](const daemon_id &to) { fleet.send(to, config_question {}); }),
+          admin(loop, platform, {identity.id, daemonSettings.domain, daemonSettings.region, daemonSettings.operatorTokenDigest}, adminCallbacks()),
           fleet(loop, daemonSettings, registry, fleetCallbacks())
     {
         self.id = identity.id;
         self.life = identity.life;
         self.domain = daemonSettings.domain;
         self.region = daemonSettings.region;
+        config = std::make_unique<config_shell>(loop, platform, self, configCallbacks());
+    }
+
+    operators_api::callbacks adminCallbacks()
+    {
+        operators_api::callbacks daemon;
+        daemon.view = [this] {
+            return views.current();
+        };
+        daemon.number = [this] {
+            return config->number();
+        };
+        daemon.accepted = [this](const change_accepted &change) {
+            config->decide(change_made {change.head});
+        };
+        daemon.askNumbers = [this](std::function<void(std::vector<member_number>)> done) {
+            survey.start(others(), std::move(done));
+        };
+        return daemon;
+    }
+
+    config_shell::callbacks configCallbacks()
+    {
+        config_shell::callbacks daemon;
+        daemon.changed = [this](std::shared_ptr<const configuration> newest, bool ready) {
+            view.config = std::move(newest);
+            configured = ready;
+            publish();
+        };
+        daemon.sendDigest = [this](const daemon_id &to, const config_digest &digest) {
+            fleet.send(to, digest);
+        };
+        daemon.sendPeer = [this](const daemon_id &to, const peer_message &message) {
+            peers->send(to, message);
+        };
+        return daemon;
+    }
+
+    // The system gives a free UDP port, on which TCP may be taken; then another is asked for.
+    leaf::result<void> listenControl()
+    {
+        const unsigned attempts = settings.control.port == 0 ? portAttempts : 1;
+        for (unsigned attempt = 1;; ++attempt) {
+            BOOST_LEAF_ASSIGN(controlAddress, fleet.listen());
+            auto opened = listenForPulls();
+            if (opened || attempt == attempts) {
+                return opened;
+            }
+        }
+    }
+
+    // TCP on the port that datagrams use.
+    leaf::result<void> listenForPulls()
+    {
+        peer_network::callbacks notify;
+        notify.message = [this](const peer_identity &from, const peer_message &message) {
+            receive(from.id, message);
+        };
+        notify.lost = [](const peer_loss &) {
+        };
+        peers = std::make_unique<peer_network>(loop, peer_credentials {{self.id, self.life}, settings.peerKey}, std::move(notify));
+        BOOST_LEAF_CHECK(peers->listen(controlAddress));
+        return {};
+    }
+
+    void receive(const daemon_id &from, const control_message &message)
+    {
+        if (const auto *digest = std::get_if<config_digest>(&message)) {
+            survey.heard(from, digest->number);
+            config->decide(digest_heard {from, *digest});
+        } else if (std::holds_alternative<config_question>(message)) {
+            fleet.send(from, config->digest());
+        }
+    }
+
+    void receive(const daemon_id &from, const peer_message &message)
+    {
+        if (const auto *pull = std::get_if<config_pull>(&message)) {
+            config->decide(pull_heard {from, *pull});
+        } else if (const auto *update = std::get_if<config_update>(&message)) {
+            config->decide(update_heard {from, *update});
+        }
+    }
+
+    std::vector<member> others() const
+    {
+        auto members = view.members;
+        std::erase_if(members, [this](const member &one) { return one.id == self.id; });
+        return members;
+    }
+
+    void adoptMembers(std::vector<member> members)
+    {
+        std::vector<peer_address> addresses;
+        addresses.reserve(members.size());
+        for (const auto &one : members) {
+            if (one.id != self.id) {
+                addresses.push_back({one.id, one.control});
+            }
+        }
+        peers->setPeers(addresses);
+        view.members = std::move(members);
+        publish();
+        config->decide(members_told {view.members});
     }
 
     fleet_member::callbacks fleetCallbacks()
     {
         fleet_member::callbacks notify;
         notify.membersChanged = [this](std::vector<member> members) {
-            view.members = std::move(members);
-            publish();
+            adoptMembers(std::move(members));
+        };
+        notify.message = [this](const daemon_id &from, const control_message &message) {
+            receive(from, message);
         };
         notify.leaseChanged = [this](const lease_change &change) {
             follow.leaseChanged(change);
@@ -89,12 +193,15 @@
         fleet.setView(published);
     }
 
-    http_response answer(const http_request &request) const
+    void answer(const http_request &request, const http_responder &respond)
     {
         if (request.path == "/metrics") {
-            return {.status = 200, .body = figures.text(), .contentType = "text/plain; version=0.0.4"};
+            respond({.status = 200, .body = figures.text(), .contentType = "text/plain; version=0.0.4"});
+        } else if (request.path.starts_with("/v1/admin/")) {
+            admin.handle(request, respond);
+        } else {
+            respond({.status = 404, .body = R"({"title":"no such path"})", .contentType = "application/problem+json"});
         }
-        return {.status = 404, .body = R"({"title":"no such path"})", .contentType = "application/problem+json"};
     }
 
     daemon_settings settings;
@@ -104,7 +211,10 @@
     reactor loop;
     http_client http;
     platform_client platform;
-    config_follower follower;
+    std::unique_ptr<config_shell> config;
+    std::unique_ptr<peer_network> peers;
+    number_survey survey;
+    operators_api admin;
     std::unique_ptr<http_server> operators;
     fleet_view view;
     fleet_member fleet;
@@ -126,8 +236,8 @@
     auto &self = *m_implementation;
     BOOST_LEAF_ASSIGN(self.operators,
         http_server::listen(
-            self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { respond(self.answer(request)); }));
-    BOOST_LEAF_ASSIGN(self.controlAddress, self.fleet.listen());
+            self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { self.answer(request, respond); }));
+    BOOST_LEAF_CHECK(self.listenControl());
     return addresses {self.operators->address(), self.controlAddress};
 }
 
@@ -143,7 +253,7 @@
         self.settled = true;
         self.publish();
     });
-    self.follower.start();
+    self.config->start();
     self.readHosts();
 }
 
