--- a/Source/Connection/fleet_member.cxx
+++ b/Source/Connection/fleet_member.cxx
@@ -73,6 +73,8 @@
             tell(lease_answered {sender, *answer});
         } else if (const auto *release = std::get_if<lease_release>(&message)) {
             tell(lease_released {sender, life, *release});
+        } else if (notify.message) {
+            notify.message(sender, message);
         }
     }
 
@@ -201,6 +203,14 @@
     impl.tick();
 }
 
+void fleet_member::send(const daemon_id &to, control_message message)
+{
+    if (m_implementation->members) {
+        send_control action {to, std::move(message)};
+        m_implementation->perform(action);
+    }
+}
+
 void fleet_member::setHosts(std::vector<listed_host> hosts)
 {
     auto &self = *m_implementation;
