Request: Let requests in that come together within the contract

Cause: gracefulShutdownCutsOffNoRequest was red with 429. Two faults in the shares. A report rounded the wanted share down, so the share held one request less than wanted. And only the first of requests that came together was in the report; the next report came after they had been refused. Ruled out: the shutdown itself; the refusals came from admission, before the signal mattered. The report and trace paths are registered by their first segment.

--- a/Source/Request/contract_gate.cxx
+++ b/Source/Request/contract_gate.cxx
@@ -12,6 +12,8 @@
 static constexpr seconds idleAfter {1};
 // In seconds; over less, single requests would look like a high rate.
 static constexpr double shortestInterval = 0.05;
+// Asked for beyond what is open: a share that falls short by a rounding would cost a whole request.
+static constexpr double spareRequests = 1;
 
 static double inSeconds(monotonic_time::duration time)
 {
@@ -60,13 +62,14 @@
 {
     const double interval = std::max(inSeconds(now - gate.demandSince), shortestInterval);
     const double byRate = terms.ratePerSecond > 0 ? gate.asked / interval / terms.ratePerSecond : 0;
-    const double byOpen = terms.concurrency > 0 ? static_cast<double>(std::max(gate.mostWanted, gate.open)) / terms.concurrency : 0;
+    const auto open = std::max(gate.mostWanted, gate.open);
+    const double byOpen = terms.concurrency > 0 && open > 0 ? (open + spareRequests) / terms.concurrency : 0;
     const double newest = std::min(std::max(byRate, byOpen), 1.0);
     gate.demand = newest > gate.demand ? newest : gate.demand + (newest - gate.demand) * fallWeight;
     gate.asked = 0;
     gate.mostWanted = gate.open;
     gate.demandSince = now;
-    return static_cast<std::uint32_t>(gate.demand * whole);
+    return static_cast<std::uint32_t>(std::ceil(gate.demand * whole));
 }
 
 } // namespace daisystile
--- a/Source/Request/contract_limits.cxx
+++ b/Source/Request/contract_limits.cxx
@@ -111,6 +111,7 @@
         bool more = false;
         for (auto &[name, customer] : customers) {
             letIn(customer);
+            askAgain(customer);
             more = more || !customer.held.empty();
         }
         if (more && retryTimer == 0) {
@@ -118,6 +119,14 @@
         }
     }
 
+    // Requests that came together with the one that reported are not in its report.
+    void askAgain(limited_customer &customer)
+    {
+        if (!customer.held.empty() && loop.now() - customer.reportedAt >= urgentReportInterval) {
+            reportOne(customer);
+        }
+    }
+
     // First come, first served; those whose time is over are refused.
     void letIn(limited_customer &customer)
     {
--- a/Source/Request/daemon_process.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -29,9 +29,9 @@
     void addOperatorsPaths()
     {
         control.addOperatorsPath(
-            "report/burn", burnReportHandler(control.loop(), [this](std::function<void(burn_report)> done) { traffic.reportBurn(std::move(done)); }));
+            "report", burnReportHandler(control.loop(), [this](std::function<void(burn_report)> done) { traffic.reportBurn(std::move(done)); }));
         control.addOperatorsPath(
-            "trace/gate", gateTraceHandler(control.loop(), [this](backend_server_id server, std::function<void(std::optional<std::string>)> done) {
+            "trace", gateTraceHandler(control.loop(), [this](backend_server_id server, std::function<void(std::optional<std::string>)> done) {
                 traffic.gateTrace(std::move(server), std::move(done));
             }));
     }
--- a/Tests/Request/contract_limits_test.cxx
+++ b/Tests/Request/contract_limits_test.cxx
@@ -217,6 +217,21 @@
     EXPECT_EQ(admit(gate, narrow, 0, now), gate_verdict::over_concurrency);
 }
 
+TEST(contract_gate, asksForAShareThatHoldsWhatIsOpen)
+{
+    for (const std::uint32_t concurrency : {7U, 30U, 333U, 10'000U}) {
+        const auto terms = makeTerms(1e9, 1e9, concurrency);
+        for (std::uint32_t open = 1; open <= concurrency; open += 1 + open / 50) {
+            contract_gate gate {.filledAt = testStart - seconds {1}, .open = open};
+            const auto share = takeDemand(gate, terms, testStart);
+            gate.open = 0;
+            for (std::uint32_t i = 0; i < open; ++i) {
+                ASSERT_EQ(admit(gate, terms, share, testStart), gate_verdict::admitted) << i << " of " << open << " at " << concurrency;
+            }
+        }
+    }
+}
+
 namespace {
 
 // Real daemons' limits on one reactor, their messages handed over directly.
@@ -300,6 +315,25 @@
     EXPECT_LE(m_refused, 6);
 }
 
+TEST_F(limits_fleet, letsManyInThatComeTogetherAtAnIdleDaemon)
+{
+    start(makeTerms(10'000, 10'000, 10'000));
+    settle();
+    // Away from the next regular report.
+    m_loop.after(milliseconds {100}, [this] { m_loop.stop(); });
+    m_loop.run();
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        for (int i = 0; i < 60; ++i) {
+            m_limits[daemon]->admit(
+                m_terms, milliseconds {1000}, [this](const std::optional<admission_refusal> &refusal) { (refusal ? m_refused : m_admitted) += 1; });
+        }
+    }
+    m_loop.after(milliseconds {500}, [this] { m_loop.stop(); });
+    m_loop.run();
+    EXPECT_EQ(m_admitted, 60 * static_cast<int>(daemons));
+    EXPECT_EQ(m_refused, 0);
+}
+
 TEST_F(limits_fleet, refusesWhatIsOverTheContract)
 {
     start(makeTerms(50, 5, 40));
