Request: Be not ready while the own failure domain is out

Cause: entry hosts of a domain that was taken out still told the balancer that they were ready. Change: readiness looks at the domain's state. Quickstart needs no text of domains, shows domains and burn, and its queries are plain.

--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -87,6 +87,13 @@
         return out;
     }
 
+    bool ownDomainOut() const
+    {
+        const auto view = views.current();
+        const auto found = view->config->domains.find(settings.domain);
+        return found != view->config->domains.end() && found->second.out;
+    }
+
     callers_api::services services()
     {
         callers_api::services uses;
@@ -97,7 +104,7 @@
             executes.submit(std::move(submission), std::move(respond));
         };
         uses.accepting = [this] {
-            return !draining && views.current()->ready && limits.settled();
+            return !draining && views.current()->ready && limits.settled() && !ownDomainOut();
         };
         uses.metricsText = [this] {
             return figures.text();
--- a/Utilities/quickstart_fleet.py
+++ b/Utilities/quickstart_fleet.py
@@ -3,11 +3,11 @@
 import json
 import sys
 
-from local_fleet import OPERATOR_TOKEN, Fleet, call, contract, domains_text, execute_service, query_service
+from local_fleet import OPERATOR_TOKEN, Fleet, call, contract, execute_service, query_service
 
 DOMAINS = ["sfax-medina", "sfax-port", "sfax-sakiet"]
 REGION = "sfax"
-TOKEN = "token-of-the-marshals"
+TOKEN = "callers-token"
 SERVICES = {
     "marshal-desk": query_service("marshal-desk", DOMAINS, shards=10, slots=3, connections=30, latency_ms=5),
     "logbook": execute_service("logbook", DOMAINS, servers=30, slots=2, connections=110, latency_ms=5),
@@ -39,8 +39,7 @@
 
 
 def configure(fleet, texts):
-    title("Failure domains, services and a contract, by the operators' tool")
-    tool(fleet, "domain", "apply", fleet.write("domains.toml", domains_text(DOMAINS, REGION)))
+    title("Services and a contract, by the operators' tool")
     for name, text in texts.items():
         tool(fleet, "service", "apply", fleet.write(name + ".json", text))
     terms = contract("ben-salah", TOKEN, list(SERVICES), rate=200, burst=50, concurrency=50, wait_ms=1000)
@@ -56,7 +55,7 @@
 
 
 def show_query(fleet, position):
-    status, answer = request(fleet, position, "/v1/services/marshal-desk/query", {"query": "who is missing from roster 12"})
+    status, answer = request(fleet, position, "/v1/services/marshal-desk/query", {"query": "roster 12"})
     if status != 200:
         print(status, answer)
         return False
@@ -69,7 +68,7 @@
 
 def show_execute(fleet):
     path = "/v1/services/logbook/execute"
-    body = {"incident": "rider left behind at stop 12"}
+    body = {"incident": "stop 12"}
     answers = []
     for position in (0, 1):
         status, answer = request(fleet, position, path, body, **{"Idempotency-Key": "quickstart-1"})
@@ -93,7 +92,7 @@
 
 def keep(fleet):
     title("Left running")
-    print(f"export DAISYSTILE_ADDRESS={fleet.operators()} DAISYSTILE_TOKEN={OPERATOR_TOKEN}")
+    print(f"export DAISYSTILE_DAEMON={fleet.operators()} DAISYSTILE_TOKEN={OPERATOR_TOKEN}")
     print("stop all with: kill", *(process.pid for process in fleet.release()))
 
 
@@ -109,6 +108,8 @@
         good = show_execute(fleet) and good
         title("Status")
         tool(fleet, "status")
+        tool(fleet, "domain", "list")
+        tool(fleet, "report", "burn")
         if keeps:
             keep(fleet)
     finally:
