Request: Ask shards elsewhere while their servers move to another owner

Cause: a new process test that replaces all daemons one after another found 62,493 of 75,050 shards covered; each missing one said not_owner. A refusal by a former owner did not keep the coordinator from choosing the same server again, so all four attempts went there within a millisecond. Ruled out: the budget (such retries are free), lost links (no other reason was seen in 7,000 answers). Change: not_owner avoids the server for 100 ms, as other refusals do. Before: coverage 83.3 % in that test, and a trace of two refusals asks no other server. After: the test's bound of 99.9 % holds, the trace passes.

--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -12,6 +12,8 @@
 static constexpr milliseconds avoidAfterDrain {3000};
 static constexpr milliseconds avoidAfterLoss {1000};
 static constexpr milliseconds avoidAfterShed {50};
+// While a server moves to another owner, its shards are asked elsewhere.
+static constexpr milliseconds avoidWhileMoving {100};
 
 query_state makeQuery(const query_plan &plan, const serving_state &serving)
 {
@@ -81,6 +83,8 @@
         return avoidAfterLoss;
     case attempt_failure::shed:
         return avoidAfterShed;
+    case attempt_failure::not_owner:
+        return avoidWhileMoving;
     default:
         return milliseconds {0};
     }
--- a/Tests/Promises/domain_promises_test.cxx
+++ b/Tests/Promises/domain_promises_test.cxx
@@ -1,5 +1,7 @@
 #include "fleet_fixture.h"
 
+#include <csignal>
+
 using namespace daisystile;
 using nlohmann::json;
 
@@ -51,6 +53,9 @@
         while (std::chrono::steady_clock::now() < until) {
             std::vector<http_call> calls;
             for (const auto &name : daemonNames()) {
+                if (name == m_leaving) {
+                    continue;
+                }
                 calls.push_back(queryCall(name, serviceName, "q" + std::to_string(m_asked++)));
             }
             for (const auto &result : m_client.callAll(std::move(calls), callsAtOnce)) {
@@ -83,6 +88,18 @@
         return latest;
     }
 
+    std::string domainOf(const std::string &name) const
+    {
+        for (const auto &domain : m_shape.domains) {
+            if (name.find(domain) != std::string::npos) {
+                return domain;
+            }
+        }
+        return {};
+    }
+
+    // A daemon that the balancer sends nobody to.
+    std::string m_leaving;
     int m_asked = 0;
     int m_answers = 0;
     int m_covered = 0;
@@ -124,3 +141,31 @@
     EXPECT_GE(m_covered, 0.999 * shards * m_answers);
     EXPECT_GT(m_answers, 100);
 }
+
+TEST_F(domain_promises, aRollingReplacementOfAllDaemonsKeepsCoverage)
+{
+    fleet_shape shape;
+    shape.services = {{.name = serviceName, .shards = shards, .latencyMs = 2}};
+    shape.daemonsPerDomain = 2;
+    startFleet(shape);
+    askFor(seconds {4});
+    m_answers = 0;
+    m_covered = 0;
+    const auto names = daemonNames();
+    for (const auto &name : names) {
+        m_leaving = name;
+        daemonNamed(name).signal(SIGTERM);
+        askFor(seconds {1});
+        EXPECT_EQ(daemonNamed(name).waitExit(seconds {20}), 0) << name;
+        startDaemon(name, domainOf(name));
+        registerHost(name);
+        EXPECT_TRUE(m_client.waitUntil([&] {
+            askFor(milliseconds {1});
+            return isReady(name);
+        }));
+        m_leaving.clear();
+    }
+    EXPECT_EQ(sumOf("over_capacity_while_cold"), 0);
+    EXPECT_GE(m_covered, 0.999 * shards * m_answers);
+    EXPECT_GT(m_answers, 100);
+}
--- a/Tests/Request/query_trace_test.cxx
+++ b/Tests/Request/query_trace_test.cxx
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -71,6 +72,7 @@
             {"draining", attempt_failure::draining},
             {"domain_out", attempt_failure::domain_out},
             {"server_lost", attempt_failure::server_lost},
+            {"not_owner", attempt_failure::not_owner},
             {"snapshot_not_held", attempt_failure::snapshot_not_held},
         };
         const milliseconds at {number("at")};
@@ -122,6 +124,7 @@
         const auto &state = m_bench.state;
         const std::map<std::string, std::size_t> counts {
             {"sends", actionsOf<send_attempt>(m_actions).size()},
+            {"sends_elsewhere", sendsElsewhere()},
             {"cancels", actionsOf<cancel_attempt>(m_actions).size()},
             {"crashes", actionsOf<report_crash>(m_actions).size()},
             {"cleared", actionsOf<report_cleared>(m_actions).size()},
@@ -145,6 +148,17 @@
         return "unknown name";
     }
 
+    // Attempts at a server that the shard has not asked before.
+    std::size_t sendsElsewhere() const
+    {
+        const auto sends = actionsOf<send_attempt>(m_actions);
+        return static_cast<std::size_t>(std::count_if(sends.begin(), sends.end(), [this](const send_attempt &sent) {
+            const auto &shard = m_bench.state.shards.at(sent.shard.value);
+            const auto before = shard.attempts.begin() + shard.attemptCount - 1;
+            return std::none_of(shard.attempts.begin(), before, [&](const attempt_state &other) { return other.server == sent.server; });
+        }));
+    }
+
     static std::string outcomeText(std::optional<query_outcome> outcome)
     {
         static const std::map<query_outcome, std::string> names {
