Request: Stop a query whose trial cost a server and is not tried again

When the second try found no budget, the trial went on to the next shard, and so on. Ruled out: the keeper (its verdicts were right), the spread (one query did it all). Change: a shard that crashed ends the trial; only shards that no replica could run pass it on. Quarantine list and lift reach the operators' API and the tool; messages that belong to control links are logged. Three lint findings mended, among them a member nobody used.

--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -166,6 +166,7 @@
     void adoptHosts(const std::vector<platform_host> &hosts)
     {
         std::vector<listed_host> listed;
+        listed.reserve(hosts.size());
         for (const auto &host : hosts) {
             listed.push_back({host.control, host.leaving});
         }
--- a/Source/Request/daemon_process.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -2,6 +2,7 @@
 
 #include "burn_endpoint.h"
 #include "control_runtime.h"
+#include "quarantine_endpoint.h"
 #include "trace_endpoint.h"
 #include "traffic_runtime.h"
 
@@ -25,11 +26,24 @@
     {
     }
 
+    quarantine_source quarantines()
+    {
+        quarantine_source source;
+        source.list = [this](std::function<void(std::vector<quarantined_request>)> done) {
+            traffic.listQuarantined(std::move(done));
+        };
+        source.lift = [this](service_name service, fingerprint request) {
+            traffic.liftQuarantine(std::move(service), request);
+        };
+        return source;
+    }
+
     // What the traffic thread knows is shown by the operators' API on the control thread.
     void addOperatorsPaths()
     {
         control.addOperatorsPath(
             "report", burnReportHandler(control.loop(), [this](std::function<void(burn_report)> done) { traffic.reportBurn(std::move(done)); }));
+        control.addOperatorsPath("quarantine", quarantineHandler(control.loop(), quarantines()));
         control.addOperatorsPath(
             "trace", gateTraceHandler(control.loop(), [this](backend_server_id server, std::function<void(std::optional<std::string>)> done) {
                 traffic.gateTrace(std::move(server), std::move(done));
--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -420,10 +420,22 @@
         shard.exhausted = true;
         m_state.pending -= 1;
         if (m_state.phase == query_phase::canary) {
-            sendNextCanary(index);
+            shard.crashed ? giveUpOnCrash() : sendNextCanary(index);
         }
     }
 
+    // A request that cost a server and was not tried again may cost each further shard one more.
+    void giveUpOnCrash()
+    {
+        for (auto &shard : m_state.shards) {
+            if (!shard.exhausted) {
+                shard.exhausted = true;
+                shard.lastFailure = attempt_failure::server_lost;
+            }
+        }
+        m_state.pending = 0;
+    }
+
     // The canary's replicas could not run it, which says nothing about the request.
     void sendNextCanary(shard_index last)
     {
--- a/Source/Request/request_guard.cxx
+++ b/Source/Request/request_guard.cxx
@@ -276,12 +276,12 @@
     return m_implementation->clear.contains(request, m_implementation->loop.now());
 }
 
-void request_guard::ask(guard_question question, verdict_callback done)
+void request_guard::ask(const guard_question &question, verdict_callback done)
 {
     if (question.report == guard_report::crashed) {
         m_implementation->clear.remove(question.request);
     }
-    m_implementation->ask(std::move(question), std::move(done));
+    m_implementation->ask(question, std::move(done));
 }
 
 void request_guard::tell(const guard_question &question)
--- a/Source/Request/request_guard.h
+++ b/Source/Request/request_guard.h
@@ -28,7 +28,7 @@
 
     /// Asks whether a request may run or be tried again. The last verdict is never wait; it comes later, and when no
     /// keeper can be reached it is the careful one. Nothing comes once the query's time is over.
-    void ask(guard_question question, verdict_callback done);
+    void ask(const guard_question &question, verdict_callback done);
     /// Tells how a trial went.
     void tell(const guard_question &question);
 
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -190,9 +190,20 @@
         limits.receive(from.id, grant);
     }
 
-    // Kinds that are not served here yet.
-    template<class Message> void take(const peer_identity &, const Message &)
+    // Configuration travels over the control thread's links only.
+    void take(const peer_identity &from, const config_pull &)
     {
+        noteMisplaced(from);
+    }
+
+    void take(const peer_identity &from, const config_update &)
+    {
+        noteMisplaced(from);
+    }
+
+    static void noteMisplaced(const peer_identity &from)
+    {
+        DAISYSTILE_LOG(WARNING, "traffic") << "Message belongs to a control link." << field("peer", from.id.value);
     }
 
     void deliver(const daemon_id &to, shard_answer answer)
@@ -298,6 +309,16 @@
     m_implementation->loop.post([this] { m_implementation->adoptView(); });
 }
 
+void traffic_runtime::listQuarantined(std::function<void(std::vector<quarantined_request>)> done)
+{
+    m_implementation->loop.post([this, done = std::move(done)] { done(m_implementation->queries.guard().quarantined()); });
+}
+
+void traffic_runtime::liftQuarantine(service_name service, fingerprint request)
+{
+    m_implementation->loop.post([this, service = std::move(service), request] { m_implementation->queries.guard().lift(service, request); });
+}
+
 void traffic_runtime::gateTrace(backend_server_id server, std::function<void(std::optional<std::string>)> done)
 {
     m_implementation->loop.post([this, server = std::move(server), done = std::move(done)] { done(m_implementation->owner.slots().traceOf(server)); });
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -36,6 +36,11 @@
     /// Gathers the burn report of all daemons; safe from any thread, calls back on the traffic thread.
     void reportBurn(std::function<void(burn_report)> done);
 
+    /// Requests quarantined as this daemon knows them; safe from any thread, calls back on the traffic thread.
+    void listQuarantined(std::function<void(std::vector<quarantined_request>)> done);
+    /// Ends a quarantine on all daemons; safe from any thread.
+    void liftQuarantine(service_name service, fingerprint request);
+
     /// What was recorded of a backend server's gate; safe from any thread, calls back on the traffic thread.
     void gateTrace(backend_server_id server, std::function<void(std::optional<std::string>)> done);
 
--- a/Source/Tool/commands.cxx
+++ b/Source/Tool/commands.cxx
@@ -3,6 +3,7 @@
 #include "config_command.h"
 #include "domain_commands.h"
 #include "object_commands.h"
+#include "quarantine_commands.h"
 #include "report_command.h"
 #include "status_command.h"
 #include "trace_command.h"
@@ -41,6 +42,8 @@
         {"domain list", "list the failure domains", listDomains},
         {"status", "show a daemon, its configuration and the fleet", showStatus},
         {"report burn", "show service-level burn over all daemons, as text, json or html", reportBurn},
+        {"quarantine list", "list requests that crashed servers and may not run for now", listQuarantine},
+        {"quarantine lift", "let a quarantined request run again", liftQuarantine},
         {"trace get", "print what a daemon recorded of one backend server", getTrace},
         {"trace replay", "replay a recorded trace and tell the first difference", replayTrace},
         {"config check", "check a file without a daemon", checkConfig},
--- /dev/null
+++ b/Source/Tool/quarantine_commands.cxx
@@ -0,0 +1,69 @@
+#include "quarantine_commands.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace daisystile {
+
+using nlohmann::json;
+
+static void printList(const json &list)
+{
+    for (const auto &entry : list) {
+        std::cout << entry.value("service", "") << " " << entry.value("fingerprint", "") << " ends in " << entry.value("seconds_left", 0) << " s\n";
+    }
+    if (list.empty()) {
+        std::cout << "no request is quarantined\n";
+    }
+}
+
+int listQuarantine(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Lists requests that no backend server may run for now, since they crashed servers.", ' ', DAISYSTILE_VERSION);
+    const common_options common(line);
+    if (const auto code = parseCommandLine(line, arguments)) {
+        return *code;
+    }
+    const auto settings = common.settings();
+    if (!settings) {
+        return exit_usage;
+    }
+    admin_client client(*settings);
+    const auto result = client.call("GET", "quarantine");
+    const auto *reply = successOf(result);
+    if (reply == nullptr) {
+        return reportFailure(result, *settings);
+    }
+    if (settings->format == output_format::json) {
+        std::cout << reply->body << "\n";
+        return exit_done;
+    }
+    const auto list = json::parse(reply->body, nullptr, false);
+    printList(list.is_array() ? list : json::array());
+    return exit_done;
+}
+
+int liftQuarantine(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Lets a quarantined request run again, at once.", ' ', DAISYSTILE_VERSION);
+    const common_options common(line);
+    TCLAP::UnlabeledValueArg<std::string> service("SERVICE", "The service.", true, "", "SERVICE", line);
+    TCLAP::UnlabeledValueArg<std::string> print("FINGERPRINT", "As quarantine list shows it.", true, "", "FINGERPRINT", line);
+    if (const auto code = parseCommandLine(line, arguments)) {
+        return *code;
+    }
+    const auto settings = common.settings();
+    if (!settings) {
+        return exit_usage;
+    }
+    admin_client client(*settings);
+    const auto result = client.call("DELETE", "quarantine/" + service.getValue() + "/" + print.getValue());
+    if (successOf(result) == nullptr) {
+        return reportFailure(result, *settings);
+    }
+    std::cout << "lifted\n";
+    return exit_done;
+}
+
+} // namespace daisystile
--- a/Tests/Request/crash_guard_test.cxx
+++ b/Tests/Request/crash_guard_test.cxx
@@ -144,7 +144,6 @@
 
 private:
     static constexpr std::uint32_t requests = 6;
-    static constexpr std::uint32_t servers = 3;
 
     static bool crashes(fingerprint request)
     {
