Request: Split query_decision by job

Change: retry rules, the plan, and what only reads or counts in a query's state stand in files of their own; nothing else moved.

--- a/Source/Request/query_decision.cxx
+++ b/Source/Request/query_decision.cxx
@@ -1,95 +1,16 @@
 #include "query_decision.h"
 
+#include "retry_rule.h"
+
 #include <algorithm>
 
 namespace daisystile {
 
-// Time for merging and sending, taken off the caller's wait.
-static constexpr milliseconds longestAnswerMargin {10};
-static constexpr int answerMarginDivisor = 10;
 static constexpr milliseconds restartNeedsAtLeast {5};
 static constexpr double usualLatencyQuantile = 0.95;
-static constexpr milliseconds avoidAfterDrain {3000};
-static constexpr milliseconds avoidAfterLoss {1000};
-static constexpr milliseconds avoidAfterShed {50};
-// While a server moves to another owner, its shards are asked elsewhere.
-static constexpr milliseconds avoidWhileMoving {100};
-
-query_state makeQuery(const query_plan &plan, const serving_state &serving)
-{
-    query_state state;
-    state.query = plan.query;
-    state.index = serving.index;
-    state.snapshot = newestSnapshot(serving);
-    state.startedAt = plan.startedAt;
-    const auto margin = std::min(longestAnswerMargin, timeLeft(plan.startedAt, plan.waitEnds) / answerMarginDivisor);
-    state.answerBy = plan.waitEnds - margin;
-    state.leastCoverage = plan.leastCoverage;
-    state.extraLoadShare = plan.extraLoadShare;
-    state.canary = plan.canary;
-    state.shards.resize(state.index->replicas.size());
-    state.pending = static_cast<std::uint32_t>(state.shards.size());
-    return state;
-}
 
 namespace {
 
-// What a failed attempt means for the next one.
-enum class retry_rule {
-    /// The server did no work, so another attempt adds none.
-    free,
-    from_budget,
-    after_judgement,
-    never,
-};
-
-retry_rule ruleFor(const shard_answer &answer)
-{
-    switch (answer.failure) {
-    case attempt_failure::snapshot_not_held:
-    case attempt_failure::shard_not_here:
-    case attempt_failure::not_owner:
-    case attempt_failure::draining:
-    case attempt_failure::domain_out:
-        return retry_rule::free;
-    case attempt_failure::server_lost:
-        // A server that could not be reached was not lost to this request.
-        return answer.outcome == run_outcome::not_run ? retry_rule::free : retry_rule::after_judgement;
-    case attempt_failure::quarantined:
-    case attempt_failure::cancelled:
-    case attempt_failure::platform_down:
-    case attempt_failure::key_reused:
-        return retry_rule::never;
-    case attempt_failure::none:
-    case attempt_failure::shed:
-    case attempt_failure::queue_full:
-    case attempt_failure::too_late:
-    case attempt_failure::timed_out:
-    case attempt_failure::malformed:
-    case attempt_failure::peer_lost:
-        return retry_rule::from_budget;
-    }
-    return retry_rule::never;
-}
-
-milliseconds avoidanceAfter(attempt_failure failure)
-{
-    switch (failure) {
-    case attempt_failure::draining:
-    case attempt_failure::domain_out:
-        return avoidAfterDrain;
-    case attempt_failure::server_lost:
-    case attempt_failure::peer_lost:
-        return avoidAfterLoss;
-    case attempt_failure::shed:
-        return avoidAfterShed;
-    case attempt_failure::not_owner:
-        return avoidWhileMoving;
-    default:
-        return milliseconds {0};
-    }
-}
-
 class query_decider
 {
 public:
@@ -149,7 +70,7 @@
     void operator()(const peer_lost &lost)
     {
         for (const auto &[shard, number, server] : lost.attempts) {
-            auto *attempt = openAttempt(shard, number);
+            auto *attempt = openAttempt(m_state, shard, number);
             if (attempt != nullptr && m_state.phase != query_phase::finished) {
                 close(shard, *attempt);
                 failed(shard, *attempt, attempt_failure::peer_lost, {}, lost.neverSent ? retry_rule::free : retry_rule::from_budget);
@@ -186,22 +107,6 @@
         return m_state.shards[shard.value];
     }
 
-    attempt_state *openAttempt(shard_index shard, attempt_number number)
-    {
-        if (shard.value >= m_state.shards.size()) {
-            return nullptr;
-        }
-        auto *attempt = attemptNumbered(shardOf(shard), number);
-        return attempt != nullptr && attempt->open ? attempt : nullptr;
-    }
-
-    static attempt_state *attemptNumbered(shard_state &shard, attempt_number number)
-    {
-        const auto end = shard.attempts.begin() + shard.attemptCount;
-        const auto found = std::find_if(shard.attempts.begin(), end, [number](const attempt_state &attempt) { return attempt.number == number; });
-        return found == end ? nullptr : &*found;
-    }
-
     // Counts answers that can't belong to this query; attempts of before a restart are late.
     attempt_state *findAttempt(const shard_answer &answer)
     {
@@ -296,7 +201,7 @@
             attemptNumbered(shard, attempt.number)->retriable = true;
         }
         if (failure == attempt_failure::snapshot_not_held) {
-            vote(shard, held);
+            vote(m_state, shard, held);
         }
         if (rule == retry_rule::after_judgement) {
             shard.crashPending = true;
@@ -447,27 +352,6 @@
         }
     }
 
-    void vote(shard_state &shard, const snapshot_id &held)
-    {
-        if (shard.snapshotMissed || held.value.empty() || held == m_state.snapshot) {
-            return;
-        }
-        shard.snapshotMissed = true;
-        auto &votes = m_state.votes;
-        const auto found = std::find_if(votes.begin(), votes.end(), [&held](const snapshot_vote &entry) { return entry.snapshot == held; });
-        if (found == votes.end()) {
-            votes.push_back({held, 1});
-        } else {
-            found->shards += 1;
-        }
-    }
-
-    const snapshot_vote *mostHeld() const
-    {
-        const auto found = std::max_element(m_state.votes.begin(), m_state.votes.end(), [](const auto &a, const auto &b) { return a.shards < b.shards; });
-        return found == m_state.votes.end() ? nullptr : &*found;
-    }
-
     bool restartHelps(attempt_failure failure)
     {
         if (m_state.restarted || m_state.phase == query_phase::finished) {
@@ -478,7 +362,7 @@
             return false;
         }
         const bool newMap = failure == attempt_failure::shard_not_here && m_serving.index != m_state.index;
-        const auto *held = mostHeld();
+        const auto *held = mostHeld(m_state);
         const bool newSnapshot = held != nullptr && 2 * static_cast<std::size_t>(held->shards) > m_state.shards.size();
         // The shards that ran run again, which is load like any retry.
         return (newMap || newSnapshot || canaryMissed(failure)) && m_budget.take(m_state.answered);
@@ -487,7 +371,7 @@
     // With one shard asked, its word is all there is.
     bool canaryMissed(attempt_failure failure) const
     {
-        return m_state.phase == query_phase::canary && failure == attempt_failure::snapshot_not_held && mostHeld() != nullptr;
+        return m_state.phase == query_phase::canary && failure == attempt_failure::snapshot_not_held && mostHeld(m_state) != nullptr;
     }
 
     void restart()
@@ -511,7 +395,7 @@
 
     void pinAgain()
     {
-        const auto *held = mostHeld();
+        const auto *held = mostHeld(m_state);
         m_state.index = m_serving.index;
         m_state.snapshot = held != nullptr ? held->snapshot : newestSnapshot(m_serving);
         m_serving.heldSnapshot = m_state.snapshot;
@@ -583,19 +467,7 @@
             cancelOpen({i});
         }
         m_state.phase = query_phase::finished;
-        m_actions.emplace_back(answer_caller {outcome()});
-    }
-
-    query_outcome outcome() const
-    {
-        if (m_state.quarantined) {
-            return query_outcome::quarantined;
-        }
-        if (m_state.answered == m_state.shards.size()) {
-            return query_outcome::complete;
-        }
-        const auto covered = static_cast<double>(m_state.answered) / static_cast<double>(m_state.shards.size());
-        return covered < m_state.leastCoverage ? query_outcome::too_little_coverage : query_outcome::partial;
+        m_actions.emplace_back(answer_caller {outcomeOf(m_state)});
     }
 
     query_state &m_state;
@@ -616,27 +488,4 @@
     std::visit(query_decider(state, serving, budget, now, actions), event);
 }
 
-std::string mergeResults(const query_state &state)
-{
-    std::size_t size = 2;
-    for (const auto &shard : state.shards) {
-        size += shard.results.end - shard.results.begin + 1;
-    }
-    std::string array;
-    array.reserve(size);
-    array += '[';
-    for (const auto &shard : state.shards) {
-        if (shard.answered) {
-            appendResults(array, shard.body, shard.results);
-        }
-    }
-    array += ']';
-    return array;
-}
-
-attempt_failure missingReason(const shard_state &shard)
-{
-    return shard.exhausted ? shard.lastFailure : attempt_failure::timed_out;
-}
-
 } // namespace daisystile
--- a/Source/Request/query_decision.h
+++ b/Source/Request/query_decision.h
@@ -24,9 +24,4 @@
 /// Takes one event in and adds what is to be done to the actions; a finished query does nothing more.
 void decide(query_state &state, serving_state &serving, extra_load_budget &budget, query_event event, monotonic_time now, query_actions &actions);
 
-/// The answer's results array, from the shards that count.
-std::string mergeResults(const query_state &state);
-/// Why a shard without answer is missing.
-attempt_failure missingReason(const shard_state &shard);
-
 } // namespace daisystile
--- a/Source/Request/query_state.h
+++ b/Source/Request/query_state.h
@@ -165,4 +165,21 @@
 using query_action = std::variant<send_attempt, cancel_attempt, set_timer, report_crash, report_cleared, answer_caller>;
 using query_actions = std::vector<query_action>;
 
+/// Null when the shard has no attempt of that number.
+attempt_state *attemptNumbered(shard_state &shard, attempt_number number);
+/// Null when there is none, or it has ended.
+attempt_state *openAttempt(query_state &state, shard_index shard, attempt_number number);
+
+/// A shard's server holds another snapshot than the query's; counts once a shard.
+void vote(query_state &state, shard_state &shard, const snapshot_id &held);
+/// The snapshot most voted for; null without votes.
+const snapshot_vote *mostHeld(const query_state &state);
+/// The answer's outcome, from the shards that count.
+query_outcome outcomeOf(const query_state &state);
+
+/// The answer's results array, from the shards that count.
+std::string mergeResults(const query_state &state);
+/// Why a shard without answer is missing.
+attempt_failure missingReason(const shard_state &shard);
+
 } // namespace daisystile
