--- a/Source/Tool/trace_command.cxx
+++ b/Source/Tool/trace_command.cxx
@@ -28,11 +28,17 @@
     return exit_done;
 }
 
+static std::string orNothing(const std::string &actions)
+{
+    return actions.empty() ? "nothing" : actions;
+}
+
 static int show(const replayed_trace &trace, const std::string &file)
 {
     std::cout << trace.decisions;
     if (trace.difference) {
-        std::cerr << file << ":" << trace.difference->line << ": expected " << trace.difference->expected << ", found " << trace.difference->found << "\n";
+        std::cerr << file << ":" << trace.difference->line << ": expected " << orNothing(trace.difference->expected) << ", found "
+                  << orNothing(trace.difference->found) << "\n";
         return exit_failed;
     }
     std::cout << "# " << trace.steps << " steps, all decided as recorded\n";
