Tool: Show replies and refusals by the one function that does it

Cause: status, domain list and quarantine list wrote again what show() of the object commands does; the trace and quarantine endpoints built problems of their own beside operatorsProblem(), so the tool told their refusals as "no reason given". Change: show() moves to command.h and serves all four; the two endpoints call operatorsProblem(). Before: trace get of a server that is not recorded says no reason. After: it says that no trace of this server was recorded here, exit status 9 as before.

--- a/Source/Request/quarantine_endpoint.cxx
+++ b/Source/Request/quarantine_endpoint.cxx
@@ -1,5 +1,7 @@
 #include "quarantine_endpoint.h"
 
+#include "operators_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -38,18 +40,13 @@
     return {.body = list.dump()};
 }
 
-static http_response refused(int status, const char *title)
-{
-    return {.status = status, .body = json {{"title", title}, {"status", status}}.dump(), .contentType = "application/problem+json"};
-}
-
 static http_response lift(const http_request &request, const quarantine_source &source)
 {
     const auto rest = std::string_view(request.path).substr(std::min(pathStart.size(), request.path.size()));
     const auto slash = rest.find('/');
     const auto print = slash == std::string_view::npos ? std::nullopt : parseHex(rest.substr(slash + 1));
     if (!print) {
-        return refused(400, "expected quarantine/SERVICE/FINGERPRINT, the fingerprint in hexadecimal");
+        return operatorsProblem(400, "rejected", "expected quarantine/SERVICE/FINGERPRINT, the fingerprint in hexadecimal");
     }
     source.lift({std::string(rest.substr(0, slash))}, *print);
     return {.status = 202, .body = "{}"};
@@ -63,7 +60,7 @@
             return;
         }
         if (request.method != "GET") {
-            respond(refused(405, "expected GET or DELETE"));
+            respond(operatorsProblem(405, "rejected", "expected GET or DELETE"));
             return;
         }
         source.list([&loop, respond](const std::vector<quarantined_request> &requests) {
--- a/Source/Request/trace_endpoint.cxx
+++ b/Source/Request/trace_endpoint.cxx
@@ -1,13 +1,13 @@
 #include "trace_endpoint.h"
 
-namespace daisystile {
+#include "operators_json.h"
 
-static constexpr const char *problemType = "application/problem+json";
+namespace daisystile {
 
 static http_response traceResponse(const std::optional<std::string> &trace)
 {
     if (!trace) {
-        return {.status = 404, .body = R"({"title":"no trace of this server was recorded here"})", .contentType = problemType};
+        return operatorsProblem(404, "rejected", "no trace of this server was recorded here");
     }
     return {.body = *trace, .contentType = "text/plain; charset=utf-8"};
 }
@@ -17,7 +17,7 @@
     return [&loop, fetch = std::move(fetch)](const http_request &request, const http_responder &respond) {
         const auto server = request.query.find("server");
         if (request.method != "GET" || server == request.query.end()) {
-            respond({.status = 400, .body = R"({"title":"server: expected the name of a backend server"})", .contentType = problemType});
+            respond(operatorsProblem(400, "rejected", "server: expected the name of a backend server"));
             return;
         }
         fetch({server->second},
--- a/Source/Tool/command.cxx
+++ b/Source/Tool/command.cxx
@@ -159,4 +159,20 @@
     return codeOf(reply.status, problem.value("outcome", "rejected"));
 }
 
+int show(const tool_settings &settings, const std::string &path, void (*print)(const nlohmann::json &))
+{
+    admin_client client(settings);
+    const auto result = client.call("GET", path);
+    const auto *reply = successOf(result);
+    if (reply == nullptr) {
+        return reportFailure(result, settings);
+    }
+    if (settings.format == output_format::json) {
+        std::cout << reply->body;
+    } else {
+        print(nlohmann::json::parse(reply->body, nullptr, false));
+    }
+    return exit_done;
+}
+
 } // namespace daisystile
--- a/Source/Tool/command.h
+++ b/Source/Tool/command.h
@@ -4,6 +4,7 @@
 #include "exit_codes.h"
 
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <tclap/CmdLine.h>
@@ -48,4 +49,7 @@
 /// A success reply, or nothing.
 const http_reply *successOf(const http_result &result);
 
+/// GETs a path and prints the reply as JSON or by a function for text; returns an exit code.
+int show(const tool_settings &settings, const std::string &path, void (*print)(const nlohmann::json &));
+
 } // namespace daisystile
--- a/Source/Tool/domain_commands.cxx
+++ b/Source/Tool/domain_commands.cxx
@@ -36,6 +36,13 @@
     return carryOutChange(*settings, std::move(call));
 }
 
+void printDomains(const nlohmann::json &answer)
+{
+    for (const auto &domain : answer.value("domains", nlohmann::json::array())) {
+        std::cout << domain.value("name", "") << " " << (domain.value("out", false) ? "out" : "in") << "\n";
+    }
+}
+
 } // namespace
 
 int takeDomainOut(const std::vector<std::string> &arguments)
@@ -56,24 +63,7 @@
         return *code;
     }
     const auto settings = common.settings();
-    if (!settings) {
-        return exit_usage;
-    }
-    admin_client client(*settings);
-    const auto result = client.call("GET", "domains");
-    const auto *reply = successOf(result);
-    if (reply == nullptr) {
-        return reportFailure(result, *settings);
-    }
-    if (settings->format == output_format::json) {
-        std::cout << reply->body;
-        return exit_done;
-    }
-    const auto answer = nlohmann::json::parse(reply->body, nullptr, false);
-    for (const auto &domain : answer.value("domains", nlohmann::json::array())) {
-        std::cout << domain.value("name", "") << " " << (domain.value("out", false) ? "out" : "in") << "\n";
-    }
-    return exit_done;
+    return settings ? show(*settings, "domains", printDomains) : exit_usage;
 }
 
 } // namespace daisystile
--- a/Source/Tool/object_commands.cxx
+++ b/Source/Tool/object_commands.cxx
@@ -86,23 +86,6 @@
     }
 }
 
-/// GETs a path and prints the reply as JSON or by a function for text.
-int show(const tool_settings &settings, const std::string &path, void (*print)(const nlohmann::json &))
-{
-    admin_client client(settings);
-    const auto result = client.call("GET", path);
-    const auto *reply = successOf(result);
-    if (reply == nullptr) {
-        return reportFailure(result, settings);
-    }
-    if (settings.format == output_format::json) {
-        std::cout << reply->body;
-    } else {
-        print(jsonOf(*reply));
-    }
-    return exit_done;
-}
-
 std::optional<std::string> textOfVersion(const nlohmann::json &history, std::uint64_t version)
 {
     for (const auto &record : history) {
--- a/Source/Tool/quarantine_commands.cxx
+++ b/Source/Tool/quarantine_commands.cxx
@@ -26,22 +26,7 @@
         return *code;
     }
     const auto settings = common.settings();
-    if (!settings) {
-        return exit_usage;
-    }
-    admin_client client(*settings);
-    const auto result = client.call("GET", "quarantine");
-    const auto *reply = successOf(result);
-    if (reply == nullptr) {
-        return reportFailure(result, *settings);
-    }
-    if (settings->format == output_format::json) {
-        std::cout << reply->body << "\n";
-        return exit_done;
-    }
-    const auto list = json::parse(reply->body, nullptr, false);
-    printList(list.is_array() ? list : json::array());
-    return exit_done;
+    return settings ? show(*settings, "quarantine", printList) : exit_usage;
 }
 
 int liftQuarantine(const std::vector<std::string> &arguments)
--- a/Source/Tool/status_command.cxx
+++ b/Source/Tool/status_command.cxx
@@ -36,21 +36,7 @@
         return *code;
     }
     const auto settings = common.settings();
-    if (!settings) {
-        return exit_usage;
-    }
-    admin_client client(*settings);
-    const auto result = client.call("GET", "status");
-    const auto *reply = successOf(result);
-    if (reply == nullptr) {
-        return reportFailure(result, *settings);
-    }
-    if (settings->format == output_format::json) {
-        std::cout << reply->body;
-    } else {
-        printStatus(nlohmann::json::parse(reply->body, nullptr, false));
-    }
-    return exit_done;
+    return settings ? show(*settings, "status", printStatus) : exit_usage;
 }
 
 } // namespace daisystile
