--- /dev/null
+++ b/Source/Forward/backend_connection.cxx
@@ -0,0 +1,156 @@
+#include "backend_connection.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+namespace {
+
+// A server that names no time closes idle connections within a second.
+constexpr milliseconds unnamedKeepAlive {700};
+// Time for a request to reach the server before it closes an idle connection.
+constexpr milliseconds keepAliveMargin {400};
+constexpr message_limits answerLimits {.headBytes = 32768, .bodyBytes = 8U << 20U};
+
+} // namespace
+
+backend_connection::backend_connection(reactor &loop, const ip_address &address, callbacks notify)
+    : m_loop(loop),
+      m_notify(std::move(notify)),
+      m_reader(answerLimits),
+      m_begun(loop.now()),
+      m_stream(loop,
+          address,
+          {.opened = [this] { opened(); }, .received = [this] { received(); }, .ended = [this](stream_end how) { ended(how); }})
+{
+}
+
+void backend_connection::begin(const client_request_id &request, std::string bytes, bool bodyless)
+{
+    m_request = request;
+    m_pending = std::move(bytes);
+    m_busy = true;
+    m_sent = false;
+    m_begun = m_loop.now();
+    m_abandonedUntil = monotonic_time::max();
+    if (bodyless) {
+        m_reader.expectNoBody();
+    }
+    if (m_stream.isOpen()) {
+        opened();
+    }
+}
+
+void backend_connection::opened()
+{
+    if (!m_busy || m_sent) {
+        return;
+    }
+    m_sent = true;
+    const auto bytes = std::move(m_pending);
+    m_pending.clear();
+    m_stream.write(bytes);
+}
+
+void backend_connection::received()
+{
+    if (!m_busy || !m_sent) {
+        // Bytes that no request asked for.
+        m_closing = true;
+        m_over = true;
+        m_notify.lapsed(*this);
+        return;
+    }
+    const auto progress = m_reader.read(m_stream.input());
+    if (progress == read_progress::incomplete) {
+        return;
+    }
+    if (progress != read_progress::complete) {
+        m_closing = true;
+        finish(exchange_broken {true, "answer malformed"});
+        return;
+    }
+    takeAnswer(m_reader.take());
+}
+
+void backend_connection::takeAnswer(response_message message)
+{
+    auto answer = readServerAnswer(message, m_request);
+    if (answer.verdict == answer_verdict::foreign) {
+        // An extra answer to an earlier request; the one awaited may still follow.
+        m_closing = true;
+        if (!m_stream.input().empty()) {
+            received();
+        }
+        return;
+    }
+    const bool more = !m_stream.input().empty() || m_stream.unsent() > 0;
+    m_closing = m_closing || answer.closing || more;
+    const auto keepAlive = answer.keepAlive ? std::max(milliseconds {*answer.keepAlive} - keepAliveMargin, keepAliveMargin) : unnamedKeepAlive;
+    m_idleUntil = m_loop.now() + keepAlive;
+    finish(exchange_answer {std::move(message), std::move(answer)});
+}
+
+void backend_connection::ended(stream_end how)
+{
+    m_over = true;
+    if (!m_busy) {
+        m_notify.lapsed(*this);
+        return;
+    }
+    if (!m_sent) {
+        finish(exchange_broken {false, "connection refused"});
+        return;
+    }
+    if (how == stream_end::closed && m_reader.end() == read_progress::complete) {
+        takeAnswer(m_reader.take());
+        if (m_busy) {
+            finish(exchange_broken {true, "foreign answer"});
+        }
+        return;
+    }
+    finish(exchange_broken {true, how == stream_end::reset ? "connection reset" : "connection closed"});
+}
+
+void backend_connection::finish(exchange_result result)
+{
+    m_busy = false;
+    m_notify.done(*this, std::move(result));
+}
+
+bool backend_connection::busy() const
+{
+    return m_busy;
+}
+
+bool backend_connection::isOpen() const
+{
+    return m_stream.isOpen();
+}
+
+bool backend_connection::usable(monotonic_time now) const
+{
+    return !m_busy && !m_closing && !m_over && now < m_idleUntil;
+}
+
+bool backend_connection::expired(monotonic_time now) const
+{
+    return !m_busy && !usable(now);
+}
+
+monotonic_time backend_connection::begun() const
+{
+    return m_begun;
+}
+
+void backend_connection::abandon(monotonic_time until)
+{
+    m_abandonedUntil = until;
+}
+
+bool backend_connection::abandonedTooLong(monotonic_time now) const
+{
+    return m_busy && now >= m_abandonedUntil;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/backend_pool.cxx
@@ -0,0 +1,302 @@
+#include "backend_pool.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace daisystile {
+
+namespace {
+
+constexpr milliseconds sweepInterval {100};
+constexpr milliseconds longestConnect {1000};
+// The fleet's shares of a cold server's rate must stay below its bound while daemons come and go.
+constexpr double coldUsableShare = 0.8;
+
+unsigned remoteRank(const std::vector<fleet_daemon> &fleet, const daemon_id &self, const server_entry &entry)
+{
+    const auto own = stableHash(self.value, stableHash(entry.id.value));
+    return static_cast<unsigned>(std::count_if(fleet.begin(), fleet.end(), [&](const auto &daemon) {
+        return daemon.domain != entry.domain && daemon.id != self && stableHash(daemon.id.value, stableHash(entry.id.value)) < own;
+    }));
+}
+
+} // namespace
+
+backend_pool::backend_pool(reactor &loop, const entry_settings &settings, std::function<void(attempt_result)> done)
+    : m_loop(loop),
+      m_settings(settings),
+      m_done(std::move(done)),
+      m_view(std::make_shared<entry_view>()),
+      m_random(static_cast<std::minstd_rand::result_type>(stableHash(settings.id.value)))
+{
+    sweep();
+}
+
+void backend_pool::update(const std::shared_ptr<const entry_view> &view)
+{
+    m_view = view;
+    for (auto &[id, server] : m_servers) {
+        server->barred = true;
+        server->listed = false;
+    }
+    m_byService.clear();
+    for (const auto &[service, entries] : view->servers->byService) {
+        for (const auto &entry : entries) {
+            auto &server = m_servers[entry.id];
+            if (!server || server->entry.born != entry.born || server->entry.address != entry.address) {
+                if (server) {
+                    orphan(*server);
+                }
+                server = std::make_unique<backend>();
+            }
+            apply(*server, entry);
+            m_byService[service].push_back(server.get());
+        }
+    }
+}
+
+// What runs on the connections of an earlier life of the server goes on.
+void backend_pool::orphan(backend &server)
+{
+    std::move(server.connections.begin(), server.connections.end(), std::back_inserter(m_orphans));
+    server.connections.clear();
+}
+
+void backend_pool::apply(backend &server, const server_entry &entry)
+{
+    const bool changed = !(server.entry == entry);
+    server.entry = entry;
+    server.listed = true;
+    if (changed) {
+        server.coldUntil = m_loop.now() + entry.coldLeft;
+    }
+    server.barred = entry.draining || server.misdirected || m_view->evacuated.contains(entry.domain);
+    const auto &fleet = m_view->fleet;
+    const auto *terms = m_view->routes ? m_view->routes->terms(entry.service) : nullptr;
+    const bool local = entry.domain == m_settings.domain;
+    const auto near = std::count_if(fleet.begin(), fleet.end(), [&](const auto &daemon) { return daemon.domain == entry.domain; });
+    server.share = connectionShare({.accepted = terms == nullptr ? 1 : terms->connections,
+        .local = local,
+        .domainDaemons = static_cast<unsigned>(near),
+        .allDaemons = static_cast<unsigned>(fleet.size()),
+        .remoteRank = local ? 0 : remoteRank(fleet, m_settings.id, entry)});
+}
+
+void backend_pool::refreshCold(backend &server, monotonic_time now)
+{
+    const auto *terms = m_view->routes ? m_view->routes->terms(server.entry.service) : nullptr;
+    if (terms == nullptr || terms->coldRequestsPerSecond <= 0) {
+        server.coldAllowance = 1;
+        return;
+    }
+    const auto &bounds = m_settings.bounds;
+    const double all = (terms->coldRequestsPerSecond * bounds.coldFactor + bounds.coldSlack) * coldUsableShare;
+    const double share = all / static_cast<double>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    // Half of the share may come at once and half over the second, so that no second sees more than the share.
+    const double passed = std::chrono::duration<double>(now - server.coldRefilled).count();
+    server.coldAllowance = std::min(share / 2, server.coldAllowance + passed * share / 2);
+    server.coldRefilled = now;
+}
+
+replica_view backend_pool::viewOf(backend &server, monotonic_time now)
+{
+    replica_view view;
+    const auto *idle = idleConnection(server, now);
+    const bool room = idle != nullptr || server.connections.size() < server.share;
+    view.local = server.entry.domain == m_settings.domain;
+    view.running = server.record.running();
+    view.most = room && !server.barred ? view.running + 1 : 0;
+    view.slots = server.entry.slots;
+    view.stalled = server.record.stalled(now);
+    view.cold = now < server.coldUntil;
+    view.slowness = server.record.slowness(now);
+    view.failures = server.record.failures(now);
+    view.connected = idle != nullptr;
+    if (view.cold) {
+        refreshCold(server, now);
+        view.most = server.coldAllowance >= 1 ? view.most : 0;
+    }
+    return view;
+}
+
+backend_connection *backend_pool::idleConnection(backend &server, monotonic_time now)
+{
+    const auto found = std::find_if(
+        server.connections.begin(), server.connections.end(), [&](const auto &connection) { return connection->isOpen() && connection->usable(now); });
+    return found == server.connections.end() ? nullptr : found->get();
+}
+
+backend *backend_pool::choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds pace)
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end()) {
+        return nullptr;
+    }
+    const auto now = m_loop.now();
+    std::vector<replica_view> candidates;
+    candidates.reserve(found->second.size());
+    for (auto *server : found->second) {
+        auto candidate = viewOf(*server, now);
+        if (std::find(excluded.begin(), excluded.end(), server->entry.id) != excluded.end()) {
+            candidate.most = 0;
+        }
+        candidates.push_back(candidate);
+    }
+    const double draw = std::uniform_real_distribution<>()(m_random);
+    const auto index = chooseReplica(candidates, pace, {}, draw);
+    return index ? found->second[*index] : nullptr;
+}
+
+bool backend_pool::hasServer(const service_name &service) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto *server) { return !server->barred && server->share > 0; });
+}
+
+attempt_id backend_pool::send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter)
+{
+    const auto now = m_loop.now();
+    auto *connection = idleConnection(server, now);
+    if (connection == nullptr) {
+        m_openedConnections += 1;
+        backend_connection::callbacks notify;
+        notify.done = [this, id = server.entry.id](backend_connection &which, exchange_result result) {
+            exchangeDone(id, which, std::move(result));
+        };
+        notify.lapsed = [this, id = server.entry.id](backend_connection &which) {
+            lapsed(id, which);
+        };
+        server.connections.push_back(std::make_unique<backend_connection>(m_loop, server.entry.address, std::move(notify)));
+        connection = server.connections.back().get();
+    }
+    if (now < server.coldUntil) {
+        server.coldAllowance -= 1;
+    }
+    const auto attempt = m_nextAttempt++;
+    server.record.started(attempt, now, suspectAfter);
+    m_attempts[connection] = attempt;
+    m_places.emplace(attempt, attempt_place {server.entry.id, connection});
+    connection->begin(request, std::move(bytes), bodyless);
+    return attempt;
+}
+
+void backend_pool::abandon(attempt_id attempt, monotonic_time breakOffAt)
+{
+    const auto place = m_places.find(attempt);
+    if (place != m_places.end()) {
+        place->second.connection->abandon(breakOffAt);
+    }
+}
+
+void backend_pool::exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result)
+{
+    const auto found = m_attempts.find(&connection);
+    const auto entry = m_servers.find(server);
+    if (entry != m_servers.end() && !connection.usable(m_loop.now())) {
+        drop(*entry->second, connection);
+    }
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const auto attempt = found->second;
+    m_attempts.erase(found);
+    m_places.erase(attempt);
+    m_done({attempt, std::move(result)});
+}
+
+void backend_pool::lapsed(const backend_server_id &server, backend_connection &connection)
+{
+    const auto entry = m_servers.find(server);
+    if (entry != m_servers.end()) {
+        drop(*entry->second, connection);
+    }
+}
+
+void backend_pool::drop(backend &server, const backend_connection &connection)
+{
+    const auto found =
+        std::find_if(server.connections.begin(), server.connections.end(), [&](const auto &other) { return other.get() == &connection; });
+    if (found != server.connections.end()) {
+        m_retired.push_back(std::move(*found));
+        server.connections.erase(found);
+    }
+}
+
+void backend_pool::answered(const backend_server_id &server, attempt_id attempt, microseconds pace)
+{
+    if (const auto found = m_servers.find(server); found != m_servers.end()) {
+        found->second->record.answered(attempt, m_loop.now(), pace);
+    }
+}
+
+void backend_pool::failed(const backend_server_id &server, attempt_id attempt, double weight)
+{
+    if (const auto found = m_servers.find(server); found != m_servers.end()) {
+        found->second->record.failed(attempt, m_loop.now(), weight);
+    }
+}
+
+void backend_pool::unsent(const backend_server_id &server, attempt_id attempt)
+{
+    failed(server, attempt, 1);
+}
+
+void backend_pool::misdirected(const backend_server_id &server)
+{
+    if (const auto found = m_servers.find(server); found != m_servers.end()) {
+        found->second->misdirected = true;
+        found->second->barred = true;
+    }
+}
+
+std::size_t backend_pool::connections() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, server] : m_servers) {
+        count += server->connections.size();
+    }
+    return count;
+}
+
+std::size_t backend_pool::opened() const
+{
+    return m_openedConnections;
+}
+
+void backend_pool::sweep()
+{
+    m_retired.clear();
+    std::erase_if(m_orphans, [](const auto &connection) { return !connection->busy(); });
+    const auto now = m_loop.now();
+    for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+        sweepServer(*entry->second, now);
+        const bool gone = !entry->second->listed && entry->second->connections.empty();
+        entry = gone ? m_servers.erase(entry) : std::next(entry);
+    }
+    m_loop.after(sweepInterval, [this] { sweep(); });
+}
+
+void backend_pool::sweepServer(backend &server, monotonic_time now)
+{
+    std::vector<backend_connection *> broken;
+    for (const auto &connection : server.connections) {
+        const bool neverOpened = !connection->isOpen() && now - connection->begun() > longestConnect;
+        if (connection->expired(now) || connection->abandonedTooLong(now) || neverOpened || (server.barred && !connection->busy())) {
+            broken.push_back(connection.get());
+        }
+    }
+    for (auto *connection : broken) {
+        const auto found = m_attempts.find(connection);
+        const bool opened = connection->isOpen();
+        drop(server, *connection);
+        if (found == m_attempts.end()) {
+            continue;
+        }
+        const auto attempt = found->second;
+        m_attempts.erase(found);
+        m_places.erase(attempt);
+        m_done({attempt, exchange_broken {opened, opened ? "abandoned" : "connection not opened"}});
+    }
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/client_door.cxx
@@ -0,0 +1,304 @@
+#include "client_door.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+namespace {
+
+constexpr milliseconds sweepInterval {200};
+// Bytes that a client may send ahead while its request is answered.
+constexpr std::size_t mostBytesAhead = 256U << 10U;
+// Clients may still use a connection that has nearly reached the limit.
+constexpr milliseconds idleGrace {1000};
+constexpr int statusBadRequest = 400;
+constexpr int statusTimeout = 408;
+constexpr int statusBodyTooLarge = 413;
+constexpr int statusHeadTooLarge = 431;
+
+int statusOf(read_progress progress)
+{
+    switch (progress) {
+    case read_progress::head_too_large:
+        return statusHeadTooLarge;
+    case read_progress::body_too_large:
+        return statusBodyTooLarge;
+    default:
+        return statusBadRequest;
+    }
+}
+
+message_limits limitsOf(const entry_view &view)
+{
+    if (!view.routes) {
+        return {};
+    }
+    const auto &limits = view.routes->configuration().limits;
+    return {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes};
+}
+
+struct reply_encoder
+{
+    client_connection after;
+    bool bodyless;
+
+    std::string operator()(const response_message &message) const
+    {
+        return relayedAnswer(message, after, bodyless);
+    }
+
+    std::string operator()(const query_answer &answer) const
+    {
+        return queryAnswer(answer, after, bodyless);
+    }
+
+    std::string operator()(const own_reply &reply) const
+    {
+        return ownAnswer(reply.status, after, reply.retryAfter);
+    }
+};
+
+} // namespace
+
+class client_door::client_connection
+{
+public:
+    client_connection(client_door &door, connection_number number, int handle)
+        : m_door(door),
+          m_number(number),
+          m_reader(limitsOf(*door.m_requests.view())),
+          m_since(door.m_loop.now()),
+          m_stream(door.m_loop, handle, {.opened = {}, .received = [this] { received(); }, .ended = [this](stream_end) { ended(); }})
+    {
+    }
+
+    bool busy() const
+    {
+        return m_answering || m_reader.started() || m_stream.unsent() > 0;
+    }
+
+    void closeIfIdle()
+    {
+        if (!busy()) {
+            m_stream.closeWhenSent();
+            m_door.retire(m_number);
+        }
+    }
+
+    void sweep(monotonic_time now, const client_limits &limits)
+    {
+        if (m_answering) {
+            return;
+        }
+        if (m_reader.started()) {
+            if (now - m_since > limits.headTimeout) {
+                refuse(statusTimeout);
+            }
+        } else if (now - m_since > limits.idleTimeout + idleGrace) {
+            closeIfIdle();
+        }
+    }
+
+private:
+    void received()
+    {
+        if (m_answering) {
+            if (m_stream.input().size() > mostBytesAhead) {
+                ended();
+            }
+            return;
+        }
+        readNext();
+    }
+
+    void readNext()
+    {
+        // Several requests may lie in the input; each is answered before the next is read.
+        while (!m_answering && !m_over && !m_stream.input().empty()) {
+            if (!m_reader.started()) {
+                m_reader.setLimits(limitsOf(*m_door.m_requests.view()));
+                m_since = m_door.m_loop.now();
+                m_continued = false;
+            }
+            const auto progress = m_reader.read(m_stream.input());
+            if (progress == read_progress::incomplete) {
+                continueIfAsked();
+                return;
+            }
+            if (progress != read_progress::complete) {
+                m_door.m_malformed.add();
+                refuse(statusOf(progress));
+                return;
+            }
+            submit(m_reader.take());
+        }
+    }
+
+    void continueIfAsked()
+    {
+        if (!m_continued && m_reader.headComplete() && m_reader.message().expectsContinue) {
+            m_continued = true;
+            m_stream.write(continueAnswer());
+        }
+    }
+
+    void submit(request_message message)
+    {
+        m_keepAlive = message.keepAlive;
+        m_bodyless = message.method == "HEAD";
+        const auto head = readRequestHead(message);
+        if (!head) {
+            m_door.m_malformed.add();
+            refuse(statusBadRequest);
+            return;
+        }
+        m_answering = true;
+        m_request = 0;
+        const auto number = m_door.m_requests.submit(std::move(message), *head, [this](const client_reply &reply) { answer(reply); });
+        if (m_answering) {
+            m_request = number;
+        }
+    }
+
+    void answer(const client_reply &reply)
+    {
+        m_answering = false;
+        m_request = 0;
+        m_since = m_door.m_loop.now();
+        const bool keep = m_keepAlive && !m_door.m_draining;
+        m_stream.write(std::visit(reply_encoder {keep ? daisystile::client_connection::keep : daisystile::client_connection::close, m_bodyless}, reply));
+        if (!keep) {
+            close();
+            return;
+        }
+        if (!m_stream.input().empty()) {
+            m_door.m_loop.post([this, &door = m_door, number = m_number] {
+                if (door.m_connections.contains(number)) {
+                    readNext();
+                }
+            });
+        }
+    }
+
+    void refuse(int status)
+    {
+        m_stream.write(ownAnswer(status, daisystile::client_connection::close));
+        close();
+    }
+
+    void close()
+    {
+        m_over = true;
+        m_stream.closeWhenSent();
+        m_door.retire(m_number);
+    }
+
+    void ended()
+    {
+        m_over = true;
+        if (m_request != 0) {
+            m_door.m_requests.clientLeft(m_request);
+        }
+        m_door.retire(m_number);
+    }
+
+    client_door &m_door;
+    connection_number m_number;
+    request_reader m_reader;
+    monotonic_time m_since;
+    request_number m_request = 0;
+    bool m_answering = false;
+    bool m_keepAlive = true;
+    bool m_bodyless = false;
+    bool m_continued = false;
+    bool m_over = false;
+    // Last, so that its callbacks end before the rest does.
+    tcp_stream m_stream;
+};
+
+client_door::client_door(reactor &loop, forwarder &requests, metrics &registry)
+    : m_loop(loop),
+      m_requests(requests),
+      m_openConnections(registry.gauge("daisystile_client_connections", "Connections of clients that are open")),
+      m_malformed(registry.counter("daisystile_malformed_requests_total", "Requests that could not be read"))
+{
+    sweep();
+}
+
+client_door::~client_door() = default;
+
+leaf::result<void> client_door::listen(const ip_address &address)
+{
+    BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, address, [this](int handle) { accepted(handle); }));
+    return {};
+}
+
+ip_address client_door::address() const
+{
+    return m_listener->address();
+}
+
+void client_door::accepted(int handle)
+{
+    const auto number = m_next++;
+    m_connections.emplace(number, std::make_unique<client_connection>(*this, number, handle));
+    m_openConnections.set(static_cast<double>(m_connections.size()));
+}
+
+void client_door::retire(connection_number number)
+{
+    const auto found = m_connections.find(number);
+    if (found != m_connections.end()) {
+        m_retired.push_back(std::move(found->second));
+        m_connections.erase(found);
+    }
+}
+
+void client_door::sweep()
+{
+    m_retired.clear();
+    const auto now = m_loop.now();
+    const auto limits = m_requests.view()->routes ? m_requests.view()->routes->configuration().limits : client_limits {};
+    std::vector<connection_number> numbers;
+    numbers.reserve(m_connections.size());
+    for (const auto &[number, connection] : m_connections) {
+        numbers.push_back(number);
+    }
+    for (const auto number : numbers) {
+        if (const auto found = m_connections.find(number); found != m_connections.end()) {
+            found->second->sweep(now, limits);
+        }
+    }
+    m_openConnections.set(static_cast<double>(m_connections.size()));
+    m_loop.after(sweepInterval, [this] { sweep(); });
+}
+
+void client_door::startDraining()
+{
+    m_draining = true;
+}
+
+void client_door::closeIdle()
+{
+    m_listener.reset();
+    std::vector<client_connection *> open;
+    open.reserve(m_connections.size());
+    for (const auto &[number, connection] : m_connections) {
+        open.push_back(connection.get());
+    }
+    for (auto *connection : open) {
+        connection->closeIfIdle();
+    }
+}
+
+std::size_t client_door::connections() const
+{
+    return m_connections.size();
+}
+
+std::size_t client_door::busyConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) { return entry.second->busy(); }));
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/client_door.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "forwarder.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace daisystile {
+
+/// Clients' connections: reads requests one at a time, writes their answers, keeps the configuration's limits.
+class client_door
+{
+public:
+    client_door(reactor &loop, forwarder &requests, metrics &registry);
+    ~client_door();
+    client_door(const client_door &) = delete;
+    client_door &operator=(const client_door &) = delete;
+
+    /// Errors: process_error{address_in_use}.
+    leaf::result<void> listen(const ip_address &address);
+
+    ip_address address() const;
+    /// From now on each answer ends its connection.
+    void startDraining();
+    /// Closes connections without a request and accepts none any more.
+    void closeIdle();
+    std::size_t connections() const;
+    /// Connections with a request that is being read or answered.
+    std::size_t busyConnections() const;
+
+private:
+    class client_connection;
+    using connection_number = std::uint64_t;
+
+    void accepted(int handle);
+    void sweep();
+    void retire(connection_number number);
+
+    reactor &m_loop;
+    forwarder &m_requests;
+    metric_gauge m_openConnections;
+    metric_counter m_malformed;
+    std::unique_ptr<tcp_listener> m_listener;
+    std::unordered_map<connection_number, std::unique_ptr<client_connection>> m_connections;
+    // Freed once their own callbacks are over.
+    std::vector<std::unique_ptr<client_connection>> m_retired;
+    connection_number m_next = 1;
+    bool m_draining = false;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/entry_process.cxx
@@ -0,0 +1,129 @@
+#include "entry_process.h"
+
+#include "client_door.h"
+#include "drain_plan.h"
+#include "store_follower.h"
+
+#include <atomic>
+#include <thread>
+
+namespace daisystile {
+
+namespace {
+
+constexpr milliseconds drainCheck {50};
+constexpr int statusReady = 200;
+constexpr int statusNotReady = 503;
+
+} // namespace
+
+struct entry_process::implementation
+{
+    explicit implementation(entry_settings entrySettings)
+        : settings(std::move(entrySettings)),
+          requests(traffic, settings, registry),
+          clients(traffic, requests, registry),
+          store(control, settings, [this](std::shared_ptr<const entry_view> view) { publish(std::move(view)); }),
+          signals(control, [this] { startDraining(); })
+    {
+    }
+
+    void publish(std::shared_ptr<const entry_view> view)
+    {
+        traffic.post([this, view = std::move(view)] { requests.update(view); });
+    }
+
+    leaf::result<void> listen()
+    {
+        if (!control.opened() || !traffic.opened()) {
+            return leaf::new_error(process_error {process_failure::out_of_handles, "reactor"});
+        }
+        BOOST_LEAF_CHECK(clients.listen(settings.clients));
+        BOOST_LEAF_ASSIGN(readiness,
+            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) {
+                respond(probe(request));
+            }));
+        return {};
+    }
+
+    http_response probe(const http_request &request)
+    {
+        if (request.path == "/metrics") {
+            return {.body = registry.text(), .contentType = "text/plain; version=0.0.4"};
+        }
+        const bool ready = !draining && store.ready();
+        return {.status = ready ? statusReady : statusNotReady};
+    }
+
+    // A second signal changes nothing.
+    void startDraining()
+    {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        drainingSince = control.now();
+        DAISYSTILE_LOG(INFO, "daemon") << "Draining." << field("id", settings.id.value);
+        traffic.post([this] { clients.startDraining(); });
+        store.leave([] {});
+        checkDrained();
+    }
+
+    void checkDrained()
+    {
+        traffic.post([this] {
+            const drain_progress progress {
+                std::chrono::duration_cast<milliseconds>(traffic.now() - drainingSince), settings.grace, clients.busyConnections()};
+            const auto next = drainStep(progress);
+            if (next != drain_step::serve) {
+                clients.closeIdle();
+            }
+            if (next == drain_step::exit) {
+                control.post([this] { control.stop(); });
+                return;
+            }
+            traffic.after(drainCheck, [this] { checkDrained(); });
+        });
+    }
+
+    void run()
+    {
+        store.start();
+        std::thread thread([this] { traffic.run(); });
+        control.run();
+        traffic.post([this] { traffic.stop(); });
+        thread.join();
+    }
+
+    entry_settings settings;
+    metrics registry;
+    reactor control;
+    reactor traffic;
+    forwarder requests;
+    client_door clients;
+    store_follower store;
+    termination_signals signals;
+    std::unique_ptr<http_server> readiness;
+    bool draining = false;
+    monotonic_time drainingSince;
+};
+
+entry_process::entry_process(entry_settings settings)
+    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+entry_process::~entry_process() = default;
+
+leaf::result<void> entry_process::listen()
+{
+    return m_implementation->listen();
+}
+
+void entry_process::run()
+{
+    m_implementation->run();
+    DAISYSTILE_LOG(INFO, "daemon") << "Stopped." << field("id", m_implementation->settings.id.value);
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/entry_process.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "entry_settings.h"
+
+#include <memory>
+
+namespace daisystile {
+
+/// A daemon that serves the plain front door: a control thread that follows the store, a traffic thread for clients.
+class entry_process
+{
+public:
+    explicit entry_process(entry_settings settings);
+    ~entry_process();
+    entry_process(const entry_process &) = delete;
+    entry_process &operator=(const entry_process &) = delete;
+
+    /// Opens all listening addresses. Errors: process_error{address_in_use}, process_error{out_of_handles}.
+    leaf::result<void> listen();
+
+    /// Serves on this thread, which becomes the control thread, until a termination signal has been obeyed.
+    void run();
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/entry_settings.cxx
@@ -0,0 +1,41 @@
+#include "entry_settings.h"
+
+#include <Version/table_reader.h>
+
+namespace daisystile {
+
+namespace {
+
+constexpr number_range ratioRange {0, 10};
+constexpr number_range slackRange {0, 1e6};
+constexpr number_range graceRangeMs {100, 600000};
+
+void readBounds(table_reader &reader, fleet_bounds &bounds)
+{
+    reader.number("retry_ratio", bounds.retryRatio, ratioRange);
+    reader.number("retry_slack", bounds.retrySlack, slackRange);
+    reader.number("cold_factor", bounds.coldFactor, ratioRange);
+    reader.number("cold_slack", bounds.coldSlack, slackRange);
+}
+
+void readSettings(table_reader &reader, entry_settings &settings)
+{
+    reader.name("id", settings.id.value);
+    reader.name("failure_domain", settings.domain.value);
+    reader.name("region", settings.region.value);
+    reader.address("clients", settings.clients);
+    reader.address("readiness", settings.readiness);
+    reader.address("store", settings.store);
+    reader.integer("grace_ms", settings.grace, graceRangeMs);
+    reader.integer("lapse_grace_ms", settings.lapseGrace, graceRangeMs);
+    reader.table("bounds", [&](table_reader &bounds) { readBounds(bounds, settings.bounds); });
+}
+
+} // namespace
+
+parsed<entry_settings> parseEntrySettings(std::string_view text, std::string_view fileName)
+{
+    return parseTable<entry_settings>(text, fileName, readSettings);
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/entry_settings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <Version/version.h>
+
+#include <string_view>
+
+namespace daisystile {
+
+/// Bounds that hold for all daemons of the fleet together.
+struct fleet_bounds
+{
+    /// Extra attempts that a service may get, as a share of the requests for it.
+    double retryRatio = 0.2;
+    /// Extra attempts beyond that share, in each window.
+    double retrySlack = 50;
+    /// Requests that a cold backend server may get in a second: its rate times the factor, plus the slack.
+    double coldFactor = 1.5;
+    double coldSlack = 5;
+};
+
+/// Settings of a daemon that serves the plain front door of the users' platform.
+struct entry_settings
+{
+    daemon_id id;
+    failure_domain_name domain;
+    region_name region;
+    ip_address clients;
+    ip_address readiness;
+    ip_address store;
+    /// Time between SIGTERM and the end of the process.
+    milliseconds grace {6000};
+    /// How long entries that lapsed while the store was away may take to come back.
+    milliseconds lapseGrace {2500};
+    fleet_bounds bounds;
+};
+
+/// Reads a settings file; unknown keys, types and ranges are checked.
+parsed<entry_settings> parseEntrySettings(std::string_view text, std::string_view fileName);
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/entry_view.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Route/route.h>
+
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace daisystile {
+
+/// What the control thread publishes to the traffic thread; never changed once published.
+struct entry_view
+{
+    /// Null until a configuration is known.
+    std::shared_ptr<const route_table> routes;
+    std::shared_ptr<const server_catalog> servers = std::make_shared<server_catalog>();
+    /// Failure domains whose backend servers get nothing more.
+    std::set<failure_domain_name> evacuated;
+    /// All daemons of the fleet, this one included.
+    std::vector<fleet_daemon> fleet;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/fleet_register.cxx
@@ -0,0 +1,86 @@
+#include "fleet_register.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace daisystile {
+
+namespace {
+
+std::optional<fleet_daemon> readEntry(const platform_object &object)
+{
+    const auto json = nlohmann::json::parse(object.value, nullptr, false);
+    const auto domain = json.is_object() ? json.find("domain") : json.end();
+    if (!json.is_object() || domain == json.end() || !domain->is_string()) {
+        DAISYSTILE_LOG(WARNING, "fleet") << "Entry of a daemon can't be read." << field("key", object.key);
+        return std::nullopt;
+    }
+    const auto name = object.key.substr(std::string_view(fleet_register::keyPrefix).size());
+    return fleet_daemon {{name}, {domain->get<std::string>()}};
+}
+
+} // namespace
+
+fleet_register::fleet_register(register_limits limits, fleet_daemon self)
+    : m_limits(limits),
+      m_self(std::move(self))
+{
+}
+
+void fleet_register::listed(const object_list &list, monotonic_time now)
+{
+    std::map<std::string, seen_entry> entries;
+    for (const auto &object : list.objects) {
+        const auto before = m_entries.find(object.key);
+        if (before != m_entries.end() && before->second.object.etag == object.etag) {
+            entries.insert(*before);
+        } else if (auto daemon = readEntry(object)) {
+            entries.emplace(object.key, seen_entry {object, std::move(*daemon), now});
+        }
+    }
+    m_entries = std::move(entries);
+}
+
+std::vector<fleet_daemon> fleet_register::daemons(monotonic_time now) const
+{
+    const auto longest = refreshInterval() * m_limits.missedUntilAbsent;
+    std::vector<fleet_daemon> found {m_self};
+    for (const auto &[key, entry] : m_entries) {
+        if (entry.daemon.id != m_self.id && now - entry.changed < longest) {
+            found.push_back(entry.daemon);
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const auto &left, const auto &right) { return left.id < right.id; });
+    return found;
+}
+
+std::vector<platform_object> fleet_register::removable(monotonic_time now) const
+{
+    const auto longest = refreshInterval() * m_limits.missedUntilRemoved;
+    std::vector<platform_object> found;
+    for (const auto &[key, entry] : m_entries) {
+        if (entry.daemon.id != m_self.id && now - entry.changed >= longest) {
+            found.push_back(entry.object);
+        }
+    }
+    return found;
+}
+
+milliseconds fleet_register::refreshInterval() const
+{
+    const auto spread = static_cast<double>(m_entries.size()) / m_limits.fleetWritesPerSecond;
+    return std::max(m_limits.refresh, milliseconds {static_cast<milliseconds::rep>(spread * 1000)});
+}
+
+std::string fleet_register::entryText(std::uint64_t beat) const
+{
+    return nlohmann::json {{"domain", m_self.domain.value}, {"beat", beat}}.dump();
+}
+
+std::string fleet_register::entryKey() const
+{
+    return keyPrefix + m_self.id.value;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/forward_metrics.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <Process/process.h>
+
+namespace daisystile {
+
+/// Figures of the plain front door.
+struct forward_metrics
+{
+    explicit forward_metrics(metrics &registry);
+
+    metric_counter complete;
+    metric_counter partial;
+    metric_counter refused;
+    metric_counter timedOut;
+    metric_counter failed;
+    metric_counter clientsGone;
+    metric_counter firstAttempts;
+    metric_counter retries;
+    metric_counter hedges;
+    metric_counter denied;
+    metric_histogram latency;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/forwarder.cxx
@@ -0,0 +1,422 @@
+#include "forwarder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisystile {
+
+namespace {
+
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+constexpr int statusNotFound = 404;
+
+// Time for the answer's way to the client, and for the machine to get to it.
+constexpr milliseconds answerMargin {12};
+constexpr milliseconds giveUpMargin {20};
+constexpr milliseconds assumedTimeLeft {10000};
+
+// Before enough answers were seen, a tenth of the objective is taken for the usual latency.
+constexpr std::uint64_t leastSamples = 30;
+constexpr std::uint64_t samplesBetweenRefreshes = 64;
+constexpr double usualQuantile = 0.5;
+constexpr double hedgeQuantile = 0.95;
+constexpr milliseconds shortestHedgeDelay {4};
+
+// The fleet's budgets must stay below the bound while daemons come and go.
+constexpr double usableRatio = 0.9;
+constexpr double usableSlack = 0.8;
+constexpr double hedgeReserveShare = 0.3;
+
+// How long the loser of a hedge may go on, so that its connection can be used again.
+constexpr milliseconds loserPatience {700};
+// How long cancelled work may go on before its connection is closed.
+constexpr milliseconds cancelPatience {250};
+constexpr std::size_t wokenAtOnce = 4;
+constexpr double failureOfAnswer = 0.5;
+constexpr double failureOfFullServer = 0.3;
+
+} // namespace
+
+forwarder::forwarder(reactor &loop, const entry_settings &settings, metrics &registry)
+    : m_loop(loop),
+      m_settings(settings),
+      m_pool(loop, settings, [this](attempt_result result) { attemptEnded(std::move(result)); }),
+      m_metrics(registry),
+      m_random(static_cast<std::minstd_rand::result_type>(stableHash(settings.id.value, 1)))
+{
+}
+
+void forwarder::update(const std::shared_ptr<const entry_view> &view)
+{
+    m_view = view;
+    m_pool.update(view);
+    wakeWaiting();
+}
+
+const std::shared_ptr<const entry_view> &forwarder::view() const
+{
+    return m_view;
+}
+
+request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
+{
+    if (!m_view->routes) {
+        reply(own_reply {statusUnavailable, milliseconds {500}});
+        return 0;
+    }
+    const auto *via = m_view->routes->match(head.host, message.target);
+    if (via == nullptr) {
+        reply(own_reply {statusNotFound, std::nullopt});
+        return 0;
+    }
+    auto request = std::make_shared<running_request>();
+    request->number = m_nextRequest++;
+    request->message = std::move(message);
+    request->head = head;
+    request->view = m_view;
+    request->via = via;
+    request->received = m_loop.now();
+    request->reply = std::move(reply);
+    m_requests.emplace(request->number, request);
+    begin(request);
+    return request->state.ended ? 0 : request->number;
+}
+
+void forwarder::begin(const request_pointer &request)
+{
+    const auto &via = *request->via;
+    forward_terms terms;
+    terms.repeat = via.repeat;
+    terms.mostAttempts = via.mostAttempts;
+    if (const auto *shards = std::get_if<shards_target>(&via.target)) {
+        for (const auto &service : shards->shards) {
+            request->parts.push_back({.service = service});
+        }
+        terms.parts = request->parts.size();
+        const double least = std::ceil(shards->leastShare * static_cast<double>(terms.parts) - 1e-9);
+        terms.leastParts = std::max<std::size_t>(1, static_cast<std::size_t>(least));
+        terms.repeat = repeat_rule::idempotent;
+    } else if (const auto *split = std::get_if<split_target>(&via.target)) {
+        request->parts.push_back({.service = split->services[m_turns[via.name].next(split->services)].service});
+    } else {
+        request->parts.push_back({.service = std::get<single_target>(via.target).service});
+    }
+    const auto left = request->head.timeLeft.value_or(assumedTimeLeft);
+    request->deadline = request->received + left;
+    terms.giveUpAt = request->received + std::min(left - giveUpMargin, via.timeout);
+    terms.answerAt = std::min(request->received + via.objective - answerMargin, terms.giveUpAt);
+    request->state = beginForward(terms);
+    for (const auto &each : request->parts) {
+        budgetOf(each.service).firstAttempts(1, m_settings.bounds.retryRatio * usableRatio);
+    }
+    step(request, forward_begun {});
+}
+
+void forwarder::step(const request_pointer &request, const forward_event &event)
+{
+    std::deque<forward_event> events {event};
+    while (!events.empty() && !request->state.ended) {
+        forward_actions actions;
+        decide(request->state, events.front(), m_loop.now(), actions);
+        events.pop_front();
+        for (const auto &action : actions) {
+            carryOut(request, action, events);
+        }
+    }
+    if (!request->state.ended) {
+        schedule(request);
+    }
+}
+
+void forwarder::carryOut(const request_pointer &request, const forward_action &action, std::deque<forward_event> &events)
+{
+    if (const auto *attempt = std::get_if<try_part>(&action)) {
+        events.push_back(place(request, *attempt));
+    } else if (const auto *failure = std::get_if<fail_request>(&action)) {
+        fail(request, failure->failure);
+    } else {
+        answer(request);
+    }
+}
+
+bool forwarder::allowed(const running_request &request, const try_part &action)
+{
+    const auto &part = request.parts[action.part];
+    // An attempt after one that never reached a server adds no load.
+    if (part.arrivals == 0) {
+        return true;
+    }
+    auto &budget = budgetOf(part.service);
+    return action.purpose == attempt_purpose::hedge ? budget.takeForHedge() : budget.take();
+}
+
+// Every attempt passes here: the server, the time left and the extra load are checked right before it is sent.
+forward_event forwarder::place(const request_pointer &request, const try_part &action)
+{
+    auto &part = request->parts[action.part];
+    auto &pace = paceOf(*request->via);
+    const auto now = m_loop.now();
+    const auto left = std::chrono::duration_cast<milliseconds>(std::min(request->deadline, request->received + request->via->timeout) - now);
+    auto *server = left.count() > 0 ? m_pool.choose(part.service, part.tried, pace.usual) : nullptr;
+    if (server == nullptr) {
+        const bool hopeless = !m_pool.hasServer(part.service);
+        if (hopeless && action.purpose != attempt_purpose::hedge) {
+            return attempt_denied {action.part, action.purpose};
+        }
+        if (action.purpose != attempt_purpose::hedge && !request->waiting) {
+            request->waiting = true;
+            m_waiting.emplace(std::pair(request->via->urgency, request->number), request);
+        }
+        return attempt_unplaced {action.part, action.purpose};
+    }
+    if (!allowed(*request, action)) {
+        m_metrics.denied.add();
+        return attempt_denied {action.part, action.purpose};
+    }
+    const bool bodyless = request->message.method == "HEAD";
+    auto bytes = serverRequest(request->message, left, server->entry.id);
+    const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, pace.hedgeDelay);
+    m_attempts.emplace(id,
+        running_attempt {request->number,
+            action.part,
+            server->entry.id,
+            request->via->name,
+            part.service,
+            now,
+            request->state.terms.repeat == repeat_rule::idempotent});
+    request->attempts.insert(id);
+    part.tried.push_back(server->entry.id);
+    part.arrivals += 1;
+    (action.purpose == attempt_purpose::first ? m_metrics.firstAttempts : action.purpose == attempt_purpose::retry ? m_metrics.retries : m_metrics.hedges).add();
+    return attempt_started {action.part, action.purpose, pace.hedgeDelay};
+}
+
+void forwarder::schedule(const request_pointer &request)
+{
+    const auto next = nextTick(request->state);
+    if (request->timer != 0 && request->timerAt <= next) {
+        return;
+    }
+    m_loop.cancelTimer(request->timer);
+    request->timerAt = next;
+    request->timer = m_loop.after(timeLeft(m_loop.now(), next) + milliseconds {1}, [this, weak = std::weak_ptr(request)] {
+        const auto running = weak.lock();
+        if (running && !running->state.ended) {
+            running->timer = 0;
+            running->timerAt = monotonic_time::max();
+            step(running, clock_ticked {});
+        }
+    });
+}
+
+void forwarder::answer(const request_pointer &request)
+{
+    const auto now = m_loop.now();
+    m_metrics.latency.observe(std::chrono::duration_cast<microseconds>(now - request->received));
+    const bool whole = request->state.answered == request->state.terms.parts;
+    (whole ? m_metrics.complete : m_metrics.partial).add();
+    const auto *shards = std::get_if<shards_target>(&request->via->target);
+    if (shards == nullptr) {
+        finish(request, std::move(*request->answer));
+        return;
+    }
+    query_answer reply;
+    std::vector<std::string_view> bodies;
+    for (const auto &part : request->parts) {
+        if (!part.receipt.value.empty()) {
+            reply.receipts.push_back(part.receipt);
+            bodies.emplace_back(part.body);
+        }
+    }
+    reply.missingParts = request->parts.size() - reply.receipts.size();
+    reply.records = greatestRecords(bodies, shards->topRecords);
+    finish(request, std::move(reply));
+}
+
+void forwarder::fail(const request_pointer &request, forward_failure failure)
+{
+    // A failure that the server itself stands for is passed on.
+    if (request->answer) {
+        m_metrics.failed.add();
+        finish(request, std::move(*request->answer));
+        return;
+    }
+    if (failure == forward_failure::not_run) {
+        m_metrics.refused.add();
+        finish(request, own_reply {statusUnavailable, retryAfter(*request)});
+        return;
+    }
+    const bool late = failure == forward_failure::timed_out;
+    (late ? m_metrics.timedOut : m_metrics.failed).add();
+    finish(request, own_reply {late ? statusGatewayTimeout : statusBadGateway, std::nullopt});
+}
+
+// Spread, so that clients that were refused together don't return together.
+milliseconds forwarder::retryAfter(const running_request &request)
+{
+    constexpr milliseconds shortest {50};
+    const auto left = timeLeft(m_loop.now(), request.deadline);
+    std::uniform_int_distribution<milliseconds::rep> spread(left.count() / 8, std::max<milliseconds::rep>(left.count() / 4, left.count() / 8 + 1));
+    return std::max(shortest, milliseconds {spread(m_random)});
+}
+
+void forwarder::finish(const request_pointer &request, client_reply reply)
+{
+    request->state.ended = true;
+    m_loop.cancelTimer(request->timer);
+    abandonAttempts(*request, loserPatience);
+    if (request->waiting) {
+        m_waiting.erase({request->via->urgency, request->number});
+    }
+    m_requests.erase(request->number);
+    request->reply(std::move(reply));
+}
+
+void forwarder::abandonAttempts(running_request &request, milliseconds patience)
+{
+    const auto until = m_loop.now() + patience;
+    for (const auto id : request.attempts) {
+        m_pool.abandon(id, until);
+    }
+}
+
+void forwarder::clientLeft(request_number number)
+{
+    const auto found = m_requests.find(number);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const auto request = found->second;
+    m_metrics.clientsGone.add();
+    request->state.ended = true;
+    m_loop.cancelTimer(request->timer);
+    abandonAttempts(*request, request->state.terms.repeat == repeat_rule::idempotent ? cancelPatience : timeLeft(m_loop.now(), request->deadline));
+    if (request->waiting) {
+        m_waiting.erase({request->via->urgency, request->number});
+    }
+    m_requests.erase(found);
+}
+
+std::size_t forwarder::running() const
+{
+    return m_requests.size();
+}
+
+attempt_end forwarder::judge(const running_attempt &attempt, attempt_id id, exchange_result &exchange)
+{
+    if (const auto *broken = std::get_if<exchange_broken>(&exchange)) {
+        m_pool.failed(attempt.server, id, 1);
+        return broken->mayHaveRun ? attempt_end::failed : attempt_end::not_run;
+    }
+    const auto &answer = std::get<exchange_answer>(exchange).answer;
+    auto &pace = m_paces[attempt.route];
+    switch (answer.verdict) {
+    case answer_verdict::success: {
+        const auto latency = std::chrono::duration_cast<microseconds>(m_loop.now() - attempt.sent);
+        pace.latencies.add(latency);
+        m_pool.answered(attempt.server, id, pace.usual);
+        return attempt_end::answered;
+    }
+    case answer_verdict::not_executed:
+        m_pool.failed(attempt.server, id, failureOfFullServer);
+        return attempt_end::not_run;
+    case answer_verdict::wrong_server:
+        m_pool.failed(attempt.server, id, 1);
+        m_pool.misdirected(attempt.server);
+        return attempt_end::not_run;
+    default:
+        m_pool.failed(attempt.server, id, failureOfAnswer);
+        return attempt_end::failed;
+    }
+}
+
+void forwarder::accept(running_request &request, part_index index, exchange_answer &exchange)
+{
+    if (std::holds_alternative<shards_target>(request.via->target)) {
+        auto &part = request.parts[index];
+        if (exchange.answer.verdict == answer_verdict::success && part.receipt.value.empty()) {
+            part.receipt = exchange.answer.receipt;
+            part.body = std::move(exchange.message.body);
+        }
+        return;
+    }
+    const bool passable = exchange.answer.verdict == answer_verdict::success || exchange.answer.verdict == answer_verdict::failure;
+    // These statuses would promise the client that the request has not run.
+    const bool promises = exchange.message.status == statusUnavailable || exchange.message.status == 429 || exchange.message.status == 408;
+    if (passable && !(promises && exchange.answer.verdict == answer_verdict::failure)) {
+        request.answer = std::move(exchange.message);
+    }
+}
+
+void forwarder::attemptEnded(attempt_result result)
+{
+    const auto found = m_attempts.find(result.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const auto attempt = found->second;
+    m_attempts.erase(found);
+    const auto end = judge(attempt, result.attempt, result.exchange);
+    const auto entry = m_requests.find(attempt.request);
+    if (entry != m_requests.end()) {
+        const auto request = entry->second;
+        request->attempts.erase(result.attempt);
+        auto *exchange = std::get_if<exchange_answer>(&result.exchange);
+        auto &part = request->parts[attempt.part];
+        if (exchange != nullptr) {
+            accept(*request, attempt.part, *exchange);
+        } else if (end == attempt_end::not_run && part.arrivals > 0) {
+            part.arrivals -= 1;
+        }
+        step(request, attempt_ended {attempt.part, end});
+    }
+    wakeWaiting();
+}
+
+// The most urgent first, and of these the oldest.
+void forwarder::wakeWaiting()
+{
+    std::vector<request_pointer> woken;
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end() && woken.size() < wokenAtOnce;) {
+        woken.push_back(entry->second);
+        entry->second->waiting = false;
+        entry = m_waiting.erase(entry);
+    }
+    for (const auto &request : woken) {
+        step(request, server_freed {});
+    }
+}
+
+forwarder::route_pace &forwarder::paceOf(const route &via)
+{
+    auto &pace = m_paces[via.name];
+    const auto count = pace.latencies.count();
+    if (count < leastSamples) {
+        pace.usual = microseconds {via.objective} / 10;
+        pace.hedgeDelay = via.objective / 3;
+        return pace;
+    }
+    if (pace.refreshedAt == 0 || count < pace.refreshedAt || count >= pace.refreshedAt + samplesBetweenRefreshes) {
+        pace.refreshedAt = count;
+        pace.usual = pace.latencies.quantile(usualQuantile);
+        const auto delay = std::chrono::ceil<milliseconds>(pace.latencies.quantile(hedgeQuantile));
+        pace.hedgeDelay = std::clamp(delay, shortestHedgeDelay, std::max(shortestHedgeDelay, via.objective / 2));
+    }
+    return pace;
+}
+
+extra_load_budget &forwarder::budgetOf(const service_name &service)
+{
+    const double share = m_settings.bounds.retrySlack * usableSlack / static_cast<double>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    const extra_load_limits limits {.largest = share, .hedgeReserve = share * hedgeReserveShare};
+    const auto found = m_budgets.find(service);
+    if (found == m_budgets.end()) {
+        return m_budgets.emplace(service, extra_load_budget(limits, share / 2)).first->second;
+    }
+    found->second.setLimits(limits);
+    return found->second;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/forwarder.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "backend_pool.h"
+#include "entry_settings.h"
+#include "entry_view.h"
+#include "forward_metrics.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <variant>
+
+namespace daisystile {
+
+/// An answer of our own: a refusal or a failure.
+struct own_reply
+{
+    int status = 0;
+    std::optional<milliseconds> retryAfter;
+};
+
+/// What a client gets: a backend server's answer, a query's merged answer, or our own.
+using client_reply = std::variant<response_message, query_answer, own_reply>;
+
+/// Names a request that runs; 0 names none.
+using request_number = std::uint64_t;
+
+/// Sends clients' requests to backend servers and gathers their answers, on the traffic thread.
+class forwarder
+{
+public:
+    forwarder(reactor &loop, const entry_settings &settings, metrics &registry);
+
+    void update(const std::shared_ptr<const entry_view> &view);
+    const std::shared_ptr<const entry_view> &view() const;
+
+    /// The callback comes once, maybe at once, unless the client leaves before; 0 when it has come already.
+    request_number submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
+    /// The client is gone; its request is cancelled at the backend servers.
+    void clientLeft(request_number request);
+
+    std::size_t running() const;
+
+private:
+    struct request_part
+    {
+        service_name service;
+        std::vector<backend_server_id> tried;
+        /// Attempts that have reached, or may have reached, a server.
+        unsigned arrivals = 0;
+        answer_receipt receipt;
+        std::string body;
+    };
+
+    struct running_request
+    {
+        request_number number = 0;
+        request_message message;
+        client_request_head head;
+        std::shared_ptr<const entry_view> view;
+        const route *via = nullptr;
+        monotonic_time received;
+        monotonic_time deadline;
+        forward_state state;
+        std::vector<request_part> parts;
+        /// The answer to a request to one service.
+        std::optional<response_message> answer;
+        std::set<attempt_id> attempts;
+        std::function<void(client_reply)> reply;
+        timer_id timer = 0;
+        monotonic_time timerAt = monotonic_time::max();
+        bool waiting = false;
+    };
+
+    struct running_attempt
+    {
+        request_number request;
+        part_index part;
+        backend_server_id server;
+        route_name route;
+        service_name service;
+        monotonic_time sent;
+        bool idempotent = false;
+    };
+
+    /// How long requests of one route usually take at a backend server.
+    struct route_pace
+    {
+        recent_latencies latencies;
+        std::uint64_t refreshedAt = 0;
+        microseconds usual {0};
+        milliseconds hedgeDelay {0};
+    };
+
+    using request_pointer = std::shared_ptr<running_request>;
+
+    void begin(const request_pointer &request);
+    void step(const request_pointer &request, const forward_event &event);
+    void carryOut(const request_pointer &request, const forward_action &action, std::deque<forward_event> &events);
+    forward_event place(const request_pointer &request, const try_part &action);
+    bool allowed(const running_request &request, const try_part &action);
+    void schedule(const request_pointer &request);
+    void answer(const request_pointer &request);
+    void fail(const request_pointer &request, forward_failure failure);
+    void finish(const request_pointer &request, client_reply reply);
+    void abandonAttempts(running_request &request, milliseconds patience);
+    void attemptEnded(attempt_result result);
+    attempt_end judge(const running_attempt &attempt, attempt_id id, exchange_result &exchange);
+    void accept(running_request &request, part_index part, exchange_answer &exchange);
+    void wakeWaiting();
+    route_pace &paceOf(const route &via);
+    extra_load_budget &budgetOf(const service_name &service);
+    milliseconds retryAfter(const running_request &request);
+
+    reactor &m_loop;
+    entry_settings m_settings;
+    std::shared_ptr<const entry_view> m_view = std::make_shared<entry_view>();
+    backend_pool m_pool;
+    forward_metrics m_metrics;
+    std::unordered_map<request_number, request_pointer> m_requests;
+    std::unordered_map<attempt_id, running_attempt> m_attempts;
+    std::map<std::pair<urgency_rank, request_number>, request_pointer> m_waiting;
+    std::map<route_name, route_pace> m_paces;
+    std::map<route_name, weighted_turn> m_turns;
+    std::map<service_name, extra_load_budget> m_budgets;
+    request_number m_nextRequest = 1;
+    std::minstd_rand m_random;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/object_mirror.cxx
@@ -0,0 +1,157 @@
+#include "object_mirror.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+object_mirror::object_mirror(mirror_limits limits, std::uint64_t seed)
+    : m_limits(limits),
+      m_random(seed)
+{
+}
+
+mirror_action object_mirror::decide(const mirror_event &event, monotonic_time now)
+{
+    if (const auto *listed = std::get_if<mirror_listed>(&event)) {
+        return onListed(listed->result, now);
+    }
+    if (const auto *watched = std::get_if<mirror_watched>(&event)) {
+        return onWatched(watched->result, now);
+    }
+    if (m_mustRead) {
+        return read_all_objects {};
+    }
+    return watch_objects {m_revision};
+}
+
+mirror_action object_mirror::onListed(const list_result &result, monotonic_time now)
+{
+    const auto *list = std::get_if<object_list>(&result);
+    if (list == nullptr) {
+        return failed();
+    }
+    reached(now);
+    std::vector<std::string> missing;
+    for (const auto &[key, object] : m_objects) {
+        const bool listed = std::any_of(list->objects.begin(), list->objects.end(), [&](const auto &other) { return other.key == key; });
+        if (!listed) {
+            missing.push_back(key);
+        }
+    }
+    for (const auto &key : missing) {
+        remove(key, now);
+    }
+    for (const auto &object : list->objects) {
+        put(object);
+    }
+    m_revision = list->revision;
+    m_mustRead = false;
+    m_changes += m_known ? 0 : 1;
+    m_known = true;
+    return watch_objects {m_revision};
+}
+
+mirror_action object_mirror::onWatched(const watch_result &result, monotonic_time now)
+{
+    if (std::holds_alternative<watch_compacted>(result)) {
+        m_mustRead = true;
+        return read_all_objects {};
+    }
+    const auto *batch = std::get_if<watch_batch>(&result);
+    if (batch == nullptr) {
+        return failed();
+    }
+    reached(now);
+    for (const auto &event : batch->events) {
+        if (event.deleted) {
+            remove(event.object.key, now);
+        } else {
+            put(event.object);
+        }
+    }
+    // A restored store could answer with an older revision; watching goes on from what it says.
+    m_revision = batch->revision;
+    return watch_objects {m_revision};
+}
+
+// Many daemons lose the store at the same moment and must not come back at the same moment.
+mirror_action object_mirror::failed()
+{
+    const auto shift = std::min(m_failures, 8U);
+    m_failures += 1;
+    const auto longest = std::min(m_limits.firstRetry * (1U << shift), m_limits.longestRetry);
+    std::uniform_int_distribution<milliseconds::rep> spread(longest.count() / 2, longest.count());
+    return wait_for_store {milliseconds {spread(m_random)}};
+}
+
+void object_mirror::reached(monotonic_time now)
+{
+    if (m_failures > 0) {
+        m_returned = now;
+    }
+    m_failures = 0;
+}
+
+void object_mirror::put(const platform_object &object)
+{
+    m_lapsed.erase(object.key);
+    auto &kept = m_objects[object.key];
+    if (kept.etag == object.etag) {
+        return;
+    }
+    kept = object;
+    m_changes += 1;
+}
+
+void object_mirror::remove(const std::string &key, monotonic_time now)
+{
+    if (!m_objects.contains(key)) {
+        return;
+    }
+    const bool lapsed = m_returned && now < *m_returned + m_limits.lapseGrace;
+    if (lapsed) {
+        m_lapsed.emplace(key, *m_returned + m_limits.lapseGrace);
+        return;
+    }
+    m_lapsed.erase(key);
+    m_objects.erase(key);
+    m_changes += 1;
+}
+
+bool object_mirror::known() const
+{
+    return m_known;
+}
+
+std::uint64_t object_mirror::changes() const
+{
+    return m_changes;
+}
+
+const std::map<std::string, platform_object> &object_mirror::objects() const
+{
+    return m_objects;
+}
+
+std::optional<monotonic_time> object_mirror::dropLapsed(monotonic_time now)
+{
+    std::optional<monotonic_time> next;
+    for (auto entry = m_lapsed.begin(); entry != m_lapsed.end();) {
+        if (entry->second > now) {
+            next = next ? std::min(*next, entry->second) : entry->second;
+            ++entry;
+            continue;
+        }
+        m_objects.erase(entry->first);
+        m_changes += 1;
+        entry = m_lapsed.erase(entry);
+    }
+    return next;
+}
+
+bool object_mirror::storeAway() const
+{
+    return m_failures > 0;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/object_mirror.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <platform/platform.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+
+namespace daisystile {
+
+struct mirror_begun
+{
+};
+struct mirror_listed
+{
+    list_result result;
+};
+struct mirror_watched
+{
+    watch_result result;
+};
+struct mirror_timer
+{
+};
+using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_timer>;
+
+/// Read all objects anew.
+struct read_all_objects
+{
+};
+struct watch_objects
+{
+    std::uint64_t after;
+};
+/// Call again with mirror_timer after the delay.
+struct wait_for_store
+{
+    milliseconds delay;
+};
+using mirror_action = std::variant<read_all_objects, watch_objects, wait_for_store>;
+
+struct mirror_limits
+{
+    milliseconds firstRetry {100};
+    milliseconds longestRetry {1000};
+    /// Removals seen so soon after the store came back are believed only after this time; 0 believes all at once.
+    milliseconds lapseGrace {0};
+};
+
+/// Keeps a copy of the store's objects under a prefix; the store may be away, slow, and may forget its history.
+class object_mirror
+{
+public:
+    object_mirror(mirror_limits limits, std::uint64_t seed);
+
+    mirror_action decide(const mirror_event &event, monotonic_time now);
+
+    /// True once the objects were read; they stay known while the store is away.
+    bool known() const;
+    /// Changes whenever objects() does.
+    std::uint64_t changes() const;
+    /// Objects in force, by key; among them those whose removal isn't believed yet.
+    const std::map<std::string, platform_object> &objects() const;
+    /// Drops lapsed objects whose time is over; the time of the next one, if any.
+    std::optional<monotonic_time> dropLapsed(monotonic_time now);
+    bool storeAway() const;
+
+private:
+    mirror_action onListed(const list_result &result, monotonic_time now);
+    mirror_action onWatched(const watch_result &result, monotonic_time now);
+    mirror_action failed();
+    void reached(monotonic_time now);
+    void put(const platform_object &object);
+    void remove(const std::string &key, monotonic_time now);
+
+    mirror_limits m_limits;
+    std::mt19937_64 m_random;
+    std::map<std::string, platform_object> m_objects;
+    std::map<std::string, monotonic_time> m_lapsed;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_changes = 0;
+    unsigned m_failures = 0;
+    bool m_known = false;
+    bool m_mustRead = true;
+    std::optional<monotonic_time> m_returned;
+};
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/store_follower.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "entry_settings.h"
+#include "entry_view.h"
+#include "fleet_register.h"
+#include "object_mirror.h"
+
+#include <functional>
+#include <memory>
+
+namespace daisystile {
+
+/// Follows the store on the control thread and publishes what changes: routes, backend servers, evacuations, daemons.
+class store_follower
+{
+public:
+    store_follower(reactor &loop, const entry_settings &settings, std::function<void(std::shared_ptr<const entry_view>)> publish);
+    ~store_follower();
+    store_follower(const store_follower &) = delete;
+    store_follower &operator=(const store_follower &) = delete;
+
+    void start();
+    /// Takes this daemon's entry out of the store; calls back when that is done or can't be.
+    void leave(std::function<void()> done);
+    bool ready() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace daisystile
--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -10,6 +10,8 @@
 
 namespace daisystile {
 
+static constexpr long probeSeconds = 1;
+
 namespace {
 
 struct transfer
@@ -254,6 +256,10 @@
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        // A connection that went silent is found by probes, also while a long poll waits on it.
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, probeSeconds);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, probeSeconds);
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &takeBody);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &takeHeader);
--- /dev/null
+++ b/Source/Process/http_message.cxx
@@ -0,0 +1,358 @@
+#include "http_message.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisystile {
+
+namespace beast = boost::beast::http;
+
+namespace {
+
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+const std::string *findHeader(const std::vector<http_header> &headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const auto &header) { return equalIgnoringCase(header.name, name); });
+    return found == headers.end() ? nullptr : &found->value;
+}
+
+void setStartLine(request_message &message, std::string_view method, std::string_view target)
+{
+    message.method = method;
+    message.target = target;
+}
+
+void setStartLine(response_message &message, int status, std::string_view reason)
+{
+    message.status = status;
+    message.reason = reason;
+}
+
+/// The library's parser, made to fill a message of ours.
+template<bool isRequest, class Message> class message_parser : public beast::basic_parser<isRequest>
+{
+public:
+    explicit message_parser(message_limits limits)
+    {
+        this->header_limit(limits.headBytes);
+        this->body_limit(limits.bodyBytes);
+        this->eager(true);
+    }
+
+    Message message;
+
+protected:
+    using error_code = boost::beast::error_code;
+    using text_view = boost::beast::string_view;
+
+    // NOLINTBEGIN(readability-identifier-naming)
+    void on_request_impl(beast::verb, text_view method, text_view target, int, error_code &) override
+    {
+        if constexpr (isRequest) {
+            setStartLine(message, viewOf(method), viewOf(target));
+        }
+    }
+
+    void on_response_impl(int status, text_view reason, int, error_code &) override
+    {
+        if constexpr (!isRequest) {
+            setStartLine(message, status, viewOf(reason));
+        }
+    }
+
+    void on_field_impl(beast::field, text_view name, text_view value, error_code &) override
+    {
+        message.headers.push_back({std::string(viewOf(name)), std::string(viewOf(value))});
+    }
+
+    void on_header_impl(error_code &) override
+    {
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
+    {
+        constexpr std::uint64_t mostReserved = 65536;
+        if (length) {
+            message.body.reserve(std::min(*length, mostReserved));
+        }
+    }
+
+    std::size_t on_body_impl(text_view body, error_code &) override
+    {
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, text_view, error_code &) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, text_view body, error_code &) override
+    {
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(error_code &) override
+    {
+    }
+    // NOLINTEND(readability-identifier-naming)
+};
+
+read_progress failureOf(const boost::beast::error_code &error)
+{
+    if (error == beast::error::header_limit) {
+        return read_progress::head_too_large;
+    }
+    return error == beast::error::body_limit ? read_progress::body_too_large : read_progress::malformed;
+}
+
+template<class Parser> read_progress feed(Parser &parser, byte_queue &input)
+{
+    while (!parser.is_done() && !input.empty()) {
+        const auto bytes = input.view();
+        boost::beast::error_code error;
+        const auto used = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+        input.consume(used);
+        if (error == beast::error::need_more) {
+            break;
+        }
+        if (error) {
+            return failureOf(error);
+        }
+    }
+    return parser.is_done() ? read_progress::complete : read_progress::incomplete;
+}
+
+constexpr int firstFinalStatus = 200;
+constexpr std::size_t compactAbove = 65536;
+
+} // namespace
+
+void byte_queue::append(std::string_view bytes)
+{
+    if (m_begin == m_bytes.size()) {
+        clear();
+    } else if (m_begin > compactAbove) {
+        m_bytes.erase(0, m_begin);
+        m_begin = 0;
+    }
+    m_bytes.append(bytes);
+}
+
+void byte_queue::consume(std::size_t count)
+{
+    m_begin += std::min(count, size());
+}
+
+void byte_queue::clear()
+{
+    m_bytes.clear();
+    m_begin = 0;
+}
+
+std::string_view byte_queue::view() const
+{
+    return std::string_view(m_bytes).substr(m_begin);
+}
+
+std::size_t byte_queue::size() const
+{
+    return m_bytes.size() - m_begin;
+}
+
+bool byte_queue::empty() const
+{
+    return size() == 0;
+}
+
+const std::string *request_message::header(std::string_view name) const
+{
+    return findHeader(headers, name);
+}
+
+const std::string *response_message::header(std::string_view name) const
+{
+    return findHeader(headers, name);
+}
+
+struct request_reader::implementation
+{
+    using parser_type = message_parser<true, request_message>;
+
+    explicit implementation(message_limits messageLimits)
+        : limits(messageLimits)
+    {
+    }
+
+    void begin()
+    {
+        parser = std::make_unique<parser_type>(limits);
+    }
+
+    message_limits limits;
+    std::unique_ptr<parser_type> parser = std::make_unique<parser_type>(limits);
+};
+
+request_reader::request_reader(message_limits limits)
+    : m_implementation(std::make_unique<implementation>(limits))
+{
+}
+
+request_reader::~request_reader() = default;
+
+read_progress request_reader::read(byte_queue &input)
+{
+    auto &parser = *m_implementation->parser;
+    const auto progress = feed(parser, input);
+    if (parser.is_header_done()) {
+        const auto *expectation = parser.message.header("expect");
+        parser.message.expectsContinue = expectation != nullptr && equalIgnoringCase(*expectation, "100-continue");
+        parser.message.keepAlive = parser.keep_alive();
+    }
+    return progress;
+}
+
+bool request_reader::started() const
+{
+    return m_implementation->parser->got_some();
+}
+
+bool request_reader::headComplete() const
+{
+    return m_implementation->parser->is_header_done();
+}
+
+const request_message &request_reader::message() const
+{
+    return m_implementation->parser->message;
+}
+
+request_message request_reader::take()
+{
+    auto message = std::move(m_implementation->parser->message);
+    m_implementation->begin();
+    return message;
+}
+
+void request_reader::setLimits(message_limits limits)
+{
+    m_implementation->limits = limits;
+    if (!started()) {
+        m_implementation->begin();
+    }
+}
+
+struct response_reader::implementation
+{
+    using parser_type = message_parser<false, response_message>;
+
+    explicit implementation(message_limits messageLimits)
+        : limits(messageLimits)
+    {
+    }
+
+    void begin()
+    {
+        parser = std::make_unique<parser_type>(limits);
+    }
+
+    read_progress finish(read_progress progress)
+    {
+        if (progress == read_progress::complete) {
+            parser->message.keepAlive = parser->keep_alive();
+        }
+        return progress;
+    }
+
+    message_limits limits;
+    std::unique_ptr<parser_type> parser = std::make_unique<parser_type>(limits);
+};
+
+response_reader::response_reader(message_limits limits)
+    : m_implementation(std::make_unique<implementation>(limits))
+{
+}
+
+response_reader::~response_reader() = default;
+
+read_progress response_reader::read(byte_queue &input)
+{
+    while (true) {
+        const auto progress = feed(*m_implementation->parser, input);
+        if (progress != read_progress::complete || m_implementation->parser->message.status >= firstFinalStatus) {
+            return m_implementation->finish(progress);
+        }
+        m_implementation->begin();
+    }
+}
+
+read_progress response_reader::end()
+{
+    auto &parser = *m_implementation->parser;
+    if (!parser.is_header_done()) {
+        return read_progress::malformed;
+    }
+    boost::beast::error_code error;
+    parser.put_eof(error);
+    return m_implementation->finish(error ? read_progress::malformed : read_progress::complete);
+}
+
+bool response_reader::started() const
+{
+    return m_implementation->parser->got_some();
+}
+
+response_message response_reader::take()
+{
+    auto message = std::move(m_implementation->parser->message);
+    m_implementation->begin();
+    return message;
+}
+
+void response_reader::expectNoBody()
+{
+    m_implementation->parser->skip(true);
+}
+
+bool equalIgnoringCase(std::string_view left, std::string_view right)
+{
+    return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+}
+
+bool listHasToken(std::string_view list, std::string_view token)
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        if (equalIgnoringCase(trimmed(list.substr(0, comma)), token)) {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return false;
+}
+
+std::string_view reasonPhrase(int status)
+{
+    return viewOf(beast::obsolete_reason(beast::int_to_status(static_cast<unsigned>(status))));
+}
+
+} // namespace daisystile
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -3,8 +3,10 @@
 /// Public header of the process library: what lives as long as the process.
 
 #include "clock.h"
+#include "extra_load_budget.h"
 #include "hash.h"
 #include "http_client.h"
+#include "http_message.h"
 #include "http_server.h"
 #include "ids.h"
 #include "ip_address.h"
@@ -13,5 +15,7 @@
 #include "metrics.h"
 #include "process_error.h"
 #include "reactor.h"
+#include "recent_latencies.h"
 #include "secret.h"
+#include "tcp_stream.h"
 #include "termination_signals.h"
--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -10,9 +10,11 @@
 #include <ace/Timer_Heap_T.h>
 #include <ace/Timer_Queue_Adapters.h>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <sys/eventfd.h>
+#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 #include <unordered_map>
@@ -57,7 +59,17 @@
     ACE_Time_Value m_rounded;
 };
 
-static constexpr std::size_t maximalHandles = 16384;
+static constexpr rlim_t maximalHandles = 16384;
+
+// The library sizes its tables by this figure, and refuses one above the process's limit of handles.
+static std::size_t handleTableSize()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return maximalHandles;
+    }
+    return static_cast<std::size_t>(std::min(limit.rlim_cur, maximalHandles));
+}
 
 static ACE_Reactor_Mask maskOf(io_interest interest)
 {
@@ -124,16 +136,28 @@
 struct reactor::implementation : public ACE_Event_Handler
 {
     implementation()
-        : poll(maximalHandles, true, nullptr, &timers),
+        : poll(handleTableSize(), true, nullptr, &timers),
           loop(&poll, false),
           wakeHandle(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
+        if (!opened()) {
+            DAISYSTILE_LOG(ERROR, "reactor") << "Can't be opened." << field("handles", handleTableSize());
+            return;
+        }
         reactor(&loop);
         loop.register_handler(wakeHandle, this, ACE_Event_Handler::READ_MASK);
     }
 
+    bool opened()
+    {
+        return wakeHandle >= 0 && loop.initialized() != 0;
+    }
+
     ~implementation() override
     {
+        if (!opened()) {
+            return;
+        }
         for (auto &[handle, watched] : handles) {
             loop.remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
         }
@@ -213,6 +237,11 @@
 
 reactor::~reactor() = default;
 
+bool reactor::opened() const
+{
+    return m_implementation->opened();
+}
+
 monotonic_time reactor::now() const
 {
     return std::chrono::steady_clock::now();
--- a/Source/Process/reactor.h
+++ b/Source/Process/reactor.h
@@ -26,6 +26,9 @@
     reactor(const reactor &) = delete;
     reactor &operator=(const reactor &) = delete;
 
+    /// False when the system gave no handle to wait on; such a reactor must not be run.
+    bool opened() const;
+
     monotonic_time now() const;
 
     /// Calls once after the delay.
--- a/Source/Request/recent_latencies.h
+++ b/Source/Process/recent_latencies.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Process/process.h>
+#include "latency_histogram.h"
 
 namespace daisystile {
 
--- /dev/null
+++ b/Source/Process/tcp_stream.cxx
@@ -0,0 +1,330 @@
+#include "tcp_stream.h"
+
+#include "log.h"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <cerrno>
+
+namespace daisystile {
+
+namespace {
+
+constexpr std::size_t readBytes = 32U << 10U;
+constexpr int acceptBacklog = 1024;
+constexpr int acceptsPerWake = 16;
+// A peer that has vanished without a word is noticed by unanswered bytes, or by unanswered probes while nothing is sent.
+constexpr int unansweredTimeoutMs = 3000;
+constexpr int probeIdleSeconds = 5;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 3;
+
+bool wouldWait(int error)
+{
+    return error == EWOULDBLOCK || error == EAGAIN || error == EINPROGRESS;
+}
+
+void setOption(ACE_SOCK_Stream &stream, int level, int option, int value)
+{
+    stream.set_option(level, option, &value, sizeof value);
+}
+
+void setOptions(ACE_SOCK_Stream &stream)
+{
+    stream.enable(ACE_NONBLOCK);
+    setOption(stream, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(stream, IPPROTO_TCP, TCP_USER_TIMEOUT, unansweredTimeoutMs);
+    setOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+}
+
+} // namespace
+
+struct tcp_stream::implementation : std::enable_shared_from_this<implementation>
+{
+    implementation(reactor &eventLoop, callbacks streamCallbacks)
+        : loop(eventLoop),
+          notify(std::move(streamCallbacks))
+    {
+    }
+
+    ~implementation()
+    {
+        release();
+    }
+
+    void start(bool connectionOpen)
+    {
+        open = connectionOpen;
+        watch();
+    }
+
+    void connect(const ip_address &address)
+    {
+        ACE_SOCK_Connector connector;
+        const ACE_INET_Addr target(address.port, address.host.c_str());
+        const ACE_Time_Value noWait = ACE_Time_Value::zero;
+        const bool pending = connector.connect(stream, target, &noWait) != 0;
+        if (pending && !wouldWait(errno) && errno != ETIME) {
+            stream.close();
+            loop.post([weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->end(stream_end::connect_failed);
+                }
+            });
+            return;
+        }
+        setOptions(stream);
+        start(false);
+    }
+
+    void watch()
+    {
+        if (stream.get_handle() == ACE_INVALID_HANDLE) {
+            return;
+        }
+        const bool write = !open || !unsent.empty();
+        if (watched && write == watchingWrite) {
+            return;
+        }
+        watched = true;
+        watchingWrite = write;
+        loop.watch(stream.get_handle(), {.read = true, .write = write}, [this] { ready(); });
+    }
+
+    void ready()
+    {
+        const auto keep = shared_from_this();
+        if (!open && !finishConnect()) {
+            return;
+        }
+        if (!unsent.empty()) {
+            flush();
+        }
+        if (stream.get_handle() != ACE_INVALID_HANDLE) {
+            receive();
+        }
+    }
+
+    bool finishConnect()
+    {
+        int error = 0;
+        int size = sizeof error;
+        if (stream.get_option(SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+            end(stream_end::connect_failed);
+            return false;
+        }
+        ACE_INET_Addr peer;
+        if (stream.get_remote_addr(peer) != 0) {
+            return false;
+        }
+        open = true;
+        watch();
+        if (notify.opened) {
+            notify.opened();
+        }
+        return stream.get_handle() != ACE_INVALID_HANDLE;
+    }
+
+    void receive()
+    {
+        std::array<char, readBytes> bytes;
+        const auto count = stream.recv(bytes.data(), bytes.size());
+        if (count < 0 && wouldWait(errno)) {
+            return;
+        }
+        if (count <= 0) {
+            end(count == 0 ? stream_end::closed : stream_end::reset);
+            return;
+        }
+        if (closing) {
+            return;
+        }
+        input.append({bytes.data(), static_cast<std::size_t>(count)});
+        notify.received();
+    }
+
+    void send(std::string_view bytes)
+    {
+        if (open && unsent.empty()) {
+            const auto count = sendNow(bytes);
+            bytes.remove_prefix(count);
+        }
+        if (!bytes.empty()) {
+            unsent.append(bytes);
+            watch();
+        }
+    }
+
+    // A broken connection is reported by the next receive.
+    std::size_t sendNow(std::string_view bytes)
+    {
+        const auto count = stream.send(bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return count < 0 ? 0 : static_cast<std::size_t>(count);
+    }
+
+    void flush()
+    {
+        unsent.consume(sendNow(unsent.view()));
+        if (closing && unsent.empty()) {
+            stream.close_writer();
+        }
+        watch();
+    }
+
+    void end(stream_end how)
+    {
+        const bool tell = !ended && !closing;
+        ended = true;
+        release();
+        if (tell) {
+            notify.ended(how);
+        }
+    }
+
+    void release()
+    {
+        if (stream.get_handle() != ACE_INVALID_HANDLE) {
+            loop.unwatch(stream.get_handle());
+            stream.close();
+        }
+    }
+
+    reactor &loop;
+    callbacks notify;
+    ACE_SOCK_Stream stream;
+    byte_queue input;
+    byte_queue unsent;
+    bool open = false;
+    bool watched = false;
+    bool watchingWrite = false;
+    bool ended = false;
+    bool closing = false;
+};
+
+tcp_stream::tcp_stream(reactor &loop, int handle, callbacks notify)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(notify)))
+{
+    m_implementation->stream.set_handle(handle);
+    setOptions(m_implementation->stream);
+    m_implementation->start(true);
+}
+
+tcp_stream::tcp_stream(reactor &loop, const ip_address &address, callbacks notify)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(notify)))
+{
+    m_implementation->connect(address);
+}
+
+tcp_stream::~tcp_stream()
+{
+    auto &self = *m_implementation;
+    if (!self.closing) {
+        self.ended = true;
+        self.release();
+    }
+}
+
+bool tcp_stream::isOpen() const
+{
+    return m_implementation->open && m_implementation->stream.get_handle() != ACE_INVALID_HANDLE;
+}
+
+byte_queue &tcp_stream::input()
+{
+    return m_implementation->input;
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    m_implementation->send(bytes);
+}
+
+std::size_t tcp_stream::unsent() const
+{
+    return m_implementation->unsent.size();
+}
+
+void tcp_stream::closeWhenSent()
+{
+    constexpr milliseconds longestLinger {500};
+    auto &self = *m_implementation;
+    self.closing = true;
+    self.input.clear();
+    if (self.stream.get_handle() == ACE_INVALID_HANDLE) {
+        return;
+    }
+    if (!self.unsent.empty()) {
+        self.loop.after(longestLinger, [kept = m_implementation] { kept->release(); });
+        return;
+    }
+    // Closing with unread bytes would reset the connection and lose the answer on its way, so the peer closes first.
+    self.stream.close_writer();
+    self.loop.after(longestLinger, [kept = m_implementation] { kept->release(); });
+}
+
+struct tcp_listener::implementation
+{
+    void accept()
+    {
+        for (int i = 0; i < acceptsPerWake; ++i) {
+            ACE_SOCK_Stream stream;
+            if (acceptor.accept(stream) != 0) {
+                if (errno == EMFILE || errno == ENFILE) {
+                    DAISYSTILE_LOG(ERROR, "listener") << "No handle left for a connection.";
+                }
+                return;
+            }
+            accepted(stream.get_handle());
+            stream.set_handle(ACE_INVALID_HANDLE);
+        }
+    }
+
+    reactor *loop = nullptr;
+    ACE_SOCK_Acceptor acceptor;
+    std::function<void(int)> accepted;
+};
+
+tcp_listener::tcp_listener()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+    if (m_implementation->loop != nullptr) {
+        m_implementation->loop->unwatch(m_implementation->acceptor.get_handle());
+    }
+    m_implementation->acceptor.close();
+}
+
+leaf::result<std::unique_ptr<tcp_listener>> tcp_listener::listen(reactor &loop, const ip_address &address, std::function<void(int handle)> accepted)
+{
+    auto listener = std::make_unique<tcp_listener>();
+    auto &self = *listener->m_implementation;
+    const ACE_INET_Addr local(address.port, address.host.c_str());
+    if (self.acceptor.open(local, 1, AF_INET, acceptBacklog) != 0) {
+        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
+    }
+    self.acceptor.enable(ACE_NONBLOCK);
+    self.accepted = std::move(accepted);
+    self.loop = &loop;
+    loop.watch(self.acceptor.get_handle(), {.read = true, .write = false}, [&self] { self.accept(); });
+    return listener;
+}
+
+ip_address tcp_listener::address() const
+{
+    ACE_INET_Addr local;
+    m_implementation->acceptor.get_local_addr(local);
+    return {local.get_host_addr(), local.get_port_number()};
+}
+
+} // namespace daisystile
--- a/Source/Request/callers_api.cxx
+++ b/Source/Request/callers_api.cxx
@@ -20,7 +20,7 @@
     execute,
 };
 
-struct route
+struct callers_path
 {
     service_name service;
     verb action;
@@ -29,7 +29,7 @@
 // What is known of a caller once its token and service were checked.
 struct checked_call
 {
-    route target;
+    callers_path target;
     std::shared_ptr<const contract> terms;
     milliseconds wait;
 };
@@ -57,7 +57,7 @@
     return status < 300 ? std::optional<std::string_view>("") : std::nullopt;
 }
 
-static leaf::result<route> parseRoute(const http_request &request)
+static leaf::result<callers_path> parseRoute(const http_request &request)
 {
     if (request.path.compare(0, servicesPath.size(), servicesPath) != 0) {
         return leaf::new_error(request_error {request_failure::path_unknown, request.path});
@@ -71,7 +71,7 @@
     if (request.method != "POST") {
         return leaf::new_error(request_error {request_failure::method_not_allowed, request.method});
     }
-    return route {{rest.substr(0, slash)}, action == "query" ? verb::query : verb::execute};
+    return callers_path {{rest.substr(0, slash)}, action == "query" ? verb::query : verb::execute};
 }
 
 // A key may have run before, through any daemon; only its journal knows. So a refusal that comes before
@@ -103,7 +103,7 @@
         return found->second;
     }
 
-    leaf::result<void> checkService(const route &target, const contract &terms) const
+    leaf::result<void> checkService(const callers_path &target, const contract &terms) const
     {
         if (std::find(terms.services.begin(), terms.services.end(), target.service) == terms.services.end()) {
             return leaf::new_error(request_error {request_failure::service_not_allowed, target.service.value});
--- a/Source/Request/config_shell.cxx
+++ b/Source/Request/config_shell.cxx
@@ -67,7 +67,7 @@
 
 void config_shell::carryOut(const list_head &)
 {
-    m_platform.list(headKey, [this](const list_result &result) { decide(head_listed {result}); });
+    m_platform.list(headKey, read_freshness::newest, [this](const list_result &result) { decide(head_listed {result}); });
 }
 
 void config_shell::carryOut(const read_record &action)
--- a/Source/Request/daemon_process.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -88,6 +88,9 @@
 leaf::result<daemon_addresses> daemon_process::listen()
 {
     auto &self = *m_implementation;
+    if (!self.control.loop().opened() || !self.traffic.opened()) {
+        return leaf::new_error(process_error {process_failure::out_of_handles, "reactor"});
+    }
     self.addOperatorsPaths();
     BOOST_LEAF_AUTO(control, self.control.listen());
     BOOST_LEAF_AUTO(traffic, self.traffic.listen());
--- a/Source/Request/journal_keeper.cxx
+++ b/Source/Request/journal_keeper.cxx
@@ -43,7 +43,7 @@
 
     void operator()(const list_segments &action) const
     {
-        self.m_platform.list(action.prefix, [decide = self.decider(partition)](list_result result) {
+        self.m_platform.list(action.prefix, read_freshness::newest, [decide = self.decider(partition)](list_result result) {
             segments_listed listed;
             if (auto *list = std::get_if<object_list>(&result)) {
                 listed.segments = std::move(list->objects);
--- a/Source/Request/serving_state.h
+++ b/Source/Request/serving_state.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "recent_latencies.h"
+#include <Process/process.h>
 #include "service_index.h"
 
 #include <Version/version.h>
--- a/Source/Request/serving_table.h
+++ b/Source/Request/serving_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "extra_load_budget.h"
+#include <Process/process.h>
 #include "serving_state.h"
 
 #include <map>
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -287,6 +287,11 @@
     stop();
 }
 
+bool traffic_runtime::opened() const
+{
+    return m_implementation->loop.opened();
+}
+
 leaf::result<traffic_runtime::addresses> traffic_runtime::listen()
 {
     auto &self = *m_implementation;
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -24,6 +24,9 @@
         ip_address traffic;
     };
 
+    /// False when the system gave no handle for the event loop.
+    bool opened() const;
+
     /// Errors: process_error{address_in_use}.
     leaf::result<addresses> listen();
 
--- /dev/null
+++ b/Source/Route/forward_decision.cxx
@@ -0,0 +1,203 @@
+#include "forward_decision.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+namespace {
+
+// A part that servers keep turning away is given up, so that it doesn't go round among full servers.
+constexpr unsigned mostRefusals = 3;
+
+class forward_decider
+{
+public:
+    forward_decider(forward_state &state, monotonic_time now, forward_actions &actions)
+        : m_state(state),
+          m_now(now),
+          m_actions(actions)
+    {
+    }
+
+    void operator()(const forward_begun &)
+    {
+        for (part_index part = 0; part < m_state.parts.size(); ++part) {
+            m_actions.emplace_back(try_part {part, attempt_purpose::first});
+        }
+    }
+
+    void operator()(const attempt_started &event)
+    {
+        auto &part = m_state.parts[event.part];
+        part.running += 1;
+        part.waiting = false;
+        const bool mayHedge = event.purpose == attempt_purpose::first && m_state.terms.repeat == repeat_rule::idempotent;
+        part.hedgeAt = mayHedge && m_state.terms.mostAttempts > 1 ? m_now + event.hedgeDelay : monotonic_time::max();
+    }
+
+    void operator()(const attempt_unplaced &event)
+    {
+        auto &part = m_state.parts[event.part];
+        if (event.purpose == attempt_purpose::hedge) {
+            part.hedgeAt = monotonic_time::max();
+            return;
+        }
+        part.waiting = true;
+    }
+
+    void operator()(const attempt_denied &event)
+    {
+        auto &part = m_state.parts[event.part];
+        part.hedgeAt = monotonic_time::max();
+        if (event.purpose != attempt_purpose::hedge && part.running == 0) {
+            lose(part);
+        }
+    }
+
+    void operator()(const attempt_ended &event)
+    {
+        auto &part = m_state.parts[event.part];
+        part.running -= std::min(part.running, 1U);
+        if (event.end == attempt_end::answered) {
+            answer(part);
+            return;
+        }
+        (event.end == attempt_end::not_run ? part.refusals : part.runs) += 1;
+        if (part.answered || part.lost || part.running > 0) {
+            return;
+        }
+        if (mayTryAgain(part)) {
+            m_actions.emplace_back(try_part {event.part, attempt_purpose::retry});
+        } else {
+            lose(part);
+        }
+    }
+
+    void operator()(const server_freed &)
+    {
+        for (part_index i = 0; i < m_state.parts.size(); ++i) {
+            auto &part = m_state.parts[i];
+            if (part.waiting) {
+                part.waiting = false;
+                m_actions.emplace_back(try_part {i, part.runs + part.refusals == 0 ? attempt_purpose::first : attempt_purpose::retry});
+            }
+        }
+    }
+
+    void operator()(const clock_ticked &)
+    {
+        for (part_index i = 0; i < m_state.parts.size(); ++i) {
+            auto &part = m_state.parts[i];
+            if (!part.answered && part.running > 0 && m_now >= part.hedgeAt) {
+                part.hedgeAt = monotonic_time::max();
+                m_actions.emplace_back(try_part {i, attempt_purpose::hedge});
+            }
+        }
+    }
+
+    void conclude()
+    {
+        const auto &terms = m_state.terms;
+        const bool enough = m_state.answered >= terms.leastParts;
+        const bool settled = m_state.answered + m_state.lost == terms.parts;
+        const bool hopeless = terms.parts - m_state.lost < terms.leastParts;
+        if (enough && (settled || m_now >= terms.answerAt)) {
+            end(answer_request {});
+        } else if (settled || hopeless) {
+            end(fail_request {nothingRan() ? forward_failure::not_run : forward_failure::servers_failed});
+        } else if (m_now >= terms.giveUpAt) {
+            end(fail_request {nothingRan() && nothingRuns() ? forward_failure::not_run : forward_failure::timed_out});
+        }
+    }
+
+private:
+    bool mayTryAgain(const part_progress &part) const
+    {
+        if (part.refusals >= mostRefusals) {
+            return false;
+        }
+        if (m_state.terms.repeat == repeat_rule::at_most_once) {
+            return part.runs == 0;
+        }
+        return part.runs < m_state.terms.mostAttempts;
+    }
+
+    void answer(part_progress &part)
+    {
+        if (part.answered) {
+            return;
+        }
+        part.answered = true;
+        part.waiting = false;
+        part.hedgeAt = monotonic_time::max();
+        m_state.answered += 1;
+        if (part.lost) {
+            part.lost = false;
+            m_state.lost -= 1;
+        }
+    }
+
+    void lose(part_progress &part)
+    {
+        if (!part.lost && !part.answered) {
+            part.lost = true;
+            part.waiting = false;
+            m_state.lost += 1;
+        }
+    }
+
+    bool nothingRan() const
+    {
+        return std::all_of(m_state.parts.begin(), m_state.parts.end(), [](const auto &part) { return part.runs == 0 && !part.answered; });
+    }
+
+    bool nothingRuns() const
+    {
+        return std::all_of(m_state.parts.begin(), m_state.parts.end(), [](const auto &part) { return part.running == 0; });
+    }
+
+    void end(const forward_action &action)
+    {
+        m_state.ended = true;
+        m_actions.clear();
+        m_actions.push_back(action);
+    }
+
+    forward_state &m_state;
+    monotonic_time m_now;
+    forward_actions &m_actions;
+};
+
+} // namespace
+
+forward_state beginForward(const forward_terms &terms)
+{
+    forward_state state;
+    state.terms = terms;
+    state.parts.resize(terms.parts);
+    return state;
+}
+
+void decide(forward_state &state, const forward_event &event, monotonic_time now, forward_actions &actions)
+{
+    if (state.ended) {
+        return;
+    }
+    forward_decider decider(state, now, actions);
+    std::visit(decider, event);
+    decider.conclude();
+}
+
+monotonic_time nextTick(const forward_state &state)
+{
+    const bool enough = state.answered >= state.terms.leastParts;
+    auto next = enough ? std::min(state.terms.answerAt, state.terms.giveUpAt) : state.terms.giveUpAt;
+    for (const auto &part : state.parts) {
+        if (!part.answered && part.running > 0) {
+            next = std::min(next, part.hedgeAt);
+        }
+    }
+    return next;
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Route/replica_record.cxx
@@ -0,0 +1,109 @@
+#include "replica_record.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisystile {
+
+namespace {
+
+constexpr double slownessWeight = 0.25;
+constexpr double largestSlowness = 50;
+// What was seen fades, so that a server that got better is tried again.
+constexpr double slownessHalfLifeSeconds = 2;
+constexpr double failuresHalfLifeSeconds = 1.5;
+constexpr double answeredFailureFactor = 0.75;
+constexpr milliseconds suspectAfterAbandon {150};
+
+double fade(monotonic_time now, monotonic_time since, double halfLifeSeconds)
+{
+    const double age = std::chrono::duration<double>(now - since).count();
+    return age <= 0 ? 1 : std::exp2(-age / halfLifeSeconds);
+}
+
+} // namespace
+
+void replica_record::started(attempt_id attempt, monotonic_time now, milliseconds suspectAfter)
+{
+    m_running.push_back({attempt, now, now + suspectAfter});
+}
+
+bool replica_record::remove(attempt_id attempt, running_attempt &found)
+{
+    const auto entry = std::find_if(m_running.begin(), m_running.end(), [&](const auto &running) { return running.id == attempt; });
+    if (entry == m_running.end()) {
+        return false;
+    }
+    found = *entry;
+    m_running.erase(entry);
+    return true;
+}
+
+void replica_record::answered(attempt_id attempt, monotonic_time now, microseconds pace)
+{
+    running_attempt found {};
+    if (!remove(attempt, found)) {
+        return;
+    }
+    m_lastAnswer = now;
+    m_suspectUntil = {};
+    const double usual = std::max<double>(1, static_cast<double>(pace.count()));
+    const double latency = std::chrono::duration<double, std::micro>(now - found.sent).count();
+    const double ratio = std::clamp(latency / usual, 0.0, largestSlowness);
+    m_slowness = slowness(now) * (1 - slownessWeight) + ratio * slownessWeight;
+    m_slownessTime = now;
+    m_failures = failures(now) * answeredFailureFactor;
+    m_failuresTime = now;
+}
+
+void replica_record::addFailure(monotonic_time now, double weight)
+{
+    m_failures = failures(now) + weight;
+    m_failuresTime = now;
+}
+
+void replica_record::failed(attempt_id attempt, monotonic_time now, double weight)
+{
+    running_attempt found {};
+    if (remove(attempt, found)) {
+        addFailure(now, weight);
+    }
+}
+
+void replica_record::failedToConnect(monotonic_time now)
+{
+    addFailure(now, 1);
+}
+
+void replica_record::abandoned(attempt_id attempt)
+{
+    running_attempt found {};
+    if (remove(attempt, found) && m_lastAnswer < found.sent) {
+        m_suspectUntil = std::max(m_suspectUntil, found.suspectAt + suspectAfterAbandon);
+    }
+}
+
+unsigned replica_record::running() const
+{
+    return static_cast<unsigned>(m_running.size());
+}
+
+bool replica_record::stalled(monotonic_time now) const
+{
+    if (now < m_suspectUntil) {
+        return true;
+    }
+    return std::any_of(m_running.begin(), m_running.end(), [&](const auto &running) { return now >= running.suspectAt && m_lastAnswer < running.sent; });
+}
+
+double replica_record::slowness(monotonic_time now) const
+{
+    return 1 + (m_slowness - 1) * fade(now, m_slownessTime, slownessHalfLifeSeconds);
+}
+
+double replica_record::failures(monotonic_time now) const
+{
+    return m_failures * fade(now, m_failuresTime, failuresHalfLifeSeconds);
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Route/route.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Public header of the route library: routes, backend servers, and the pure decisions on where and when a request is sent.
+
+#include "forward_decision.h"
+#include "record_merge.h"
+#include "replica_choice.h"
+#include "replica_record.h"
+#include "routing.h"
+#include "server_entry.h"
--- a/Source/Version/change_acceptance.cxx
+++ b/Source/Version/change_acceptance.cxx
@@ -214,7 +214,7 @@
     m_nextHead.entries[m_request.object] = {m_record.version, m_record.change, m_nextHead.number};
     auto json = toJson(m_nextHead);
     if (json.size() > platformValueBytes) {
-        return giveUp("config/head would be larger than a value of the platform");
+        return giveUp("the head of the catalog would be larger than a value of the platform");
     }
     m_step = change_step::write_head;
     if (m_headEtag.empty()) {
--- a/Source/Version/change_acceptance.h
+++ b/Source/Version/change_acceptance.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config_record.h"
-#include "platform_client.h"
+#include <platform/platform.h>
 
 #include <cstdint>
 #include <optional>
--- a/Source/Version/config_record.cxx
+++ b/Source/Version/config_record.cxx
@@ -15,9 +15,9 @@
     const char *folder;
 };
 
-constexpr std::array<kind_words, 3> kinds {{{config_kind::contract, "contract", "config/contracts/"},
-    {config_kind::service, "service", "config/services/"},
-    {config_kind::domains, "domains", "config/domains/"}}};
+constexpr std::array<kind_words, 3> kinds {{{config_kind::contract, "contract", "catalog/contracts/"},
+    {config_kind::service, "service", "catalog/services/"},
+    {config_kind::domains, "domains", "catalog/domains/"}}};
 
 const kind_words &wordsOf(config_kind kind)
 {
--- a/Source/Version/config_record.h
+++ b/Source/Version/config_record.h
@@ -82,7 +82,7 @@
     bool operator==(const config_head &) const = default;
 };
 
-inline constexpr const char *headKey = "config/head";
+inline constexpr const char *headKey = "catalog/head";
 
 /// Prefix of an object's records in the platform.
 std::string recordPrefix(const config_object &object);
--- a/Source/Version/config_spread.h
+++ b/Source/Version/config_spread.h
@@ -2,7 +2,7 @@
 
 #include "config_builder.h"
 #include "member.h"
-#include "platform_client.h"
+#include <platform/platform.h>
 
 #include <cstdint>
 #include <map>
--- a/Source/Version/config_writer.cxx
+++ b/Source/Version/config_writer.cxx
@@ -75,7 +75,7 @@
     if (!due) {
         return;
     }
-    m_platform.list(recordPrefix(newest.object), [this, newest](const list_result &result) {
+    m_platform.list(recordPrefix(newest.object), read_freshness::newest, [this, newest](const list_result &result) {
         const auto *list = std::get_if<object_list>(&result);
         if (list == nullptr) {
             return;
@@ -137,7 +137,7 @@
             done(std::move(*found));
             return;
         }
-        done(platform_unavailable {"config/head is malformed"});
+        done(platform_unavailable {"the head of the catalog is malformed"});
     });
 }
 
@@ -178,7 +178,7 @@
             done(std::get<platform_unavailable>(result));
             return;
         }
-        platform.list(recordPrefix(object), [head = std::move(*head), object, done](const list_result &listed) {
+        platform.list(recordPrefix(object), read_freshness::newest, [head = std::move(*head), object, done](const list_result &listed) {
             if (const auto *list = std::get_if<object_list>(&listed)) {
                 done(acceptedRecords(head, object, list->objects));
                 return;
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -1,7 +1,9 @@
+#include <Forward/forward.h>
 #include <Request/request.h>
 
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -10,6 +12,7 @@
 
 static constexpr int exitSettingsWrong = 2;
 static constexpr int exitAddressInUse = 3;
+static constexpr int exitOutOfHandles = 4;
 
 namespace {
 
@@ -17,21 +20,37 @@
 {
     std::string config;
     std::string logLevel;
+    std::string frontDoor;
     bool checkOnly = false;
 };
 
+// Names the settings file where no option does.
+constexpr const char *settingsVariable = "DAISYSTILE_NODE_FILE";
+constexpr const char *plainFrontDoor = "plain";
+
 } // namespace
 
 static daemon_options parseOptions(int argc, char **argv)
 {
     TCLAP::CmdLine line("Serves callers and operators on one host.", ' ', DAISYSTILE_VERSION);
-    const TCLAP::ValueArg<std::string> config("c", "config", "Settings file (TOML).", true, "", "FILE", line);
+    const auto *fromEnvironment = std::getenv(settingsVariable);
+    const TCLAP::ValueArg<std::string> config("c",
+        "config",
+        std::string("Settings file (TOML); without it, the one that ") + settingsVariable + " names.",
+        fromEnvironment == nullptr,
+        fromEnvironment == nullptr ? "" : fromEnvironment,
+        "FILE",
+        line);
+    std::vector<std::string> doors {"callers-api", plainFrontDoor};
+    TCLAP::ValuesConstraint<std::string> allowedDoors(doors);
+    const TCLAP::ValueArg<std::string> door(
+        "", "front-door", "What clients speak: the callers' API, or plain HTTP routed by host and path.", false, doors.front(), &allowedDoors, line);
     const TCLAP::SwitchArg check("", "check", "Check the settings file and stop.", line);
     std::vector<std::string> levels {"info", "warning", "error"};
     TCLAP::ValuesConstraint<std::string> allowed(levels);
     const TCLAP::ValueArg<std::string> level("", "log-level", "Least severity that is logged.", false, "info", &allowed, line);
     line.parse(argc, argv);
-    return {config.getValue(), level.getValue(), check.getValue()};
+    return {config.getValue(), level.getValue(), door.getValue(), check.getValue()};
 }
 
 static std::optional<std::string> readFile(const std::string &name)
@@ -45,20 +64,13 @@
     return text.str();
 }
 
-static int serve(daemon_settings settings)
+template<class Start> static int guardedServe(const Start &start)
 {
-    daemon_process server(std::move(settings));
     return leaf::try_handle_all(
-        [&]() -> leaf::result<int> {
-            BOOST_LEAF_AUTO(addresses, server.listen());
-            std::cout << "ready callers=" << toString(addresses.callers) << " operators=" << toString(addresses.operators)
-                      << " traffic=" << toString(addresses.traffic) << " control=" << toString(addresses.control) << std::endl;
-            server.run();
-            return 0;
-        },
+        start,
         [](const process_error &error) {
-            DAISYSTILE_LOG(ERROR, "daemon") << "Can't listen: " << error << ".";
-            return exitAddressInUse;
+            DAISYSTILE_LOG(ERROR, "daemon") << "Can't start: " << error << ".";
+            return error.failure == process_failure::out_of_handles ? exitOutOfHandles : exitAddressInUse;
         },
         [] {
             DAISYSTILE_LOG(ERROR, "daemon") << "Can't start.";
@@ -66,6 +78,41 @@
         });
 }
 
+static int serve(daemon_settings settings)
+{
+    daemon_process server(std::move(settings));
+    return guardedServe([&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(addresses, server.listen());
+        std::cout << "ready callers=" << toString(addresses.callers) << " operators=" << toString(addresses.operators)
+                  << " traffic=" << toString(addresses.traffic) << " control=" << toString(addresses.control) << std::endl;
+        server.run();
+        return 0;
+    });
+}
+
+static int serve(entry_settings settings)
+{
+    entry_process server(std::move(settings));
+    return guardedServe([&]() -> leaf::result<int> {
+        BOOST_LEAF_CHECK(server.listen());
+        server.run();
+        return 0;
+    });
+}
+
+template<class Settings> static int checkAndServe(parsed<Settings> settings, const daemon_options &options)
+{
+    if (const auto *mistakes = std::get_if<config_mistakes>(&settings)) {
+        std::cerr << toString(*mistakes);
+        return exitSettingsWrong;
+    }
+    if (options.checkOnly) {
+        std::cout << options.config << ": settings are valid\n";
+        return 0;
+    }
+    return serve(std::move(std::get<Settings>(settings)));
+}
+
 int main(int argc, char **argv)
 {
     blockTerminationSignals();
@@ -76,14 +123,8 @@
         std::cerr << options.config << ": expected a settings file, found none that can be read\n";
         return exitSettingsWrong;
     }
-    auto settings = parseDaemonSettings(*text, options.config);
-    if (const auto *mistakes = std::get_if<config_mistakes>(&settings)) {
-        std::cerr << toString(*mistakes);
-        return exitSettingsWrong;
-    }
-    if (options.checkOnly) {
-        std::cout << options.config << ": settings are valid\n";
-        return 0;
+    if (options.frontDoor == plainFrontDoor) {
+        return checkAndServe(parseEntrySettings(*text, options.config), options);
     }
-    return serve(std::move(std::get<daemon_settings>(settings)));
+    return checkAndServe(parseDaemonSettings(*text, options.config), options);
 }
--- a/Tests/Process/reactor_test.cxx
+++ b/Tests/Process/reactor_test.cxx
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
 #include <thread>
 #include <vector>
 
@@ -36,3 +37,23 @@
     other.join();
     EXPECT_EQ(count, 1000);
 }
+
+TEST(reactor, opensUnderALowLimitOfHandles)
+{
+    rlimit before {};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    const rlimit low {.rlim_cur = 256, .rlim_max = before.rlim_max};
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &low), 0);
+    {
+        reactor loop;
+        EXPECT_TRUE(loop.opened());
+        bool fired = false;
+        loop.after(milliseconds {1}, [&] {
+            fired = true;
+            loop.stop();
+        });
+        loop.run();
+        EXPECT_TRUE(fired);
+    }
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+}
--- a/Tests/Promises/fleet_fixture.cxx
+++ b/Tests/Promises/fleet_fixture.cxx
@@ -138,10 +138,10 @@
     const std::uint64_t version = known == m_head.end() ? 1 : known->second["version"].get<std::uint64_t>() + 1;
     const std::string previous = known == m_head.end() ? "" : known->second["change_id"].get<std::string>();
     const auto change = "change-" + std::to_string(version);
-    const auto address = m_platform->address("http");
+    const auto address = m_platform->address("control");
     m_client.send("PUT",
         address,
-        "/objects/config/" + folders.at(kind) + "/" + name + "/" + change,
+        "/control/objects/catalog/" + folders.at(kind) + "/" + name + "/" + change,
         {{"kind", kind}, {"name", name}, {"version", version}, {"change_id", change}, {"previous", previous}, {"operator", "test"}, {"at", 0}, {"text", text}});
     m_headNumber += 1;
     m_head[kind + "/" + name] = {{"kind", kind}, {"name", name}, {"version", version}, {"change_id", change}, {"number", m_headNumber}};
@@ -149,7 +149,7 @@
     for (const auto &[object, entry] : m_head) {
         entries.push_back(entry);
     }
-    m_client.send("PUT", address, "/objects/config/head", {{"number", m_headNumber}, {"entries", entries}});
+    m_client.send("PUT", address, "/control/objects/catalog/head", {{"number", m_headNumber}, {"entries", entries}});
 }
 
 std::string fleet_fixture::settingsText(const std::string &name, const std::string &domain) const
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -7,23 +7,77 @@
 namespace daisystile {
 
 using nlohmann::json;
+using namespace nlohmann::literals;
 
 static constexpr milliseconds longestWatch {10000};
 // A hanging request lets go of its connection in the end.
 static constexpr milliseconds longestHang {30000};
 
-static const std::string objectsPath = "/objects/";
+// The published API lists few objects a page; small pages here make every reader go on to the next.
+static constexpr std::size_t pageItems = 50;
+
+static const std::string objectsPath = "/v1/objects/";
 static const std::string hostsPath = "/hosts/";
+static const std::string controlObjectsPath = "/control/objects/";
+static const std::string hostsKind = "hosts";
+
+/// "KIND" or "KIND/NAME" of a call's path.
+static std::string pathKey(const http_request &request)
+{
+    return request.path.starts_with(objectsPath) ? request.path.substr(objectsPath.size()) : std::string();
+}
 
 static std::string callKind(const http_request &request)
 {
-    if (request.path.starts_with(objectsPath)) {
-        return request.method == "GET" ? "get" : request.method == "PUT" ? "put" : "delete";
+    if (request.method == "DELETE") {
+        return "delete";
     }
-    if (request.path == "/objects") {
-        return "list";
+    if (request.method != "GET") {
+        return "put";
+    }
+    if (request.query.contains("watch")) {
+        return "watch";
+    }
+    const auto key = pathKey(request);
+    if (key == hostsKind) {
+        return "hosts";
     }
-    return request.path == "/watch" ? "watch" : "hosts";
+    return key.find('/') == std::string::npos ? "list" : "get";
+}
+
+// A daemon names its failure domain behind its own name.
+static std::string callersDomain(const http_request &request)
+{
+    const auto agent = request.header("user-agent").value_or("");
+    const auto slash = agent.find('/');
+    return slash == std::string::npos ? std::string() : agent.substr(slash + 1);
+}
+
+// Daemons write the slashes of a name as colons.
+static std::string storedKey(const std::string &key)
+{
+    const auto slash = key.find('/');
+    auto stored = key;
+    std::replace(stored.begin() + static_cast<std::ptrdiff_t>(std::min(slash + 1, key.size())), stored.end(), '/', ':');
+    return stored;
+}
+
+static std::string nameOf(const std::string &key)
+{
+    return key.substr(key.find('/') + 1);
+}
+
+static std::uint64_t revisionOf(const std::string &etag)
+{
+    return std::strtoull(etag.c_str() + (etag.starts_with('"') ? 1 : 0), nullptr, 10);
+}
+
+static json objectJson(const std::string &key, const std::string &etag, const std::string &value)
+{
+    auto spec = parseJson(value);
+    return {{"meta", {{"name", nameOf(key)}, {"revision", revisionOf(etag)}, {"finalizers", json::array()}, {"deleting", false}}},
+        {"spec", spec && !spec->is_discarded() ? *spec : json(value)},
+        {"status", nullptr}};
 }
 
 static std::string queryValue(const http_request &request, const std::string &name)
@@ -57,7 +111,7 @@
 
 void platform_standin::receive(http_request request, http_responder respond)
 {
-    const auto domain = request.header("failure-domain").value_or("");
+    const auto domain = callersDomain(request);
     m_counters.calls[callKind(request)] += 1;
     m_counters.callsByDomain[domain] += 1;
     m_counters.bytesIn += request.body.size();
@@ -85,8 +139,9 @@
         respond(droppedConnection());
         return true;
     }
-    if (m_faults.outage == outage_kind::unavailable) {
-        respond(problemResponse(503, "platform down"));
+    if (m_faults.outage == outage_kind::unavailable || m_faults.outage == outage_kind::busy) {
+        const bool busy = m_faults.outage == outage_kind::busy;
+        respond(problemResponse(busy ? 429 : 503, busy ? "too many calls" : "platform down"));
         return true;
     }
     return false;
@@ -99,55 +154,88 @@
 
 void platform_standin::serve(const http_request &request, const http_responder &respond)
 {
-    if (request.path.starts_with(objectsPath)) {
-        serveObject(request, respond);
-    } else if (request.path == "/objects" && request.method == "GET") {
-        respond(listObjects(request));
-    } else if (request.path == "/watch" && request.method == "GET") {
-        watch(request, respond);
-    } else if (request.path == "/hosts" || request.path.starts_with(hostsPath)) {
+    const auto key = pathKey(request);
+    const bool whole = key.find('/') != std::string::npos;
+    if (request.path.starts_with(hostsPath)) {
         respond(serveHosts(request));
-    } else {
+    } else if (key.empty()) {
         respond(problemResponse(404, "no such path"));
+    } else if (request.method == "POST" && !whole) {
+        create(request, key, respond);
+    } else if ((request.method == "PUT" || request.method == "DELETE") && whole) {
+        change(request, key, respond);
+    } else if (request.method != "GET") {
+        respond(problemResponse(405, "method not allowed"));
+    } else if (whole) {
+        respond(readObject(key));
+    } else if (request.query.contains("watch")) {
+        watch(request, key + "/", respond);
+    } else {
+        respond(key == hostsKind ? listHosts() : listObjects(request, key + "/"));
     }
 }
 
-void platform_standin::serveObject(const http_request &request, const http_responder &respond)
+http_response platform_standin::readObject(const std::string &key) const
 {
-    const auto key = request.path.substr(objectsPath.size());
-    if (request.method == "PUT" || request.method == "DELETE") {
-        write(request, key, respond);
-        return;
+    const auto *object = m_store.find(key);
+    if (object == nullptr) {
+        return problemResponse(404, "no such object");
     }
-    if (request.method != "GET") {
-        respond(problemResponse(405, "method not allowed"));
+    return jsonResponse(objectJson(key, object->etag, object->value));
+}
+
+static std::string specText(const json &body)
+{
+    const auto spec = body.value("spec", json());
+    return spec.is_string() ? spec.get<std::string>() : spec.dump();
+}
+
+void platform_standin::create(const http_request &request, const std::string &kind, const http_responder &respond)
+{
+    const auto body = parseJson(request.body);
+    const auto name = body ? body->value("/meta/name"_json_pointer, std::string()) : std::string();
+    if (name.empty()) {
+        respond(problemResponse(400, "an object has a name in its meta"));
         return;
     }
-    const auto *object = m_store.find(key);
-    if (object == nullptr) {
+    const auto key = kind + "/" + name;
+    finishWrite(key, m_store.put(key, specText(*body), {.ifAbsent = true}), respond);
+}
+
+void platform_standin::change(const http_request &request, const std::string &key, const http_responder &respond)
+{
+    if (m_store.find(key) == nullptr) {
         respond(problemResponse(404, "no such object"));
         return;
     }
-    respond({.body = object->value, .contentType = "application/octet-stream", .headers = {{"ETag", object->etag}}});
+    if (request.method == "DELETE") {
+        const auto revision = queryValue(request, "revision");
+        const write_conditions conditions {.ifMatch = revision.empty() ? std::nullopt : std::optional(revision)};
+        finishWrite(key, m_store.remove(key, conditions), respond);
+        return;
+    }
+    const auto body = parseJson(request.body);
+    if (!body || !body->is_object()) {
+        respond(problemResponse(400, "an object is JSON"));
+        return;
+    }
+    write_conditions conditions;
+    const auto revision = body->value("/meta/revision"_json_pointer, json());
+    if (revision.is_number()) {
+        conditions.ifMatch = std::to_string(revision.get<std::uint64_t>());
+    }
+    finishWrite(key, m_store.put(key, specText(*body), conditions), respond);
 }
 
-void platform_standin::write(const http_request &request, const std::string &key, const http_responder &respond)
+void platform_standin::finishWrite(const std::string &key, const store_result &result, const http_responder &respond)
 {
-    write_conditions conditions {.ifMatch = request.header("if-match"), .ifAbsent = request.header("if-none-match") == "*"};
-    if (request.method == "PUT") {
-        m_counters.putsByPrefix[key.substr(0, key.find('/'))] += 1;
-    }
-    const auto result = request.method == "PUT" ? m_store.put(key, request.body, conditions) : m_store.remove(key, conditions);
+    m_counters.putsByPrefix[key.substr(0, key.find('/'))] += 1;
+    const auto *current = m_store.find(key);
     if (const auto *refusal = std::get_if<write_refusal>(&result)) {
         const bool tooLarge = *refusal == write_refusal::too_large;
-        auto response = problemResponse(tooLarge ? 413 : 412, tooLarge ? "value too large" : "precondition failed");
-        if (const auto *current = m_store.find(key)) {
-            response.headers.push_back({"ETag", current->etag});
-        }
-        respond(std::move(response));
+        respond(tooLarge ? problemResponse(413, "value too large") : jsonResponse(objectJson(key, current->etag, current->value), 409));
         return;
     }
-    const auto &etag = std::get<std::string>(result);
     wakeWatches();
     const bool lost = m_faults.loseAnswersNext > 0 || std::uniform_real_distribution<>()(m_random) < m_faults.loseAnswersProbability;
     if (lost) {
@@ -156,20 +244,34 @@
         respond(droppedConnection());
         return;
     }
-    auto response = jsonResponse({{"key", key}, {"etag", etag}, {"revision", m_store.revision()}});
-    response.headers.push_back({"ETag", etag});
-    respond(std::move(response));
+    respond(jsonResponse(current == nullptr ? objectJson(key, std::get<std::string>(result), "") : objectJson(key, current->etag, current->value)));
+}
+
+http_response platform_standin::listObjects(const http_request &request, const std::string &prefix) const
+{
+    const auto after = queryValue(request, "after");
+    auto items = json::array();
+    bool more = false;
+    for (const auto &object : m_store.list(prefix)) {
+        if (!after.empty() && nameOf(object.key) <= after) {
+            continue;
+        }
+        more = items.size() == pageItems;
+        if (more) {
+            break;
+        }
+        items.push_back(objectJson(object.key, object.etag, object.value));
+    }
+    return jsonResponse({{"items", std::move(items)}, {"has_more", more}, {"current_rev", m_store.revision()}});
 }
 
-http_response platform_standin::listObjects(const http_request &request) const
+http_response platform_standin::listHosts()
 {
-    auto objects = json::array();
-    for (const auto &object : m_store.list(queryValue(request, "prefix"))) {
-        objects.push_back({{"key", object.key}, {"etag", object.etag}, {"value", object.value}});
+    auto items = json::array();
+    for (const auto &[id, text] : m_hosts.seen(m_loop.now())) {
+        items.push_back(objectJson(hostsKind + "/" + id, "1", text));
     }
-    auto response = jsonResponse(objects);
-    response.headers.push_back({"Revision", std::to_string(m_store.revision())});
-    return response;
+    return jsonResponse({{"items", std::move(items)}, {"has_more", false}, {"current_rev", m_store.revision()}});
 }
 
 http_response platform_standin::eventsResponse(const std::string &prefix, std::uint64_t after) const
@@ -180,28 +282,21 @@
     }
     auto list = json::array();
     for (const auto &event : *events) {
-        json entry {{"revision", event.revision}, {"key", event.key}, {"etag", event.etag}};
-        if (event.value) {
-            entry["value"] = *event.value;
-        } else {
-            entry["deleted"] = true;
-        }
-        list.push_back(std::move(entry));
+        list.push_back({{"removed", !event.value.has_value()}, {"object", objectJson(event.key, event.etag, event.value.value_or(""))}});
     }
-    return jsonResponse({{"events", std::move(list)}, {"revision", m_store.revision()}});
+    return jsonResponse({{"events", std::move(list)}, {"current_rev", m_store.revision()}});
 }
 
-void platform_standin::watch(const http_request &request, const http_responder &respond)
+void platform_standin::watch(const http_request &request, const std::string &prefix, const http_responder &respond)
 {
-    const auto prefix = queryValue(request, "prefix");
-    const auto after = queryNumber(request, "after", m_store.revision());
+    const auto after = queryNumber(request, "watch", m_store.revision());
     const auto events = m_store.eventsAfter(prefix, after);
     if (!events || !events->empty()) {
         respond(eventsResponse(prefix, after));
         return;
     }
     const auto wait = std::min(milliseconds {queryNumber(request, "wait_ms", longestWatch.count())}, longestWatch);
-    m_watches.push_back({prefix, after, request.header("failure-domain").value_or(""), respond, 0});
+    m_watches.push_back({prefix, after, callersDomain(request), respond, 0});
     const auto entry = std::prev(m_watches.end());
     entry->timer = m_loop.after(wait, [this, entry] {
         entry->respond(eventsResponse(entry->prefix, entry->after));
@@ -242,16 +337,6 @@
 http_response platform_standin::serveHosts(const http_request &request)
 {
     const auto now = m_loop.now();
-    if (request.path == "/hosts" && request.method == "GET") {
-        auto hosts = json::array();
-        for (const auto &[id, text] : m_hosts.seen(now)) {
-            hosts.push_back(json::parse(text));
-        }
-        return jsonResponse(hosts);
-    }
-    if (!request.path.starts_with(hostsPath)) {
-        return problemResponse(405, "method not allowed");
-    }
     const auto id = request.path.substr(hostsPath.size());
     if (request.method == "DELETE") {
         m_hosts.remove(now, id);
@@ -285,12 +370,31 @@
         m_counters = {};
         return jsonResponse(json::object());
     }
-    if (request.path == "/hosts" || request.path.starts_with(hostsPath)) {
+    if (request.path.starts_with(hostsPath)) {
         return serveHosts(request);
     }
+    if (request.path.starts_with(controlObjectsPath)) {
+        return controlObject(request);
+    }
     return problemResponse(404, "no such path");
 }
 
+// Lets a test put and read objects without the published API's conditions.
+http_response platform_standin::controlObject(const http_request &request)
+{
+    const auto key = storedKey(request.path.substr(controlObjectsPath.size()));
+    if (request.method == "PUT") {
+        m_store.put(key, request.body, {});
+        wakeWatches();
+        return jsonResponse(json::object());
+    }
+    const auto *object = m_store.find(key);
+    if (object == nullptr) {
+        return problemResponse(404, "no such object");
+    }
+    return {.body = object->value};
+}
+
 static outage_kind parseOutage(const json &value)
 {
     if (value.is_boolean()) {
@@ -302,6 +406,9 @@
     if (value == "unavailable") {
         return outage_kind::unavailable;
     }
+    if (value == "busy") {
+        return outage_kind::busy;
+    }
     return value == "hang" ? outage_kind::hang : outage_kind::none;
 }
 
--- a/Tests/StandIns/platform_standin.h
+++ b/Tests/StandIns/platform_standin.h
@@ -17,6 +17,8 @@
     reset,
     /// Answers 503.
     unavailable,
+    /// Answers 429.
+    busy,
     /// Never answers.
     hang,
 };
@@ -65,10 +67,14 @@
     void serve(const http_request &request, const http_responder &respond);
     bool unreachable(const std::string &domain, const http_responder &respond);
     void hang(http_responder respond);
-    void serveObject(const http_request &request, const http_responder &respond);
-    void write(const http_request &request, const std::string &key, const http_responder &respond);
-    http_response listObjects(const http_request &request) const;
-    void watch(const http_request &request, const http_responder &respond);
+    http_response readObject(const std::string &key) const;
+    void create(const http_request &request, const std::string &kind, const http_responder &respond);
+    void change(const http_request &request, const std::string &key, const http_responder &respond);
+    void finishWrite(const std::string &key, const store_result &result, const http_responder &respond);
+    http_response listObjects(const http_request &request, const std::string &prefix) const;
+    http_response listHosts();
+    void watch(const http_request &request, const std::string &prefix, const http_responder &respond);
+    http_response controlObject(const http_request &request);
     void wakeWatches();
     void endWatches(const std::function<bool(const waiting_watch &)> &chosen);
     http_response eventsResponse(const std::string &prefix, std::uint64_t after) const;
--- a/Tests/Version/config_changes_test.cxx
+++ b/Tests/Version/config_changes_test.cxx
@@ -80,7 +80,7 @@
             {"traffic", toString(m_daemons[index]->address("traffic"))},
             {"control", toString(m_daemons[index]->address("control"))},
             {"state", "live"}};
-        m_client.send("PUT", m_platform->address("http"), "/hosts/" + id, host);
+        m_client.send("PUT", m_platform->address("control"), "/hosts/" + id, host);
     }
 
     void faults(const nlohmann::json &settings)
@@ -250,7 +250,7 @@
         waitAll([this](const nlohmann::json &status) { return status.value("ready", false) && status.value("number", std::uint64_t {0}) >= m_newest; }));
     const auto spent = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - healed);
     EXPECT_EQ(m_accepted.size(), changeCount);
-    const auto head = m_client.get(m_platform->address("http"), "/objects/config/head");
+    const auto head = m_client.get(m_platform->address("control"), "/control/objects/catalog/head");
     EXPECT_EQ(head.value("number", 0U), changeCount + 1) << "a change was accepted twice or lost";
     for (const auto &status : statuses()) {
         EXPECT_EQ(status["contracts"][0]["version"], changeCount);
--- a/Utilities/local_fleet.py
+++ b/Utilities/local_fleet.py
@@ -227,9 +227,9 @@
         for number, (kind, name, text) in enumerate(objects, 1):
             folder = {"domains": "domains", "service": "services", "contract": "contracts"}[kind]
             record = {"kind": kind, "name": name, "version": 1, "change_id": "first", "previous": "", "operator": "local", "at": 0, "text": text}
-            call(self.platform.addresses["http"], "PUT", f"/objects/config/{folder}/{name}/first", record)
+            call(self.platform.addresses["control"], "PUT", f"/control/objects/catalog/{folder}/{name}/first", record)
             entries.append({"kind": kind, "name": name, "version": 1, "change_id": "first", "number": number})
-        call(self.platform.addresses["http"], "PUT", "/objects/config/head", {"number": len(objects), "entries": entries})
+        call(self.platform.addresses["control"], "PUT", "/control/objects/catalog/head", {"number": len(objects), "entries": entries})
 
     def wait_all_ready(self, timeout=30):
         def ready():
