Forward: Learn changes that a deaf watch missed; reload settings on SIGHUP

SIGHUP ended the process. Ruled out: short waits for every watch, ten times the price of a listing that may be old. Change: a stale listing every 2 s beside a waiting watch; what it shows newer makes the mirror read anew. Watches that follow one another are paced, so that a start of many servers is not one call each.

--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -55,6 +55,11 @@
     }
 }
 
+void backend_pool::setBounds(const fleet_bounds &bounds)
+{
+    m_settings.bounds = bounds;
+}
+
 // What runs on the connections of an earlier life of the server goes on.
 void backend_pool::orphan(backend &server)
 {
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -46,6 +46,7 @@
     backend_pool(reactor &loop, const entry_settings &settings, std::function<void(attempt_result)> done);
 
     void update(const std::shared_ptr<const entry_view> &view);
+    void setBounds(const fleet_bounds &bounds);
 
     /// The best server of a service that can take a request now, none of the excluded; null when there is none.
     backend *choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds pace);
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds drainCheck {50};
+constexpr milliseconds settingsCheck {10000};
+constexpr int statusNotFound = 404;
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
@@ -19,15 +21,46 @@
 
 struct entry_process::implementation
 {
-    explicit implementation(entry_settings entrySettings)
+    implementation(entry_settings entrySettings, settings_reader settingsReader)
         : settings(std::move(entrySettings)),
+          readSettingsAgain(std::move(settingsReader)),
           requests(traffic, settings, registry),
           clients(traffic, requests, registry),
           store(control, settings, [this](std::shared_ptr<const entry_view> view) { publish(std::move(view)); }),
-          signals(control, [this] { startDraining(); })
+          signals(
+              control, [this] { startDraining(); }, [this] { reload(); })
     {
     }
 
+    // The file may also change without a signal.
+    void watchSettings()
+    {
+        control.after(settingsCheck, [this] { watchSettings(); });
+        reload();
+    }
+
+    // Bounds and the time to end change while running; addresses and names take a restart.
+    void reload()
+    {
+        const auto again = readSettingsAgain();
+        if (!again || *again == settings) {
+            return;
+        }
+        auto next = settings;
+        next.bounds = again->bounds;
+        next.grace = again->grace;
+        next.lapseGrace = again->lapseGrace;
+        if (next != *again) {
+            DAISYSTILE_LOG(WARNING, "daemon") << "Changed addresses or names take effect at the next start." << field("id", settings.id.value);
+        }
+        if (next == settings) {
+            return;
+        }
+        settings = next;
+        DAISYSTILE_LOG(INFO, "daemon") << "Settings reloaded." << field("grace_ms", static_cast<std::uint64_t>(settings.grace.count()));
+        traffic.post([this, bounds = next.bounds] { requests.setBounds(bounds); });
+    }
+
     void publish(std::shared_ptr<const entry_view> view)
     {
         traffic.post([this, view = std::move(view)] { requests.update(view); });
@@ -51,6 +84,9 @@
         if (request.path == "/metrics") {
             return {.body = registry.text(), .contentType = "text/plain; version=0.0.4"};
         }
+        if (request.path != readinessPath) {
+            return {.status = statusNotFound};
+        }
         const bool ready = !draining && store.ready();
         return {.status = ready ? statusReady : statusNotReady};
     }
@@ -88,7 +124,9 @@
 
     void run()
     {
+        DAISYSTILE_LOG(INFO, "daemon") << "Started." << field("id", settings.id.value) << field("clients", toString(settings.clients));
         store.start();
+        watchSettings();
         std::thread thread([this] { traffic.run(); });
         control.run();
         traffic.post([this] { traffic.stop(); });
@@ -96,6 +134,7 @@
     }
 
     entry_settings settings;
+    settings_reader readSettingsAgain;
     metrics registry;
     reactor control;
     reactor traffic;
@@ -108,8 +147,8 @@
     monotonic_time drainingSince;
 };
 
-entry_process::entry_process(entry_settings settings)
-    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+entry_process::entry_process(entry_settings settings, settings_reader readAgain)
+    : m_implementation(std::make_unique<implementation>(std::move(settings), std::move(readAgain)))
 {
 }
 
--- a/Source/Forward/entry_process.h
+++ b/Source/Forward/entry_process.h
@@ -2,7 +2,9 @@
 
 #include "entry_settings.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisystile {
 
@@ -10,7 +12,10 @@
 class entry_process
 {
 public:
-    explicit entry_process(entry_settings settings);
+    /// Reads the settings again, as after a change of their file; null when they can't be used.
+    using settings_reader = std::function<std::optional<entry_settings>()>;
+
+    entry_process(entry_settings settings, settings_reader readAgain);
     ~entry_process();
     entry_process(const entry_process &) = delete;
     entry_process &operator=(const entry_process &) = delete;
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -16,6 +16,8 @@
     /// Requests that a cold backend server may get in a second: its rate times the factor, plus the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
+
+    bool operator==(const fleet_bounds &) const = default;
 };
 
 /// Settings of a daemon that serves the plain front door of the users' platform.
@@ -32,6 +34,8 @@
     /// How long entries that lapsed while the store was away may take to come back.
     milliseconds lapseGrace {2500};
     fleet_bounds bounds;
+
+    bool operator==(const entry_settings &) const = default;
 };
 
 /// Reads a settings file; unknown keys, types and ranges are checked.
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -60,6 +60,12 @@
     return m_view;
 }
 
+void forwarder::setBounds(const fleet_bounds &bounds)
+{
+    m_settings.bounds = bounds;
+    m_pool.setBounds(bounds);
+}
+
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     if (!m_view->routes) {
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -36,6 +36,7 @@
 
     void update(const std::shared_ptr<const entry_view> &view);
     const std::shared_ptr<const entry_view> &view() const;
+    void setBounds(const fleet_bounds &bounds);
 
     /// The callback comes once, maybe at once, unless the client leaves before; 0 when it has come already.
     request_number submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -1,9 +1,21 @@
 #include "object_mirror.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace daisystile {
 
+namespace {
+
+std::uint64_t revisionOf(const platform_object &object)
+{
+    std::uint64_t revision = 0;
+    std::from_chars(object.etag.data(), object.etag.data() + object.etag.size(), revision);
+    return revision;
+}
+
+} // namespace
+
 object_mirror::object_mirror(mirror_limits limits, std::uint64_t seed)
     : m_limits(limits),
       m_random(seed)
@@ -18,6 +30,9 @@
     if (const auto *watched = std::get_if<mirror_watched>(&event)) {
         return onWatched(watched->result, now);
     }
+    if (const auto *checked = std::get_if<mirror_checked>(&event)) {
+        return onChecked(checked->result);
+    }
     if (m_mustRead) {
         return read_all_objects {};
     }
@@ -71,9 +86,36 @@
     }
     // A restored store could answer with an older revision; watching goes on from what it says.
     m_revision = batch->revision;
+    if (!batch->events.empty() && m_limits.pace.count() > 0) {
+        return wait_for_store {m_limits.pace};
+    }
     return watch_objects {m_revision};
 }
 
+// A store that drops its history can leave a waiting watch deaf to changes that it made meanwhile.
+mirror_action object_mirror::onChecked(const list_result &result)
+{
+    const auto *list = std::get_if<object_list>(&result);
+    if (list == nullptr || !m_known || m_mustRead || !outdatedBy(*list)) {
+        return keep_waiting {};
+    }
+    m_mustRead = true;
+    return read_all_objects {};
+}
+
+bool object_mirror::outdatedBy(const object_list &list) const
+{
+    const bool newer = std::any_of(list.objects.begin(), list.objects.end(), [&](const auto &object) {
+        const auto known = m_objects.find(object.key);
+        return revisionOf(object) > (known == m_objects.end() ? m_revision : revisionOf(known->second));
+    });
+    // An object known at a revision that the listing covers, and not in it, was removed.
+    return newer || std::any_of(m_objects.begin(), m_objects.end(), [&](const auto &known) {
+        const bool covered = revisionOf(known.second) <= list.revision && !m_lapsed.contains(known.first);
+        return covered && std::none_of(list.objects.begin(), list.objects.end(), [&](const auto &object) { return object.key == known.first; });
+    });
+}
+
 // Many daemons lose the store at the same moment and must not come back at the same moment.
 mirror_action object_mirror::failed()
 {
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -21,10 +21,15 @@
 {
     watch_result result;
 };
+/// A listing that may be old, read beside a watch that hears nothing.
+struct mirror_checked
+{
+    list_result result;
+};
 struct mirror_timer
 {
 };
-using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_timer>;
+using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_checked, mirror_timer>;
 
 /// Read all objects anew.
 struct read_all_objects
@@ -39,10 +44,16 @@
 {
     milliseconds delay;
 };
-using mirror_action = std::variant<read_all_objects, watch_objects, wait_for_store>;
+/// Go on as before.
+struct keep_waiting
+{
+};
+using mirror_action = std::variant<read_all_objects, watch_objects, wait_for_store, keep_waiting>;
 
 struct mirror_limits
 {
+    /// Changes that follow one another so closely are fetched together.
+    milliseconds pace {100};
     milliseconds firstRetry {100};
     milliseconds longestRetry {1000};
     /// Removals seen so soon after the store came back are believed only after this time; 0 believes all at once.
@@ -70,6 +81,8 @@
 private:
     mirror_action onListed(const list_result &result, monotonic_time now);
     mirror_action onWatched(const watch_result &result, monotonic_time now);
+    mirror_action onChecked(const list_result &result);
+    bool outdatedBy(const object_list &list) const;
     mirror_action failed();
     void reached(monotonic_time now);
     void put(const platform_object &object);
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -12,6 +12,8 @@
 constexpr milliseconds firstListing {700};
 constexpr milliseconds secondListing {3000};
 constexpr milliseconds lapseCheck {250};
+constexpr milliseconds staleCheck {2000};
+constexpr milliseconds serversPace {250};
 
 using mirror_changed = std::function<void()>;
 
@@ -31,6 +33,7 @@
     void start()
     {
         step(mirror_begun {});
+        check();
     }
 
     const object_mirror &mirror() const
@@ -56,13 +59,59 @@
 
     void carryOut(const mirror_action &action)
     {
-        if (const auto *watch = std::get_if<watch_objects>(&action)) {
-            m_store.watch(m_prefix, watch->after, [this](watch_result result) { step(mirror_watched {std::move(result)}); });
-        } else if (const auto *wait = std::get_if<wait_for_store>(&action)) {
-            m_loop.after(wait->delay, [this] { step(mirror_timer {}); });
-        } else {
-            m_store.list(m_prefix, read_freshness::newest, [this](list_result result) { step(mirror_listed {std::move(result)}); });
+        std::visit([this](const auto &each) { start(each); }, action);
+    }
+
+    // Each call replaces the one before; an answer that comes for an earlier one is dropped.
+    void start(const watch_objects &watch)
+    {
+        m_call += 1;
+        m_watch = m_store.watch(m_prefix, watch.after, [this, call = m_call](watch_result result) {
+            if (call == m_call) {
+                m_watch = 0;
+                step(mirror_watched {std::move(result)});
+            }
+        });
+    }
+
+    void start(const wait_for_store &wait)
+    {
+        m_call += 1;
+        m_loop.after(wait.delay, [this, call = m_call] {
+            if (call == m_call) {
+                step(mirror_timer {});
+            }
+        });
+    }
+
+    void start(const read_all_objects &)
+    {
+        m_call += 1;
+        m_store.cancel(m_watch);
+        m_watch = 0;
+        m_store.list(m_prefix, read_freshness::newest, [this, call = m_call](list_result result) {
+            if (call == m_call) {
+                step(mirror_listed {std::move(result)});
+            }
+        });
+    }
+
+    void start(const keep_waiting &)
+    {
+    }
+
+    // Only a waiting watch can be deaf; a listing that may be old costs the store little.
+    void check()
+    {
+        m_loop.after(staleCheck, [this] { check(); });
+        if (m_watch == 0) {
+            return;
         }
+        m_store.list(m_prefix, read_freshness::stale_allowed, [this, call = m_call](list_result result) {
+            if (call == m_call) {
+                step(mirror_checked {std::move(result)});
+            }
+        });
     }
 
     void dropLapsed()
@@ -86,6 +135,8 @@
     std::string m_prefix;
     object_mirror m_mirror;
     mirror_changed m_changed;
+    http_call_id m_watch = 0;
+    std::uint64_t m_call = 0;
     bool m_lapseTimer = false;
 };
 
@@ -106,7 +157,7 @@
           store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
           registered({}, {settings.id, settings.domain}),
           configuration(loop, store, "config/", {}, [this] { configurationChanged(); }),
-          servers(loop, store, serverKeyPrefix, {.lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
+          servers(loop, store, serverKeyPrefix, {.pace = serversPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
           evacuations(loop, store, evacuationKeyPrefix, {}, [this] { evacuationsChanged(); })
     {
         view.fleet = registered.daemons(loop.now());
--- a/Source/Process/termination_signals.cxx
+++ b/Source/Process/termination_signals.cxx
@@ -1,5 +1,7 @@
 #include "termination_signals.h"
 
+#include "log.h"
+
 #include <csignal>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -12,6 +14,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -21,15 +24,21 @@
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
-termination_signals::termination_signals(reactor &loop, std::function<void()> callback)
+termination_signals::termination_signals(reactor &loop, std::function<void()> terminate, std::function<void()> reload)
     : m_loop(loop)
 {
     const sigset_t set = terminationSet();
     m_handle = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-    m_loop.watch(m_handle, {.read = true, .write = false}, [this, callback = std::move(callback)] {
+    m_loop.watch(m_handle, {.read = true, .write = false}, [this, terminate = std::move(terminate), reload = std::move(reload)] {
         signalfd_siginfo info {};
         while (read(m_handle, &info, sizeof info) == sizeof info) {
-            callback();
+            if (info.ssi_signo != SIGHUP) {
+                terminate();
+            } else if (reload) {
+                reload();
+            } else {
+                DAISYSTILE_LOG(INFO, "process") << "SIGHUP changes nothing here; settings are read at the start.";
+            }
         }
     });
 }
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -78,7 +78,7 @@
         });
 }
 
-static int serve(daemon_settings settings)
+static int serve(daemon_settings settings, const daemon_options &)
 {
     daemon_process server(std::move(settings));
     return guardedServe([&]() -> leaf::result<int> {
@@ -90,9 +90,24 @@
     });
 }
 
-static int serve(entry_settings settings)
+static std::optional<entry_settings> readAgain(const std::string &file)
 {
-    entry_process server(std::move(settings));
+    const auto text = readFile(file);
+    if (!text) {
+        DAISYSTILE_LOG(ERROR, "daemon") << "Settings file can't be read." << field("file", file);
+        return std::nullopt;
+    }
+    auto settings = parseEntrySettings(*text, file);
+    if (const auto *mistakes = std::get_if<config_mistakes>(&settings)) {
+        DAISYSTILE_LOG(ERROR, "daemon") << "Settings are mistaken; those before stay in force." << field("mistakes", toString(*mistakes));
+        return std::nullopt;
+    }
+    return std::get<entry_settings>(std::move(settings));
+}
+
+static int serve(entry_settings settings, const daemon_options &options)
+{
+    entry_process server(std::move(settings), [file = options.config] { return readAgain(file); });
     return guardedServe([&]() -> leaf::result<int> {
         BOOST_LEAF_CHECK(server.listen());
         server.run();
@@ -110,7 +125,7 @@
         std::cout << options.config << ": settings are valid\n";
         return 0;
     }
-    return serve(std::move(std::get<Settings>(settings)));
+    return serve(std::move(std::get<Settings>(settings)), options);
 }
 
 int main(int argc, char **argv)
