Route: Open connections on demand where they are scarce

Cause: with 75 daemons and 70 connections at a server, fixed shares left daemons of a failure domain without a replica no way to a shard; 40 % of the requests were refused. Change: the daemons of the server's domain keep connections, others open them on demand and close them soon. Also: callbacks that a reactor still holds end before the reactor does.

--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -38,7 +38,8 @@
         std::function<void(backend_connection &)> lapsed;
     };
 
-    backend_connection(reactor &loop, const ip_address &address, callbacks notify);
+    /// Idle, it counts as expired after the time given, or earlier if the server says so.
+    backend_connection(reactor &loop, const ip_address &address, milliseconds longestIdle, callbacks notify);
 
     /// Sends once the connection is open. The exchange may be abandoned meanwhile.
     void begin(const client_request_id &request, std::string bytes, bool bodyless);
@@ -64,6 +65,7 @@
     void finish(exchange_result result);
 
     reactor &m_loop;
+    milliseconds m_longestIdle;
     callbacks m_notify;
     response_reader m_reader;
     client_request_id m_request;
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -12,14 +12,6 @@
 // The fleet's shares of a cold server's rate must stay below its bound while daemons come and go.
 constexpr double coldUsableShare = 0.8;
 
-unsigned remoteRank(const std::vector<fleet_daemon> &fleet, const daemon_id &self, const server_entry &entry)
-{
-    const auto own = stableHash(self.value, stableHash(entry.id.value));
-    return static_cast<unsigned>(std::count_if(fleet.begin(), fleet.end(), [&](const auto &daemon) {
-        return daemon.domain != entry.domain && daemon.id != self && stableHash(daemon.id.value, stableHash(entry.id.value)) < own;
-    }));
-}
-
 } // namespace
 
 backend_pool::backend_pool(reactor &loop, const entry_settings &settings, std::function<void(attempt_result)> done)
@@ -78,13 +70,11 @@
     server.barred = entry.draining || server.misdirected || m_view->evacuated.contains(entry.domain);
     const auto &fleet = m_view->fleet;
     const auto *terms = m_view->routes ? m_view->routes->terms(entry.service) : nullptr;
-    const bool local = entry.domain == m_settings.domain;
     const auto near = std::count_if(fleet.begin(), fleet.end(), [&](const auto &daemon) { return daemon.domain == entry.domain; });
     server.share = connectionShare({.accepted = terms == nullptr ? 1 : terms->connections,
-        .local = local,
+        .local = entry.domain == m_settings.domain,
         .domainDaemons = static_cast<unsigned>(near),
-        .allDaemons = static_cast<unsigned>(fleet.size()),
-        .remoteRank = local ? 0 : remoteRank(fleet, m_settings.id, entry)});
+        .allDaemons = static_cast<unsigned>(fleet.size())});
 }
 
 void backend_pool::refreshCold(backend &server, monotonic_time now)
@@ -107,7 +97,7 @@
 {
     replica_view view;
     const auto *idle = idleConnection(server, now);
-    const bool room = idle != nullptr || server.connections.size() < server.share;
+    const bool room = idle != nullptr || server.connections.size() < server.share.most;
     view.local = server.entry.domain == m_settings.domain;
     view.running = server.record.running();
     view.most = room && !server.barred ? view.running + 1 : 0;
@@ -155,7 +145,7 @@
 bool backend_pool::hasServer(const service_name &service) const
 {
     const auto found = m_byService.find(service);
-    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto *server) { return !server->barred && server->share > 0; });
+    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto *server) { return !server->barred; });
 }
 
 attempt_id backend_pool::send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter)
@@ -171,7 +161,7 @@
         notify.lapsed = [this, id = server.entry.id](backend_connection &which) {
             lapsed(id, which);
         };
-        server.connections.push_back(std::make_unique<backend_connection>(m_loop, server.entry.address, std::move(notify)));
+        server.connections.push_back(std::make_unique<backend_connection>(m_loop, server.entry.address, server.share.idle, std::move(notify)));
         connection = server.connections.back().get();
     }
     if (now < server.coldUntil) {
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -18,8 +18,7 @@
     server_entry entry;
     replica_record record;
     std::vector<std::unique_ptr<backend_connection>> connections;
-    /// Most connections of this daemon.
-    unsigned share = 1;
+    connection_share share;
     monotonic_time coldUntil;
     /// Requests that may still be sent in this second while it is cold.
     double coldAllowance = 0;
--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -166,6 +166,13 @@
         close(wakeHandle);
     }
 
+    // What the callbacks own may still use the loop while it is destroyed.
+    void dropCallbacks()
+    {
+        const auto dueLater = std::exchange(timerCallbacks, {});
+        const auto waiting = std::exchange(posted, {});
+    }
+
     ACE_HANDLE get_handle() const override
     {
         return wakeHandle;
@@ -235,7 +242,10 @@
 {
 }
 
-reactor::~reactor() = default;
+reactor::~reactor()
+{
+    m_implementation->dropCallbacks();
+}
 
 bool reactor::opened() const
 {
--- a/Source/Route/replica_choice.cxx
+++ b/Source/Route/replica_choice.cxx
@@ -10,9 +10,12 @@
 constexpr double tieSpread = 0.3;
 // Kept free for daemons that start while others still hold theirs.
 constexpr double usableShare = 0.85;
-// Where connections are scarce, this part of them is for daemons outside the failure domain.
-constexpr double remotePart = 0.25;
+// Where connections are scarce, this part of them is for the daemons of the server's failure domain.
+constexpr double localPart = 0.6;
 constexpr unsigned leastEqualShare = 2;
+constexpr unsigned onDemand = 2;
+constexpr milliseconds longIdle {60000};
+constexpr milliseconds shortIdle {250};
 
 } // namespace
 
@@ -58,19 +61,18 @@
     return best;
 }
 
-unsigned connectionShare(const connection_terms &terms)
+connection_share connectionShare(const connection_terms &terms)
 {
     const double usable = std::max(1.0, terms.accepted * usableShare);
-    const auto all = std::max(terms.allDaemons, 1U);
-    const auto equal = static_cast<unsigned>(usable / all);
+    const auto equal = static_cast<unsigned>(usable / std::max(terms.allDaemons, 1U));
     if (equal >= leastEqualShare) {
-        return equal;
+        return {equal, longIdle};
     }
-    const auto near = std::max(terms.domainDaemons, 1U);
-    if (terms.local) {
-        return std::max(1U, static_cast<unsigned>(usable * (1 - remotePart) / near));
+    const auto near = static_cast<unsigned>(usable * localPart / std::max(terms.domainDaemons, 1U));
+    if (terms.local && near >= 1) {
+        return {near + 1, longIdle};
     }
-    return terms.remoteRank < static_cast<unsigned>(usable * remotePart) ? 1 : 0;
+    return {onDemand, shortIdle};
 }
 
 } // namespace daisystile
--- a/Source/Route/replica_choice.h
+++ b/Source/Route/replica_choice.h
@@ -43,7 +43,7 @@
 /// that daemons that see the same don't all choose the same server.
 std::optional<std::size_t> chooseReplica(const std::vector<replica_view> &candidates, microseconds pace, const choice_weights &weights, double draw);
 
-/// How many connections a daemon may open to a backend server that accepts so many from all daemons.
+/// What decides how many connections a daemon may hold to a backend server that accepts so many from all daemons.
 struct connection_terms
 {
     unsigned accepted = 1;
@@ -51,12 +51,20 @@
     /// Daemons in the server's failure domain, and all.
     unsigned domainDaemons = 1;
     unsigned allDaemons = 1;
-    /// Place of this daemon, from 0, in the server's order of the daemons outside its failure domain.
-    unsigned remoteRank = 0;
 };
 
-/// The sum over all daemons stays below what the server accepts. Where not every daemon can have a connection, the
-/// daemons of its failure domain come first, and of the others those that rank first.
-unsigned connectionShare(const connection_terms &terms);
+struct connection_share
+{
+    /// Open at a time.
+    unsigned most = 1;
+    /// Idle ones are closed after this time, if the server keeps them so long.
+    milliseconds idle {0};
+
+    bool operator==(const connection_share &) const = default;
+};
+
+/// Where each daemon can hold connections of its own, the sum stays below what the server accepts. Where it can't,
+/// connections are opened on demand and closed soon, so that those open at a time stay below it.
+connection_share connectionShare(const connection_terms &terms);
 
 } // namespace daisystile
--- a/Tests/Process/reactor_test.cxx
+++ b/Tests/Process/reactor_test.cxx
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <memory>
 #include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace daisystile;
@@ -57,3 +60,31 @@
     }
     ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
 }
+
+TEST(reactor, callbacksThatOwnAHandleEndBeforeIt)
+{
+    struct watched_pipe
+    {
+        explicit watched_pipe(reactor &eventLoop)
+            : loop(eventLoop)
+        {
+            EXPECT_EQ(pipe(ends.data()), 0);
+            loop.watch(ends[0], {.read = true, .write = false}, [] {});
+        }
+
+        ~watched_pipe()
+        {
+            loop.unwatch(ends[0]);
+            close(ends[0]);
+            close(ends[1]);
+        }
+
+        reactor &loop;
+        std::array<int, 2> ends {};
+    };
+    reactor loop;
+    auto timed = std::make_shared<watched_pipe>(loop);
+    auto waiting = std::make_shared<watched_pipe>(loop);
+    loop.after(seconds {10}, [timed] {});
+    loop.post([waiting] {});
+}
