Process: Forget handlers of handles that were closed before they were unwatched

Ruled out: order of destruction at the end of the process; a second removal alone. Change: a stand-in handle of the same number lets the library forget. A crash now leaves its stack in the log. Test: watchesAHandleWhoseNumberWasClosedBeforeItWasUnwatched hung before.

--- a/Source/Process/log.cxx
+++ b/Source/Process/log.cxx
@@ -7,6 +7,8 @@
     FLAGS_logtostderr = true;
     FLAGS_minloglevel = level == "error" ? google::GLOG_ERROR : level == "warning" ? google::GLOG_WARNING : google::GLOG_INFO;
     google::InitGoogleLogging(program);
+    // A crash leaves its stack in the log.
+    google::InstallFailureSignalHandler();
 }
 
 std::string field(std::string_view key, std::string_view value)
--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <fcntl.h>
 #include <mutex>
 #include <sys/eventfd.h>
 #include <sys/resource.h>
@@ -199,6 +200,24 @@
         return 0;
     }
 
+    // The library forgets a handler only after it took the handle from the system's set, which fails for a handle that
+    // was closed before; then any open handle with that number serves to bring it about.
+    void forget(int handle)
+    {
+        constexpr ACE_Reactor_Mask all = ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL;
+        if (loop.remove_handler(handle, all) == 0) {
+            return;
+        }
+        const int standIn = fcntl(wakeHandle, F_DUPFD_CLOEXEC, handle);
+        loop.mask_ops(handle, ACE_Event_Handler::READ_MASK, ACE_Reactor::SET_MASK);
+        if (loop.remove_handler(handle, all) != 0) {
+            DAISYSTILE_LOG(ERROR, "reactor") << "Handler of a closed handle can't be removed." << field("handle", static_cast<std::uint64_t>(handle));
+        }
+        if (standIn >= 0) {
+            close(standIn);
+        }
+    }
+
     void runPosted()
     {
         std::vector<std::function<void()>> ready;
@@ -309,7 +328,7 @@
         return;
     }
     found->second->removed = true;
-    self.loop.remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    self.forget(handle);
     self.retired.push_back(std::move(found->second));
     self.handles.erase(found);
 }
--- a/Tests/Process/reactor_test.cxx
+++ b/Tests/Process/reactor_test.cxx
@@ -88,3 +88,26 @@
     loop.after(seconds {10}, [timed] {});
     loop.post([waiting] {});
 }
+
+TEST(reactor, watchesAHandleWhoseNumberWasClosedBeforeItWasUnwatched)
+{
+    reactor loop;
+    int calls = 0;
+    for (int round = 0; round < 3; ++round) {
+        std::array<int, 2> ends {};
+        ASSERT_EQ(pipe(ends.data()), 0);
+        loop.watch(ends[0], {.read = true, .write = false}, [&] {
+            calls += 1;
+            loop.stop();
+        });
+        ASSERT_EQ(write(ends[1], "x", 1), 1);
+        loop.run();
+        close(ends[0]);
+        loop.unwatch(ends[0]);
+        close(ends[1]);
+        // Lets the loop free what it holds of the handle.
+        loop.post([&] { loop.stop(); });
+        loop.run();
+    }
+    EXPECT_EQ(calls, 3);
+}
