--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -21,7 +21,8 @@
 constexpr std::uint64_t leastSamples = 30;
 constexpr std::uint64_t samplesBetweenRefreshes = 64;
 constexpr double usualQuantile = 0.5;
-constexpr double hedgeQuantile = 0.95;
+// A server that takes so many times the usual latency is likely to pause.
+constexpr double hedgeFactor = 2;
 constexpr milliseconds shortestHedgeDelay {4};
 
 // The fleet's budgets must stay below the bound while daemons come and go.
@@ -407,7 +408,7 @@
     if (pace.refreshedAt == 0 || count < pace.refreshedAt || count >= pace.refreshedAt + samplesBetweenRefreshes) {
         pace.refreshedAt = count;
         pace.usual = pace.latencies.quantile(usualQuantile);
-        const auto delay = std::chrono::ceil<milliseconds>(pace.latencies.quantile(hedgeQuantile));
+        const auto delay = std::chrono::ceil<milliseconds>(pace.usual * hedgeFactor);
         pace.hedgeDelay = std::clamp(delay, shortestHedgeDelay, std::max(shortestHedgeDelay, via.objective / 2));
     }
     return pace;
--- a/Source/Route/replica_choice.cxx
+++ b/Source/Route/replica_choice.cxx
@@ -15,7 +15,7 @@
 constexpr unsigned leastEqualShare = 2;
 constexpr unsigned onDemand = 2;
 constexpr milliseconds longIdle {60000};
-constexpr milliseconds shortIdle {250};
+constexpr milliseconds shortIdle {1000};
 
 } // namespace
 
--- a/Source/Route/replica_choice.h
+++ b/Source/Route/replica_choice.h
@@ -29,7 +29,7 @@
 /// Weights of the choice, as delays that each circumstance is worth.
 struct choice_weights
 {
-    milliseconds remote {12};
+    milliseconds remote {30};
     milliseconds stalled {150};
     milliseconds failure {120};
     milliseconds cold {20};
