--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -28,6 +28,7 @@
     reader.address("store", settings.store);
     reader.integer("grace_ms", settings.grace, graceRangeMs);
     reader.integer("lapse_grace_ms", settings.lapseGrace, graceRangeMs);
+    reader.integer("stale_check_ms", settings.staleCheck, graceRangeMs);
     reader.table("bounds", [&](table_reader &bounds) { readBounds(bounds, settings.bounds); });
 }
 
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -33,6 +33,8 @@
     milliseconds grace {6000};
     /// How long entries that lapsed while the store was away may take to come back.
     milliseconds lapseGrace {2500};
+    /// Time between two listings that show whether a waiting watch misses changes.
+    milliseconds staleCheck {2000};
     fleet_bounds bounds;
 
     bool operator==(const entry_settings &) const = default;
--- a/Source/Forward/fleet_register.h
+++ b/Source/Forward/fleet_register.h
@@ -11,7 +11,7 @@
 struct register_limits
 {
     /// A daemon writes its entry so often, in a small fleet.
-    milliseconds refresh {10000};
+    milliseconds refresh {30000};
     /// Writes a second that the whole fleet may make for this.
     double fleetWritesPerSecond = 20;
     /// Refreshes missed until a daemon no longer counts.
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -22,7 +22,7 @@
 constexpr std::uint64_t samplesBetweenRefreshes = 64;
 constexpr double usualQuantile = 0.5;
 // A server that takes so many times the usual latency is likely to pause.
-constexpr double hedgeFactor = 2;
+constexpr double hedgeFactor = 1.9;
 constexpr milliseconds shortestHedgeDelay {4};
 
 // The fleet's budgets must stay below the bound while daemons come and go.
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -191,6 +191,11 @@
     return next;
 }
 
+void object_mirror::setPace(milliseconds pace)
+{
+    m_limits.pace = pace;
+}
+
 bool object_mirror::storeAway() const
 {
     return m_failures > 0;
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -77,6 +77,7 @@
     /// Drops lapsed objects whose time is over; the time of the next one, if any.
     std::optional<monotonic_time> dropLapsed(monotonic_time now);
     bool storeAway() const;
+    void setPace(milliseconds pace);
 
 private:
     mirror_action onListed(const list_result &result, monotonic_time now);
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -11,9 +11,12 @@
 constexpr milliseconds watchTimeout {27000};
 constexpr milliseconds firstListing {700};
 constexpr milliseconds secondListing {3000};
+constexpr milliseconds listingInterval {10000};
 constexpr milliseconds lapseCheck {250};
-constexpr milliseconds staleCheck {2000};
-constexpr milliseconds serversPace {250};
+// Each change of the servers is a call of every daemon, so a larger fleet fetches more changes at once.
+constexpr milliseconds shortestServersPace {250};
+constexpr milliseconds longestServersPace {1500};
+constexpr milliseconds serversPacePerDaemon {20};
 
 using mirror_changed = std::function<void()>;
 
@@ -21,8 +24,9 @@
 class mirror_runner
 {
 public:
-    mirror_runner(reactor &loop, platform_client &store, std::string prefix, mirror_limits limits, mirror_changed changed)
+    mirror_runner(reactor &loop, platform_client &store, std::string prefix, milliseconds staleCheck, mirror_limits limits, mirror_changed changed)
         : m_loop(loop),
+          m_staleCheck(staleCheck),
           m_store(store),
           m_prefix(std::move(prefix)),
           m_mirror(limits, stableHash(randomBytes(8))),
@@ -41,6 +45,11 @@
         return m_mirror;
     }
 
+    void setPace(milliseconds pace)
+    {
+        m_mirror.setPace(pace);
+    }
+
 private:
     void step(const mirror_event &event)
     {
@@ -103,7 +112,7 @@
     // Only a waiting watch can be deaf; a listing that may be old costs the store little.
     void check()
     {
-        m_loop.after(staleCheck, [this] { check(); });
+        m_loop.after(m_staleCheck, [this] { check(); });
         if (m_watch == 0) {
             return;
         }
@@ -131,6 +140,7 @@
     }
 
     reactor &m_loop;
+    milliseconds m_staleCheck;
     platform_client &m_store;
     std::string m_prefix;
     object_mirror m_mirror;
@@ -156,9 +166,9 @@
           http(eventLoop),
           store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
           registered({}, {settings.id, settings.domain}),
-          configuration(loop, store, "config/", {}, [this] { configurationChanged(); }),
-          servers(loop, store, serverKeyPrefix, {.pace = serversPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
-          evacuations(loop, store, evacuationKeyPrefix, {}, [this] { evacuationsChanged(); })
+          configuration(loop, store, configurationKeyPrefix, settings.staleCheck, {}, [this] { configurationChanged(); }),
+          servers(loop, store, serverKeyPrefix, settings.staleCheck, {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
+          evacuations(loop, store, evacuationKeyPrefix, settings.staleCheck, {}, [this] { evacuationsChanged(); })
     {
         view.fleet = registered.daemons(loop.now());
     }
@@ -267,7 +277,7 @@
     void listFleet(milliseconds next)
     {
         store.list(fleet_register::keyPrefix, read_freshness::stale_allowed, [this](const list_result &result) { fleetListed(result); });
-        loop.after(next, [this] { listFleet(registered.refreshInterval()); });
+        loop.after(next, [this] { listFleet(std::max(listingInterval, registered.refreshInterval() / 3)); });
     }
 
     void fleetListed(const list_result &result)
@@ -281,6 +291,7 @@
             store.remove(object.key, if_version {object.etag}, [](const remove_result &) {});
         }
         auto fleet = registered.daemons(loop.now());
+        servers.setPace(std::clamp<milliseconds>(serversPacePerDaemon * fleet.size(), shortestServersPace, longestServersPace));
         if (fleet != view.fleet) {
             DAISYSTILE_LOG(INFO, "fleet") << "Fleet changed." << field("daemons", fleet.size());
             view.fleet = std::move(fleet);
--- a/Source/Route/replica_record.cxx
+++ b/Source/Route/replica_record.cxx
@@ -7,10 +7,9 @@
 
 namespace {
 
-constexpr double slownessWeight = 0.25;
 constexpr double largestSlowness = 50;
 // What was seen fades, so that a server that got better is tried again.
-constexpr double slownessHalfLifeSeconds = 2;
+constexpr double slownessHalfLifeSeconds = 3;
 constexpr double failuresHalfLifeSeconds = 1.5;
 constexpr double answeredFailureFactor = 0.75;
 constexpr milliseconds suspectAfterAbandon {150};
@@ -50,7 +49,12 @@
     const double usual = std::max<double>(1, static_cast<double>(pace.count()));
     const double latency = std::chrono::duration<double, std::micro>(now - found.sent).count();
     const double ratio = std::clamp(latency / usual, 0.0, largestSlowness);
-    m_slowness = slowness(now) * (1 - slownessWeight) + ratio * slownessWeight;
+    // One slow answer tells a pause from a slow server as little as one fast answer does; two of three count.
+    m_ratios[m_nextRatio] = ratio;
+    m_nextRatio = (m_nextRatio + 1) % m_ratios.size();
+    auto sorted = m_ratios;
+    std::sort(sorted.begin(), sorted.end());
+    m_slowness = sorted[sorted.size() / 2];
     m_slownessTime = now;
     m_failures = failures(now) * answeredFailureFactor;
     m_failuresTime = now;
--- a/Source/Route/replica_record.h
+++ b/Source/Route/replica_record.h
@@ -2,6 +2,7 @@
 
 #include <Process/process.h>
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -46,6 +47,9 @@
 
     std::vector<running_attempt> m_running;
     monotonic_time m_lastAnswer;
+    // Latest latencies over the usual one.
+    std::array<double, 3> m_ratios {1, 1, 1};
+    std::size_t m_nextRatio = 0;
     double m_slowness = 1;
     monotonic_time m_slownessTime;
     double m_failures = 0;
