--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -66,7 +66,7 @@
         traffic.post([this, view = std::move(view)] { requests.update(view); });
     }
 
-    leaf::result<void> listen()
+    leaf::result<entry_process::addresses> listen()
     {
         if (!control.opened() || !traffic.opened()) {
             return leaf::new_error(process_error {process_failure::out_of_handles, "reactor"});
@@ -76,7 +76,7 @@
             http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) {
                 respond(probe(request));
             }));
-        return {};
+        return entry_process::addresses {clients.address(), readiness->address()};
     }
 
     http_response probe(const http_request &request)
@@ -154,7 +154,7 @@
 
 entry_process::~entry_process() = default;
 
-leaf::result<void> entry_process::listen()
+leaf::result<entry_process::addresses> entry_process::listen()
 {
     return m_implementation->listen();
 }
--- a/Source/Forward/entry_process.h
+++ b/Source/Forward/entry_process.h
@@ -20,8 +20,14 @@
     entry_process(const entry_process &) = delete;
     entry_process &operator=(const entry_process &) = delete;
 
+    struct addresses
+    {
+        ip_address clients;
+        ip_address readiness;
+    };
+
     /// Opens all listening addresses. Errors: process_error{address_in_use}, process_error{out_of_handles}.
-    leaf::result<void> listen();
+    leaf::result<addresses> listen();
 
     /// Serves on this thread, which becomes the control thread, until a termination signal has been obeyed.
     void run();
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -109,7 +109,8 @@
 {
     entry_process server(std::move(settings), [file = options.config] { return readAgain(file); });
     return guardedServe([&]() -> leaf::result<int> {
-        BOOST_LEAF_CHECK(server.listen());
+        BOOST_LEAF_AUTO(addresses, server.listen());
+        std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
         server.run();
         return 0;
     });
--- /dev/null
+++ b/Tests/Forward/fleet_register_test.cxx
@@ -0,0 +1,53 @@
+#include <Forward/forward.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+static platform_object entry(const std::string &name, int revision)
+{
+    return {fleet_register::keyPrefix + name, std::to_string(revision), R"({"domain":"port","beat":1})"};
+}
+
+TEST(fleet_register, countsThoseThatRefreshTheirEntries)
+{
+    const register_limits limits {.refresh = milliseconds {1000}, .missedUntilAbsent = 3, .missedUntilRemoved = 10};
+    fleet_register fleet(limits, {{"d1"}, {"port"}});
+    monotonic_time now {seconds {100}};
+    EXPECT_EQ(fleet.daemons(now).size(), 1U);
+    fleet.listed({{entry("d1", 1), entry("d2", 2), entry("d3", 3)}, 3}, now);
+    EXPECT_EQ(fleet.daemons(now).size(), 3U);
+    now += seconds {3};
+    fleet.listed({{entry("d1", 1), entry("d2", 9), entry("d3", 3)}, 9}, now);
+    const auto live = fleet.daemons(now);
+    ASSERT_EQ(live.size(), 2U);
+    EXPECT_EQ(live[1].id.value, "d2");
+    EXPECT_TRUE(fleet.removable(now).empty());
+    now += seconds {8};
+    ASSERT_EQ(fleet.removable(now).size(), 1U);
+    EXPECT_EQ(fleet.removable(now)[0].key, "daisystile-daemons/d3");
+}
+
+TEST(fleet_register, writesLessOftenInALargeFleetAndSkipsWhatItCantRead)
+{
+    fleet_register fleet({.refresh = milliseconds {1000}, .fleetWritesPerSecond = 20}, {{"d1"}, {"port"}});
+    object_list list;
+    for (int i = 0; i < 1100; ++i) {
+        list.objects.push_back(entry("e" + std::to_string(i), i + 1));
+    }
+    list.objects.push_back({"daisystile-daemons/bad", "1", "{"});
+    fleet.listed(list, monotonic_time {seconds {1}});
+    EXPECT_EQ(fleet.refreshInterval(), milliseconds {55000});
+    EXPECT_EQ(fleet.daemons(monotonic_time {seconds {1}}).size(), 1101U);
+}
+
+TEST(drainStep, servesUntilTheBalancerLetsGoAndEndsBeforeTheKill)
+{
+    const milliseconds grace {6000};
+    EXPECT_EQ(drainStep({milliseconds {0}, grace, 0}), drain_step::serve);
+    EXPECT_EQ(drainStep({milliseconds {2900}, grace, 0}), drain_step::serve);
+    EXPECT_EQ(drainStep({milliseconds {3100}, grace, 2}), drain_step::finish);
+    EXPECT_EQ(drainStep({milliseconds {3100}, grace, 0}), drain_step::exit);
+    EXPECT_EQ(drainStep({milliseconds {5900}, grace, 2}), drain_step::exit);
+    EXPECT_EQ(drainStep({milliseconds {100}, milliseconds {1000}, 1}), drain_step::finish) << "too little time to wait for the balancer";
+}
--- /dev/null
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -0,0 +1,109 @@
+#include <Forward/forward.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+/// A mirror whose calls the test answers.
+class object_mirror_test : public testing::Test
+{
+protected:
+    static platform_object object(const std::string &key, std::uint64_t revision)
+    {
+        return {key, std::to_string(revision), "value"};
+    }
+
+    mirror_action listed(std::vector<platform_object> objects, std::uint64_t revision)
+    {
+        return m_mirror.decide(mirror_listed {object_list {std::move(objects), revision}}, m_now);
+    }
+
+    mirror_action checked(std::vector<platform_object> objects, std::uint64_t revision)
+    {
+        return m_mirror.decide(mirror_checked {object_list {std::move(objects), revision}}, m_now);
+    }
+
+    mirror_action removed(const std::string &key, std::uint64_t revision)
+    {
+        return m_mirror.decide(mirror_watched {watch_batch {{{revision, object(key, revision), true}}, revision}}, m_now);
+    }
+
+    mirror_action lost()
+    {
+        return m_mirror.decide(mirror_watched {platform_unavailable {"down"}}, m_now);
+    }
+
+    object_mirror m_mirror {{.pace = milliseconds {100}, .lapseGrace = milliseconds {2500}}, 1};
+    monotonic_time m_now {seconds {100}};
+};
+
+TEST_F(object_mirror_test, readsThenWatchesAndPacesChanges)
+{
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_begun {}, m_now)));
+    EXPECT_FALSE(m_mirror.known());
+    EXPECT_EQ(std::get<watch_objects>(listed({object("a", 3)}, 7)).after, 7U);
+    EXPECT_TRUE(m_mirror.known());
+    EXPECT_EQ(std::get<wait_for_store>(removed("a", 9)).delay, milliseconds {100});
+    EXPECT_TRUE(m_mirror.objects().empty());
+    EXPECT_EQ(std::get<watch_objects>(m_mirror.decide(mirror_timer {}, m_now)).after, 9U);
+}
+
+TEST_F(object_mirror_test, readsAnewWhenTheHistoryIsGone)
+{
+    listed({object("a", 3), object("b", 4)}, 7);
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_watched {watch_compacted {}}, m_now)));
+    listed({object("b", 8)}, 9);
+    EXPECT_EQ(m_mirror.objects().size(), 1U);
+}
+
+// Load: the store drops its history while changes are made, and the waiting watch hears none of them.
+TEST_F(object_mirror_test, findsOutThatItsWatchIsDeaf)
+{
+    listed({object("a", 3), object("b", 4)}, 7);
+    EXPECT_TRUE(std::holds_alternative<keep_waiting>(checked({object("a", 3), object("b", 4)}, 9)));
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(checked({object("a", 3), object("b", 8)}, 9))) << "changed";
+    listed({object("a", 3), object("b", 8)}, 9);
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(checked({object("a", 3)}, 9))) << "removed";
+    listed({object("a", 3)}, 9);
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(checked({object("a", 3), object("c", 10)}, 10))) << "added";
+}
+
+TEST_F(object_mirror_test, ignoresListingsOlderThanWhatItKnows)
+{
+    listed({object("a", 3), object("b", 8)}, 9);
+    EXPECT_TRUE(std::holds_alternative<keep_waiting>(checked({object("a", 3), object("b", 4)}, 6)));
+    EXPECT_TRUE(std::holds_alternative<keep_waiting>(checked({object("a", 3)}, 6))) << "b came later";
+    EXPECT_TRUE(std::holds_alternative<keep_waiting>(checked({object("a", 3), object("b", 8), object("gone", 2)}, 6)));
+}
+
+TEST_F(object_mirror_test, waitsLongerAndLongerForAStoreThatIsAway)
+{
+    listed({object("a", 3)}, 7);
+    milliseconds longest {0};
+    for (int i = 0; i < 12; ++i) {
+        longest = std::max(longest, std::get<wait_for_store>(lost()).delay);
+    }
+    EXPECT_TRUE(m_mirror.storeAway());
+    EXPECT_GT(longest, milliseconds {400});
+    EXPECT_LE(longest, milliseconds {1000});
+    EXPECT_EQ(m_mirror.objects().size(), 1U);
+}
+
+// Load: entries lapse while the store is away and come back within seconds of its return.
+TEST_F(object_mirror_test, keepsWhatLapsedWithTheStoreUntilItHadTimeToComeBack)
+{
+    listed({object("a", 3), object("b", 4)}, 7);
+    lost();
+    m_now += seconds {5};
+    removed("a", 8);
+    removed("b", 9);
+    EXPECT_EQ(m_mirror.objects().size(), 2U);
+    m_now += seconds {1};
+    m_mirror.decide(mirror_watched {watch_batch {{{10, object("a", 10), false}}, 10}}, m_now);
+    m_now += seconds {2};
+    m_mirror.dropLapsed(m_now);
+    EXPECT_EQ(m_mirror.objects().size(), 1U);
+    EXPECT_TRUE(m_mirror.objects().contains("a"));
+    removed("a", 12);
+    EXPECT_TRUE(m_mirror.objects().empty()) << "the store has been back for long";
+}
--- /dev/null
+++ b/Tests/Platform/translation_test.cxx
@@ -0,0 +1,109 @@
+#include <platform/platform.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+static request_message request(std::vector<http_header> headers, std::string body = {})
+{
+    return {.method = "POST", .target = "/a%2Fb//c?x=%20", .headers = std::move(headers), .body = std::move(body)};
+}
+
+TEST(readRoutingConfiguration, readsRoutesTargetsServicesAndLimits)
+{
+    const auto read = readRoutingConfiguration(R"({"version":7,"routes":[
+        {"name":"r1","hostname":"h","path_prefix":"/a/","route_type":"idempotent","timeout_ms":600,"target_latency_ms":60.0,"priority":2,
+         "fanout_services":["s1","s2"],"max_attempts":2,"top_k":5,"min_part_share":0.75},
+        {"hostname":"h","path_prefix":"/b/","route_type":"non_idempotent","timeout_ms":5000,"traffic_split":[{"service":"s1","weight":2},{"service":"s3","weight":1}]},
+        {"hostname":"h","path_prefix":"/c/","service":"s3"}],
+        "services":[{"name":"s3","max_connections":31,"warmup_per_s":2.5,"health_check_path":"/healthz"}],
+        "limits":{"max_header_bytes":100,"idle_timeout_ms":15000}})");
+    const auto &configuration = std::get<routing_configuration>(read);
+    EXPECT_EQ(configuration.version.value, 7U);
+    const auto &shards = std::get<shards_target>(configuration.routes[0].target);
+    EXPECT_EQ(shards.shards.size(), 2U);
+    EXPECT_EQ(shards.topRecords, 5U);
+    EXPECT_EQ(configuration.routes[0].objective, milliseconds {60});
+    EXPECT_EQ(configuration.routes[0].repeat, repeat_rule::idempotent);
+    EXPECT_EQ(std::get<split_target>(configuration.routes[1].target).services[0].weight, 2);
+    EXPECT_EQ(configuration.routes[1].repeat, repeat_rule::at_most_once);
+    EXPECT_EQ(std::get<single_target>(configuration.routes[2].target).service.value, "s3");
+    EXPECT_EQ(configuration.services.at({"s3"}).coldRequestsPerSecond, 2.5);
+    EXPECT_EQ(configuration.limits.headBytes, 100U);
+    for (const auto *text : {"", "{", "[]", "null", R"({"version":"x","routes":[],"services":[]})", R"({"version":1,"routes":[{}],"services":[]})"}) {
+        EXPECT_TRUE(std::holds_alternative<unreadable_text>(readRoutingConfiguration(text))) << text;
+    }
+}
+
+TEST(readServerEntry, readsAnEntryAndRefusesOthersOfAnotherShape)
+{
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","capacity":3,"state":"draining","warmup_left_ms":400,"sequence":4,"born":99})";
+    const auto entry = std::get<server_entry>(readServerEntry({"i-1"}, good));
+    EXPECT_EQ(entry.slots, 3U);
+    EXPECT_TRUE(entry.draining);
+    EXPECT_EQ(entry.coldLeft, milliseconds {400});
+    EXPECT_EQ(entry.born, 99U);
+    EXPECT_EQ(entry.address.port, 8080);
+    for (const auto *text : {"",
+             "7",
+             R"({"service":7,"address":"10.0.0.9:8080","zone":"z","state":"ready"})",
+             R"({"service":"s","address":"nowhere","zone":"z","state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"sleeping"})",
+             R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready","capacity":"three"})"}) {
+        EXPECT_TRUE(std::holds_alternative<unreadable_text>(readServerEntry({"i-1"}, text))) << text;
+    }
+}
+
+TEST(readRequestHead, needsAnIdAHostAndAReadableTimeLeft)
+{
+    EXPECT_EQ(readRequestHead(request({{"request-id", "7"}, {"Host", "h"}, {"DEADLINE-MS", "600"}}))->timeLeft, milliseconds {600});
+    EXPECT_FALSE(readRequestHead(request({{"Request-Id", "7"}, {"Host", "h"}}))->timeLeft.has_value());
+    EXPECT_FALSE(readRequestHead(request({{"Host", "h"}})).has_value());
+    EXPECT_FALSE(readRequestHead(request({{"Request-Id", "7"}})).has_value());
+    EXPECT_FALSE(readRequestHead(request({{"Request-Id", "7"}, {"Host", "h"}, {"Deadline-Ms", "soon"}})).has_value());
+}
+
+TEST(serverRequest, leavesAllUnchangedButWhatConcernsTheConnection)
+{
+    const auto bytes = serverRequest(request({{"Host", "h"},
+                                                 {"Request-Id", "7"},
+                                                 {"Deadline-Ms", "600"},
+                                                 {"Expect-Instance", "forged"},
+                                                 {"Connection", "keep-alive, X-Hop"},
+                                                 {"X-Hop", "1"},
+                                                 {"Transfer-Encoding", "chunked"},
+                                                 {"X-Kept", "2"}},
+                                         "body"),
+        milliseconds {550},
+        {"i-9"});
+    EXPECT_EQ(bytes,
+        "POST /a%2Fb//c?x=%20 HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nX-Kept: 2\r\nDeadline-Ms: 550\r\nExpect-Instance: i-9\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+TEST(readServerAnswer, tellsWhatAnAnswerProves)
+{
+    const client_request_id id {"7"};
+    const auto verdict = [&](int status, std::vector<http_header> headers) {
+        return readServerAnswer({.status = status, .headers = std::move(headers)}, id).verdict;
+    };
+    EXPECT_EQ(verdict(200, {{"Server-Stamp", "s"}, {"Request-Id", "7"}}), answer_verdict::success);
+    EXPECT_EQ(verdict(500, {{"Server-Stamp", "s"}}), answer_verdict::failure);
+    EXPECT_EQ(verdict(503, {{"Not-Executed", "1"}}), answer_verdict::not_executed);
+    EXPECT_EQ(verdict(421, {{"Instance-Id", "i-2"}}), answer_verdict::wrong_server);
+    EXPECT_EQ(verdict(200, {{"Server-Stamp", "s"}, {"Request-Id", "8"}}), answer_verdict::foreign);
+    EXPECT_EQ(verdict(503, {{"Not-Executed", "1"}, {"Request-Id", "8"}}), answer_verdict::foreign);
+    EXPECT_EQ(verdict(200, {}), answer_verdict::unusable);
+    EXPECT_EQ(verdict(200, {{"Server-Stamp", "s"}, {"Content-Encoding", "gzip"}}), answer_verdict::unusable);
+    EXPECT_EQ(readServerAnswer({.status = 200, .headers = {{"Keep-Alive", "timeout=4, max=9"}}}, id).keepAlive, seconds {4});
+}
+
+TEST(answers, tellPartsAndWhenToComeBack)
+{
+    EXPECT_EQ(queryAnswer({{{"a"}, {"b"}}, 1, "records"}, client_connection::keep, false),
+        "HTTP/1.1 200 OK\r\nPart-Stamps: a, b\r\nMissing-Parts: 1\r\nContent-Length: 7\r\n\r\nrecords");
+    EXPECT_EQ(ownAnswer(503, client_connection::close, milliseconds {250}),
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.25\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    const response_message answer {.status = 200, .reason = "OK", .headers = {{"Server-Stamp", "s"}, {"Keep-Alive", "timeout=4"}}, .body = "x"};
+    EXPECT_EQ(relayedAnswer(answer, client_connection::keep, false), "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 1\r\n\r\nx");
+}
--- /dev/null
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -0,0 +1,362 @@
+#include "child_process.h"
+#include "test_client.h"
+
+#include <StandIns/plain_backend.h>
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+using namespace daisystile;
+using nlohmann::json;
+
+namespace {
+
+constexpr int shardCount = 4;
+constexpr const char *host = "search.example";
+
+/// A daemon of the plain front door, the platform's stand-in, and backend servers of four shards and one service.
+class entry_promises : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_folder = std::filesystem::temp_directory_path() / ("entry-" + std::to_string(getpid()) + "-" + testing::UnitTest::GetInstance()->current_test_info()->name());
+        std::filesystem::create_directories(m_folder);
+        m_store = std::make_unique<child_process>("platform-standin", std::vector<std::string> {}, (m_folder / "store.err").string());
+        ASSERT_TRUE(m_store->waitReady());
+        for (int shard = 0; shard < shardCount; ++shard) {
+            for (int replica = 0; replica < 2; ++replica) {
+                addServer("shard-" + std::to_string(shard), std::string(16, static_cast<char>('a' + shard)));
+            }
+        }
+        addServer("logbook", "written");
+        addServer("logbook", "written");
+        writeConfiguration(1);
+    }
+
+    void TearDown() override
+    {
+        m_daemon.reset();
+        m_store.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void addServer(const std::string &service, const std::string &records)
+    {
+        const auto id = service + "-" + std::to_string(m_servers.size());
+        m_servers.push_back(std::make_unique<plain_backend>(id, records));
+        m_services.push_back(service);
+        putServer(m_servers.size() - 1, "ready");
+    }
+
+    void putServer(std::size_t index, const std::string &state)
+    {
+        putObject("servers/" + m_servers[index]->id(),
+            {{"service", m_services[index]},
+                {"address", toString(m_servers[index]->address())},
+                {"zone", "port"},
+                {"version", "v1"},
+                {"capacity", 3},
+                {"state", state},
+                {"warmup_left_ms", 0},
+                {"sequence", 1},
+                {"born", 1}});
+    }
+
+    void putObject(const std::string &key, const json &value)
+    {
+        m_client.send("PUT", m_store->address("control"), "/control/objects/" + key, value);
+    }
+
+    json routeOf(const std::string &prefix, const std::string &kind, const json &target) const
+    {
+        json entry {{"name", "r" + prefix},
+            {"hostname", host},
+            {"path_prefix", prefix},
+            {"route_type", kind},
+            {"timeout_ms", 2000},
+            {"target_latency_ms", 200},
+            {"priority", 1},
+            {"max_attempts", 2},
+            {"top_k", 3},
+            {"min_part_share", 0.75}};
+        entry.update(target);
+        return entry;
+    }
+
+    void writeConfiguration(int version, const json &more = json::array())
+    {
+        json shards = json::array();
+        json services = json::array({{{"name", "logbook"}, {"max_connections", 20}}});
+        for (int shard = 0; shard < shardCount; ++shard) {
+            shards.push_back("shard-" + std::to_string(shard));
+            services.push_back({{"name", shards.back()}, {"max_connections", 20}});
+        }
+        json routes = json::array({routeOf("/find/", "idempotent", {{"fanout_services", shards}}),
+            routeOf("/read/", "idempotent", {{"service", "logbook"}}),
+            routeOf("/note/", "non_idempotent", {{"service", "logbook"}})});
+        routes.insert(routes.end(), more.begin(), more.end());
+        putObject("config/main",
+            {{"version", version},
+                {"routes", routes},
+                {"services", services},
+                {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}});
+    }
+
+    void startDaemon()
+    {
+        const auto file = (m_folder / "daemon.toml").string();
+        std::ofstream(file) << "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nstore = \""
+                            << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\n";
+        m_daemon = std::make_unique<child_process>(
+            "daisystiled", std::vector<std::string> {"--front-door", "plain", "--config", file}, (m_folder / "daemon.err").string());
+        ASSERT_TRUE(m_daemon->waitReady());
+        ASSERT_TRUE(waitFor([this] { return probe() == 200; }));
+    }
+
+    bool waitFor(const std::function<bool()> &condition, seconds longest = seconds {10})
+    {
+        const auto end = std::chrono::steady_clock::now() + longest;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition()) {
+                return true;
+            }
+            m_client.waitUntil([] { return false; }, milliseconds {20});
+        }
+        return condition();
+    }
+
+    int probe()
+    {
+        return statusOf(m_client.call({.address = m_daemon->address("readiness"), .path = "/v1/readyz"}));
+    }
+
+    http_call callOf(const std::string &method, const std::string &path, const std::string &id)
+    {
+        return {.method = method,
+            .address = m_daemon->address("clients"),
+            .path = path,
+            .headers = {{"Host", host}, {"Request-Id", id}, {"Deadline-Ms", "2000"}},
+            .timeout = milliseconds {5000}};
+    }
+
+    http_reply ask(const std::string &method, const std::string &path, const std::string &id)
+    {
+        const auto result = m_client.call(callOf(method, path, id));
+        const auto *reply = std::get_if<http_reply>(&result);
+        return reply == nullptr ? http_reply {} : *reply;
+    }
+
+    void setManner(const std::string &service, backend_manner manner)
+    {
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            if (m_services[i] == service) {
+                m_servers[i]->setManner(manner);
+            }
+        }
+    }
+
+    int runsOf(const std::string &id) const
+    {
+        int runs = 0;
+        for (const auto &server : m_servers) {
+            const auto all = server->runs();
+            const auto found = all.find(id);
+            runs += found == all.end() ? 0 : found->second;
+        }
+        return runs;
+    }
+
+    // Sends bytes as they are and returns what comes back until the daemon closes, or a second passes.
+    std::string exchange(const std::string &bytes)
+    {
+        reactor loop;
+        std::string received;
+        std::unique_ptr<tcp_stream> stream;
+        stream = std::make_unique<tcp_stream>(loop,
+            m_daemon->address("clients"),
+            tcp_stream::callbacks {.opened = [&] { stream->write(bytes); },
+                .received =
+                    [&] {
+                        received.append(stream->input().view());
+                        stream->input().clear();
+                    },
+                .ended = [&](stream_end) { loop.stop(); }});
+        loop.after(milliseconds {1000}, [&] { loop.stop(); });
+        loop.run();
+        return received;
+    }
+
+    std::filesystem::path m_folder;
+    test_client m_client;
+    std::unique_ptr<child_process> m_store;
+    std::unique_ptr<child_process> m_daemon;
+    std::vector<std::unique_ptr<plain_backend>> m_servers;
+    std::vector<std::string> m_services;
+};
+
+} // namespace
+
+TEST_F(entry_promises, mergesAQueryAndRelaysARequestUnchanged)
+{
+    startDaemon();
+    const auto found = ask("GET", "/find/a%2Fb?x=%20", "q1");
+    EXPECT_EQ(found.status, 200);
+    EXPECT_EQ(found.headers.at("missing-parts"), "0");
+    EXPECT_EQ(found.body, std::string(16, 'd') + std::string(16, 'c') + std::string(16, 'b'));
+    const auto seen = m_servers[0]->latest().target + m_servers[1]->latest().target;
+    EXPECT_EQ(seen, "/find/a%2Fb?x=%20");
+    const auto read = ask("GET", "/read/1", "q2");
+    EXPECT_EQ(read.status, 200);
+    EXPECT_EQ(read.body, "written");
+    EXPECT_EQ(read.headers.at("request-id"), "q2");
+    EXPECT_EQ(ask("GET", "/nowhere/", "q3").status, 404);
+}
+
+TEST_F(entry_promises, answersWithoutAShardWhoseServersAreMute)
+{
+    startDaemon();
+    setManner("shard-2", backend_manner::mute);
+    const auto started = std::chrono::steady_clock::now();
+    const auto found = ask("GET", "/find/", "q1");
+    EXPECT_EQ(found.status, 200);
+    EXPECT_EQ(found.headers.at("missing-parts"), "1");
+    EXPECT_EQ(found.body, std::string(16, 'd') + std::string(16, 'b') + std::string(16, 'a'));
+    EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds {1000});
+}
+
+TEST_F(entry_promises, runsOnceWhatMayNotRunTwice)
+{
+    startDaemon();
+    setManner("logbook", backend_manner::lose_answer);
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "n" + std::to_string(i);
+        EXPECT_EQ(ask("POST", "/note/", id).status, 502);
+        EXPECT_EQ(runsOf(id), 1);
+    }
+}
+
+TEST_F(entry_promises, saysNotRunOnlyWhereEveryServerRefused)
+{
+    startDaemon();
+    setManner("logbook", backend_manner::full);
+    const auto refused = ask("POST", "/note/", "n1");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(refused.headers.contains("retry-after"));
+    EXPECT_EQ(runsOf("n1"), 0);
+    m_servers.back()->setManner(backend_manner::sound);
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable { return ask("POST", "/note/", "m" + std::to_string(i++)).status == 200; }));
+}
+
+TEST_F(entry_promises, takesAnotherServerWhereTheAddressWasReused)
+{
+    startDaemon();
+    m_servers[8]->setManner(backend_manner::other_server);
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "n" + std::to_string(i);
+        EXPECT_EQ(ask("POST", "/note/", id).status, 200);
+        EXPECT_EQ(runsOf(id), 1);
+    }
+}
+
+TEST_F(entry_promises, givesNobodyAnExtraOrTruncatedAnswer)
+{
+    startDaemon();
+    setManner("logbook", backend_manner::extra_answer);
+    for (int i = 0; i < 20; ++i) {
+        const auto id = "q" + std::to_string(i);
+        const auto read = ask("GET", "/read/", id);
+        ASSERT_EQ(read.status, 200);
+        EXPECT_EQ(read.headers.at("request-id"), id);
+    }
+    setManner("logbook", backend_manner::truncate);
+    EXPECT_EQ(ask("GET", "/read/", "t1").status, 502);
+    setManner("logbook", backend_manner::failing);
+    const auto failed = ask("GET", "/read/", "t2");
+    EXPECT_EQ(failed.status, 500);
+    EXPECT_TRUE(failed.headers.contains("server-stamp"));
+}
+
+TEST_F(entry_promises, followsTheStoreAndServesOnWhileItIsAway)
+{
+    startDaemon();
+    EXPECT_EQ(ask("GET", "/new/", "q1").status, 404);
+    writeConfiguration(5, json::array({routeOf("/new/", "idempotent", {{"service", "logbook"}})}));
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable { return ask("GET", "/new/", "w" + std::to_string(i++)).status == 200; }, seconds {3}));
+    writeConfiguration(3);
+    for (const auto *outage : {"reset", "unavailable", "busy", "hang"}) {
+        m_client.send("POST", m_store->address("control"), "/control/faults", {{"down", outage}});
+        EXPECT_EQ(ask("GET", "/new/", std::string("o") + outage).status, 200) << outage;
+        EXPECT_EQ(probe(), 200) << outage;
+    }
+    m_client.send("POST", m_store->address("control"), "/control/faults", {{"down", "none"}});
+    writeConfiguration(8);
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable { return ask("GET", "/new/", "x" + std::to_string(i++)).status == 404; }, seconds {10}));
+}
+
+TEST_F(entry_promises, sendsNothingToADrainingServer)
+{
+    startDaemon();
+    putServer(8, "draining");
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable {
+        const auto before = m_servers[8]->runs().size();
+        for (int k = 0; k < 10; ++k) {
+            ask("GET", "/read/", "d" + std::to_string(i++));
+        }
+        return m_servers[8]->runs().size() == before;
+    }, seconds {3}));
+}
+
+TEST_F(entry_promises, refusesWhatCouldBeReadInTwoWays)
+{
+    startDaemon();
+    const std::string head = "POST /note/ HTTP/1.1\r\nHost: search.example\r\nRequest-Id: s1\r\nDeadline-Ms: 1000\r\n";
+    const std::string hidden = "GET /read/ HTTP/1.1\r\nHost: search.example\r\nRequest-Id: s2\r\n\r\n";
+    EXPECT_TRUE(exchange(head + "Content-Length: 5\r\nContent-Length: 0\r\n\r\n" + hidden).starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden).starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange("no request at all\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange(head + "X: " + std::string(5000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+    EXPECT_TRUE(exchange(head + "Content-Length: 10001\r\n\r\n").starts_with("HTTP/1.1 413"));
+    EXPECT_EQ(runsOf("s1"), 0);
+    EXPECT_EQ(runsOf("s2"), 0);
+    EXPECT_EQ(ask("GET", "/read/", "s3").status, 200);
+}
+
+TEST_F(entry_promises, answersPipelinedAndChunkedRequestsInOrder)
+{
+    startDaemon();
+    const auto answers = exchange("POST /note/ HTTP/1.1\r\nHost: search.example\r\nRequest-Id: p1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                                  "GET /read/ HTTP/1.1\r\nHost: search.example\r\nRequest-Id: p2\r\nConnection: close\r\n\r\n");
+    const auto first = answers.find("Request-Id: p1");
+    const auto second = answers.find("Request-Id: p2");
+    EXPECT_NE(first, std::string::npos);
+    EXPECT_NE(second, std::string::npos);
+    EXPECT_LT(first, second);
+    EXPECT_EQ(runsOf("p1"), 1);
+}
+
+TEST_F(entry_promises, answersAllItHasReadBeforeItEnds)
+{
+    startDaemon();
+    for (const auto &server : m_servers) {
+        server->setDelay(milliseconds {300});
+    }
+    std::vector<int> statuses;
+    for (int i = 0; i < 20; ++i) {
+        m_client.start(callOf("GET", i % 2 == 0 ? "/read/" : "/find/", "e" + std::to_string(i)), [&](const http_result &result) { statuses.push_back(statusOf(result)); });
+    }
+    m_client.waitUntil([] { return false; }, milliseconds {100});
+    m_daemon->signal(SIGHUP);
+    m_daemon->signal(SIGTERM);
+    m_daemon->signal(SIGTERM);
+    EXPECT_TRUE(m_client.waitUntil([&] { return statuses.size() == 20; }));
+    EXPECT_EQ(probe(), 503);
+    EXPECT_EQ(ask("GET", "/read/", "late").status, 200) << "the balancer may still send connections";
+    EXPECT_EQ(m_daemon->waitExit(seconds {7}), 0);
+    for (const auto status : statuses) {
+        EXPECT_EQ(status, 200);
+    }
+}
--- /dev/null
+++ b/Tests/Route/forward_decision_test.cxx
@@ -0,0 +1,165 @@
+#include <Route/route.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+/// One request whose attempts the test starts and ends.
+class forward_decision : public testing::Test
+{
+protected:
+    void begin(std::size_t parts, std::size_t least, repeat_rule repeat, unsigned mostAttempts = 2)
+    {
+        m_state = beginForward({.repeat = repeat,
+            .parts = parts,
+            .leastParts = least,
+            .mostAttempts = mostAttempts,
+            .answerAt = m_now + milliseconds {100},
+            .giveUpAt = m_now + milliseconds {1000}});
+        on(forward_begun {});
+        for (part_index part = 0; part < parts; ++part) {
+            on(attempt_started {part, attempt_purpose::first, milliseconds {30}});
+        }
+    }
+
+    forward_actions on(const forward_event &event)
+    {
+        forward_actions actions;
+        decide(m_state, event, m_now, actions);
+        return actions;
+    }
+
+    forward_actions end(part_index part, attempt_end how)
+    {
+        return on(attempt_ended {part, how});
+    }
+
+    forward_actions tickAt(milliseconds time)
+    {
+        m_now = m_start + time;
+        return on(clock_ticked {});
+    }
+
+    template<class Action> static bool only(const forward_actions &actions)
+    {
+        return actions.size() == 1 && std::holds_alternative<Action>(actions[0]);
+    }
+
+    monotonic_time m_start {seconds {100}};
+    monotonic_time m_now = m_start;
+    forward_state m_state;
+};
+
+TEST_F(forward_decision, answersWhenAllPartsAreIn)
+{
+    begin(2, 1, repeat_rule::idempotent);
+    EXPECT_TRUE(end(0, attempt_end::answered).empty());
+    EXPECT_TRUE(only<answer_request>(end(1, attempt_end::answered)));
+    EXPECT_TRUE(end(1, attempt_end::failed).empty());
+}
+
+// Load: one shard's server pauses longer than the objective.
+TEST_F(forward_decision, answersAtTheObjectiveWithEnoughParts)
+{
+    begin(10, 9, repeat_rule::idempotent);
+    for (part_index part = 0; part < 9; ++part) {
+        end(part, attempt_end::answered);
+    }
+    EXPECT_EQ(nextTick(m_state), m_start + milliseconds {30});
+    const auto hedge = tickAt(milliseconds {30});
+    ASSERT_TRUE(only<try_part>(hedge));
+    EXPECT_EQ(std::get<try_part>(hedge[0]).purpose, attempt_purpose::hedge);
+    on(attempt_denied {9, attempt_purpose::hedge});
+    EXPECT_EQ(nextTick(m_state), m_start + milliseconds {100});
+    EXPECT_TRUE(tickAt(milliseconds {99}).empty());
+    EXPECT_TRUE(only<answer_request>(tickAt(milliseconds {100})));
+}
+
+TEST_F(forward_decision, waitsBeyondTheObjectiveForTheLeastParts)
+{
+    begin(10, 9, repeat_rule::idempotent);
+    for (part_index part = 0; part < 8; ++part) {
+        end(part, attempt_end::answered);
+    }
+    tickAt(milliseconds {30});
+    EXPECT_TRUE(tickAt(milliseconds {100}).empty());
+    EXPECT_TRUE(only<answer_request>(end(8, attempt_end::answered)));
+}
+
+TEST_F(forward_decision, retriesAFailedPartOnceOnAnotherServer)
+{
+    begin(1, 1, repeat_rule::idempotent);
+    const auto retry = end(0, attempt_end::failed);
+    ASSERT_TRUE(only<try_part>(retry));
+    EXPECT_EQ(std::get<try_part>(retry[0]).purpose, attempt_purpose::retry);
+    on(attempt_started {0, attempt_purpose::retry, milliseconds {30}});
+    const auto failed = end(0, attempt_end::failed);
+    ASSERT_TRUE(only<fail_request>(failed));
+    EXPECT_EQ(std::get<fail_request>(failed[0]).failure, forward_failure::servers_failed);
+}
+
+TEST_F(forward_decision, neverRepeatsWhatMayHaveRunAndMayNotRunTwice)
+{
+    begin(1, 1, repeat_rule::at_most_once);
+    EXPECT_EQ(nextTick(m_state), m_start + milliseconds {1000});
+    const auto failed = end(0, attempt_end::failed);
+    ASSERT_TRUE(only<fail_request>(failed));
+    EXPECT_EQ(std::get<fail_request>(failed[0]).failure, forward_failure::servers_failed);
+}
+
+TEST_F(forward_decision, triesElsewhereWhatIsProvenNotRun)
+{
+    begin(1, 1, repeat_rule::at_most_once);
+    for (int i = 0; i < 2; ++i) {
+        ASSERT_TRUE(only<try_part>(end(0, attempt_end::not_run)));
+        on(attempt_started {0, attempt_purpose::retry, milliseconds {30}});
+    }
+    const auto failed = end(0, attempt_end::not_run);
+    ASSERT_TRUE(only<fail_request>(failed));
+    EXPECT_EQ(std::get<fail_request>(failed[0]).failure, forward_failure::not_run);
+}
+
+// Load: the servers of more shards are gone than may be missing.
+TEST_F(forward_decision, failsAtOnceWhenTooManyPartsAreLost)
+{
+    begin(10, 9, repeat_rule::idempotent);
+    for (part_index part = 0; part < 8; ++part) {
+        end(part, attempt_end::answered);
+    }
+    end(8, attempt_end::failed);
+    EXPECT_TRUE(on(attempt_denied {8, attempt_purpose::retry}).empty());
+    end(9, attempt_end::failed);
+    EXPECT_TRUE(only<fail_request>(on(attempt_denied {9, attempt_purpose::retry})));
+}
+
+TEST_F(forward_decision, saysTimedOutWhileAServerMayRunIt)
+{
+    begin(1, 1, repeat_rule::at_most_once);
+    const auto failed = tickAt(milliseconds {1000});
+    ASSERT_TRUE(only<fail_request>(failed));
+    EXPECT_EQ(std::get<fail_request>(failed[0]).failure, forward_failure::timed_out);
+}
+
+// Load: every server is full until the time is over.
+TEST_F(forward_decision, saysNotRunWhatNeverFoundAServer)
+{
+    m_state = beginForward({.repeat = repeat_rule::at_most_once, .answerAt = m_now + milliseconds {100}, .giveUpAt = m_now + milliseconds {1000}});
+    on(forward_begun {});
+    EXPECT_TRUE(on(attempt_unplaced {0, attempt_purpose::first}).empty());
+    const auto again = on(server_freed {});
+    ASSERT_TRUE(only<try_part>(again));
+    EXPECT_EQ(std::get<try_part>(again[0]).purpose, attempt_purpose::first);
+    on(attempt_unplaced {0, attempt_purpose::first});
+    const auto failed = tickAt(milliseconds {1000});
+    ASSERT_TRUE(only<fail_request>(failed));
+    EXPECT_EQ(std::get<fail_request>(failed[0]).failure, forward_failure::not_run);
+}
+
+TEST_F(forward_decision, theLoserOfAHedgeDoesNotEndThePart)
+{
+    begin(1, 1, repeat_rule::idempotent);
+    ASSERT_TRUE(only<try_part>(tickAt(milliseconds {30})));
+    on(attempt_started {0, attempt_purpose::hedge, milliseconds {30}});
+    EXPECT_TRUE(end(0, attempt_end::failed).empty());
+    EXPECT_TRUE(only<answer_request>(end(0, attempt_end::answered)));
+}
--- /dev/null
+++ b/Tests/StandIns/plain_backend.cxx
@@ -0,0 +1,137 @@
+#include "plain_backend.h"
+
+#include "standin_support.h"
+
+namespace daisystile {
+
+struct plain_backend::connection
+{
+    connection(plain_backend &server, int number, int handle)
+        : reader({}),
+          stream(server.m_loop,
+              handle,
+              {.opened = {},
+                  .received =
+                      [this, &server] {
+                          if (reader.read(stream.input()) == read_progress::complete) {
+                              server.serve(*this, reader.take());
+                          }
+                      },
+                  .ended = [&server, number](stream_end) { server.m_loop.post([&server, number] { server.m_connections.erase(number); }); }}),
+          key(number)
+    {
+    }
+
+    request_reader reader;
+    tcp_stream stream;
+    int key;
+};
+
+plain_backend::plain_backend(std::string id, std::string records)
+    : m_id(std::move(id)),
+      m_records(std::move(records))
+{
+    m_listener = tcp_listener::listen(m_loop, {"127.0.0.1", 0}, [this](int handle) { accepted(handle); }).value();
+    m_thread = std::thread([this] { m_loop.run(); });
+}
+
+plain_backend::~plain_backend()
+{
+    m_loop.stop();
+    m_thread.join();
+}
+
+const std::string &plain_backend::id() const
+{
+    return m_id;
+}
+
+ip_address plain_backend::address() const
+{
+    return m_listener->address();
+}
+
+void plain_backend::setManner(backend_manner manner)
+{
+    m_manner = manner;
+}
+
+void plain_backend::setDelay(milliseconds delay)
+{
+    m_delayMs = static_cast<int>(delay.count());
+}
+
+std::map<std::string, int> plain_backend::runs() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_runs;
+}
+
+request_message plain_backend::latest() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_latest;
+}
+
+void plain_backend::accepted(int handle)
+{
+    static std::atomic<int> next {1};
+    const int key = next++;
+    m_connections.emplace(key, std::make_unique<connection>(*this, key, handle));
+}
+
+void plain_backend::serve(connection &from, request_message message)
+{
+    const auto manner = m_manner.load();
+    if (manner == backend_manner::full) {
+        from.stream.write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    if (manner == backend_manner::other_server) {
+        from.stream.write("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    {
+        const std::lock_guard guard(m_mutex);
+        const auto *id = message.header("Request-Id");
+        m_runs[id == nullptr ? "" : *id] += 1;
+        m_latest = message;
+    }
+    m_loop.after(milliseconds {m_delayMs.load()}, [this, key = from.key, message = std::move(message)] {
+        if (const auto found = m_connections.find(key); found != m_connections.end()) {
+            answer(*found->second, message);
+        }
+    });
+}
+
+void plain_backend::answer(connection &from, const request_message &message)
+{
+    const auto manner = m_manner.load();
+    if (manner == backend_manner::mute) {
+        return;
+    }
+    if (manner == backend_manner::lose_answer) {
+        m_connections.erase(from.key);
+        return;
+    }
+    const auto *id = message.header("Request-Id");
+    const auto receipt = m_id + "." + std::to_string(++m_receipts);
+    const auto *status = manner == backend_manner::failing ? "500 Internal Server Error" : "200 OK";
+    auto bytes = std::string("HTTP/1.1 ") + status + "\r\nServer-Stamp: " + receipt + "\r\nRequest-Id: " + (id == nullptr ? "" : *id)
+        + "\r\nContent-Length: " + std::to_string(m_records.size()) + "\r\n\r\n" + m_records;
+    if (manner == backend_manner::truncate) {
+        from.stream.write(std::string_view(bytes).substr(0, bytes.size() - 1));
+        from.stream.closeWhenSent();
+        return;
+    }
+    from.stream.write(bytes);
+    if (manner == backend_manner::extra_answer) {
+        m_loop.after(milliseconds {2}, [this, key = from.key, bytes] {
+            if (const auto found = m_connections.find(key); found != m_connections.end()) {
+                found->second->stream.write(bytes);
+            }
+        });
+    }
+}
+
+} // namespace daisystile
