Forward: Check the configuration by listings that are never old; read all anew once a history is lost

Ruled out: short waits for all watches; the stale listing's own revision, which other writers move as well. Change: one fresh listing of the configuration each 3.5 s; a 410 on any watch makes the others read anew.

--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -29,6 +29,7 @@
     reader.integer("grace_ms", settings.grace, graceRangeMs);
     reader.integer("lapse_grace_ms", settings.lapseGrace, graceRangeMs);
     reader.integer("stale_check_ms", settings.staleCheck, graceRangeMs);
+    reader.integer("fresh_check_ms", settings.freshCheck, graceRangeMs);
     reader.table("bounds", [&](table_reader &bounds) { readBounds(bounds, settings.bounds); });
 }
 
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -33,8 +33,10 @@
     milliseconds grace {6000};
     /// How long entries that lapsed while the store was away may take to come back.
     milliseconds lapseGrace {2500};
-    /// Time between two listings that show whether a waiting watch misses changes.
+    /// Time between two listings, which may be old, that show whether a waiting watch misses changes.
     milliseconds staleCheck {2000};
+    /// The same for the configuration, by listings that are never old.
+    milliseconds freshCheck {3500};
     fleet_bounds bounds;
 
     bool operator==(const entry_settings &) const = default;
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -33,6 +33,7 @@
     if (const auto *checked = std::get_if<mirror_checked>(&event)) {
         return onChecked(checked->result);
     }
+    m_mustRead = m_mustRead || std::holds_alternative<mirror_outdated>(event);
     if (m_mustRead) {
         return read_all_objects {};
     }
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -26,10 +26,14 @@
 {
     list_result result;
 };
+/// Something else showed that the watch may have missed changes.
+struct mirror_outdated
+{
+};
 struct mirror_timer
 {
 };
-using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_checked, mirror_timer>;
+using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_checked, mirror_outdated, mirror_timer>;
 
 /// Read all objects anew.
 struct read_all_objects
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -20,13 +20,20 @@
 
 using mirror_changed = std::function<void()>;
 
+/// How a runner finds out that its watch is deaf.
+struct deafness_check
+{
+    milliseconds interval;
+    read_freshness freshness;
+};
+
 /// Drives one mirror by calls to the store.
 class mirror_runner
 {
 public:
-    mirror_runner(reactor &loop, platform_client &store, std::string prefix, milliseconds staleCheck, mirror_limits limits, mirror_changed changed)
+    mirror_runner(reactor &loop, platform_client &store, std::string prefix, deafness_check deafness, mirror_limits limits, mirror_changed changed)
         : m_loop(loop),
-          m_staleCheck(staleCheck),
+          m_deafness(deafness),
           m_store(store),
           m_prefix(std::move(prefix)),
           m_mirror(limits, stableHash(randomBytes(8))),
@@ -45,6 +52,19 @@
         return m_mirror;
     }
 
+    /// The store dropped its history, so a waiting watch may have missed changes.
+    void readAnew()
+    {
+        if (m_watch != 0) {
+            step(mirror_outdated {});
+        }
+    }
+
+    void onHistoryLost(std::function<void()> callback)
+    {
+        m_historyLost = std::move(callback);
+    }
+
     void setPace(milliseconds pace)
     {
         m_mirror.setPace(pace);
@@ -56,6 +76,11 @@
         const bool wasAway = m_mirror.storeAway();
         const auto before = m_mirror.changes();
         const auto action = m_mirror.decide(event, m_loop.now());
+        const auto *watched = std::get_if<mirror_watched>(&event);
+        if (watched != nullptr && std::holds_alternative<watch_compacted>(watched->result)) {
+            DAISYSTILE_LOG(WARNING, "store") << "History is gone; all is read anew." << field("prefix", m_prefix);
+            m_historyLost();
+        }
         if (wasAway != m_mirror.storeAway()) {
             DAISYSTILE_LOG(WARNING, "store") << (wasAway ? "Store is back." : "Store can't be reached.") << field("prefix", m_prefix);
         }
@@ -109,14 +134,14 @@
     {
     }
 
-    // Only a waiting watch can be deaf; a listing that may be old costs the store little.
+    // Only a waiting watch can be deaf.
     void check()
     {
-        m_loop.after(m_staleCheck, [this] { check(); });
+        m_loop.after(m_deafness.interval, [this] { check(); });
         if (m_watch == 0) {
             return;
         }
-        m_store.list(m_prefix, read_freshness::stale_allowed, [this, call = m_call](list_result result) {
+        m_store.list(m_prefix, m_deafness.freshness, [this, call = m_call](list_result result) {
             if (call == m_call) {
                 step(mirror_checked {std::move(result)});
             }
@@ -140,11 +165,12 @@
     }
 
     reactor &m_loop;
-    milliseconds m_staleCheck;
+    deafness_check m_deafness;
     platform_client &m_store;
     std::string m_prefix;
     object_mirror m_mirror;
     mirror_changed m_changed;
+    std::function<void()> m_historyLost = [] {};
     http_call_id m_watch = 0;
     std::uint64_t m_call = 0;
     bool m_lapseTimer = false;
@@ -166,15 +192,18 @@
           http(eventLoop),
           store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
           registered({}, {settings.id, settings.domain}),
-          configuration(loop, store, configurationKeyPrefix, settings.staleCheck, {}, [this] { configurationChanged(); }),
-          servers(loop, store, serverKeyPrefix, settings.staleCheck, {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
-          evacuations(loop, store, evacuationKeyPrefix, settings.staleCheck, {}, [this] { evacuationsChanged(); })
+          configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
+          servers(loop, store, serverKeyPrefix, {settings.staleCheck, read_freshness::stale_allowed}, {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
+          evacuations(loop, store, evacuationKeyPrefix, {settings.staleCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); })
     {
         view.fleet = registered.daemons(loop.now());
     }
 
     void start()
     {
+        configuration.onHistoryLost([this] { readAllAnew(); });
+        servers.onHistoryLost([this] { readAllAnew(); });
+        evacuations.onHistoryLost([this] { readAllAnew(); });
         configuration.start();
         servers.start();
         evacuations.start();
@@ -182,6 +211,13 @@
         loop.after(firstListing, [this] { listFleet(secondListing); });
     }
 
+    void readAllAnew()
+    {
+        configuration.readAnew();
+        servers.readAnew();
+        evacuations.readAnew();
+    }
+
     // A version older than the one in force never comes back.
     void configurationChanged()
     {
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -107,3 +107,10 @@
     removed("a", 12);
     EXPECT_TRUE(m_mirror.objects().empty()) << "the store has been back for long";
 }
+
+TEST_F(object_mirror_test, readsAnewWhenAnotherWatchLostTheHistory)
+{
+    listed({object("a", 3)}, 7);
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_outdated {}, m_now)));
+    EXPECT_TRUE(std::holds_alternative<watch_objects>(listed({object("a", 9)}, 9)));
+}
