Forward: One daemon of each failure domain follows the store and relays

Ruled out: longer paces (bounds), a relay of the configuration itself (25 KB to 20 followers in each step of a storm; followers read it from the store when told of a newer revision). Change: followers link to the first daemon of their domain, to the second while that fails, and else follow the store. A source shows twice a second that it reaches the store; a check that fails counts as the store being away. The key by which daemons prove themselves is an object that the first of them writes.

--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -25,11 +25,14 @@
     reader.name("region", settings.region.value);
     reader.address("clients", settings.clients);
     reader.address("readiness", settings.readiness);
+    reader.address("peers", settings.peers);
+    reader.boolean("bootstrap", settings.bootstrap);
     reader.address("store", settings.store);
     reader.integer("grace_ms", settings.grace, graceRangeMs);
     reader.integer("lapse_grace_ms", settings.lapseGrace, graceRangeMs);
     reader.integer("stale_check_ms", settings.staleCheck, graceRangeMs);
     reader.integer("fresh_check_ms", settings.freshCheck, graceRangeMs);
+    reader.integer("reach_check_ms", settings.reachCheck, graceRangeMs);
     reader.table("bounds", [&](table_reader &bounds) { readBounds(bounds, settings.bounds); });
 }
 
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -28,7 +28,11 @@
     region_name region;
     ip_address clients;
     ip_address readiness;
+    /// Where other daemons reach this one.
+    ip_address peers;
     ip_address store;
+    /// The whole deployment starts for the first time.
+    bool bootstrap = false;
     /// Time between SIGTERM and the end of the process.
     milliseconds grace {6000};
     /// How long entries that lapsed while the store was away may take to come back.
@@ -36,7 +40,9 @@
     /// Time between two listings, which may be old, that show whether a waiting watch misses changes.
     milliseconds staleCheck {2000};
     /// The same for the configuration, by listings that are never old.
-    milliseconds freshCheck {3500};
+    milliseconds freshCheck {2500};
+    /// Time between two small calls that show whether the store can be reached; those who follow this daemon rely on it.
+    milliseconds reachCheck {500};
     fleet_bounds bounds;
 
     bool operator==(const entry_settings &) const = default;
--- a/Source/Forward/fleet_register.cxx
+++ b/Source/Forward/fleet_register.cxx
@@ -8,16 +8,26 @@
 
 namespace {
 
+std::string textOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.is_object() ? object.find(key) : object.end();
+    return object.is_object() && found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
 std::optional<fleet_daemon> readEntry(const platform_object &object)
 {
     const auto json = nlohmann::json::parse(object.value, nullptr, false);
-    const auto domain = json.is_object() ? json.find("domain") : json.end();
-    if (!json.is_object() || domain == json.end() || !domain->is_string()) {
+    const auto domain = textOf(json, "domain");
+    if (domain.empty()) {
         DAISYSTILE_LOG(WARNING, "fleet") << "Entry of a daemon can't be read." << field("key", object.key);
         return std::nullopt;
     }
-    const auto name = object.key.substr(std::string_view(fleet_register::keyPrefix).size());
-    return fleet_daemon {{name}, {domain->get<std::string>()}};
+    fleet_daemon daemon;
+    daemon.id.value = object.key.substr(std::string_view(fleet_register::keyPrefix).size());
+    daemon.domain.value = domain;
+    const auto peers = textOf(json, "peers");
+    daemon.peers = leaf::try_handle_all([&]() -> leaf::result<ip_address> { return parseIpAddress(peers); }, [] { return ip_address {}; });
+    return daemon;
 }
 
 } // namespace
@@ -32,6 +42,10 @@
 {
     std::map<std::string, seen_entry> entries;
     for (const auto &object : list.objects) {
+        if (object.key == peerKeyEntry) {
+            m_peerKey = textOf(nlohmann::json::parse(object.value, nullptr, false), "key");
+            continue;
+        }
         const auto before = m_entries.find(object.key);
         if (before != m_entries.end() && before->second.object.etag == object.etag) {
             entries.insert(*before);
@@ -75,7 +89,17 @@
 
 std::string fleet_register::entryText(std::uint64_t beat) const
 {
-    return nlohmann::json {{"domain", m_self.domain.value}, {"beat", beat}}.dump();
+    return nlohmann::json {{"domain", m_self.domain.value}, {"peers", toString(m_self.peers)}, {"beat", beat}}.dump();
+}
+
+const std::string &fleet_register::peerKey() const
+{
+    return m_peerKey;
+}
+
+std::string fleet_register::peerKeyText(const std::string &key)
+{
+    return nlohmann::json {{"key", key}}.dump();
 }
 
 std::string fleet_register::entryKey() const
--- a/Source/Forward/fleet_register.h
+++ b/Source/Forward/fleet_register.h
@@ -38,7 +38,12 @@
     std::string entryText(std::uint64_t beat) const;
     std::string entryKey() const;
 
+    /// The key by which daemons prove themselves to one another, from its own entry; empty until one is written.
+    const std::string &peerKey() const;
+    static std::string peerKeyText(const std::string &key);
+
     static constexpr const char *keyPrefix = "daisystile-daemons/";
+    static constexpr const char *peerKeyEntry = "daisystile-daemons/0-peer-key";
 
 private:
     struct seen_entry
@@ -51,6 +56,7 @@
     register_limits m_limits;
     fleet_daemon m_self;
     std::map<std::string, seen_entry> m_entries;
+    std::string m_peerKey;
 };
 
 } // namespace daisystile
--- /dev/null
+++ b/Source/Forward/mirror_runner.cxx
@@ -0,0 +1,184 @@
+#include "mirror_runner.h"
+
+namespace daisystile {
+
+namespace {
+
+constexpr milliseconds lapseCheck {250};
+
+} // namespace
+
+mirror_runner::mirror_runner(
+    reactor &loop, platform_client &store, std::string prefix, deafness_check deafness, mirror_limits limits, std::function<void()> changed)
+    : m_loop(loop),
+      m_deafness(deafness),
+      m_store(store),
+      m_prefix(std::move(prefix)),
+      m_mirror(limits, stableHash(randomBytes(8))),
+      m_changed(std::move(changed))
+{
+}
+
+const object_mirror &mirror_runner::mirror() const
+{
+    return m_mirror;
+}
+
+void mirror_runner::setPace(milliseconds pace)
+{
+    m_mirror.setPace(pace);
+}
+
+void mirror_runner::follow()
+{
+    if (m_following) {
+        return;
+    }
+    m_following = true;
+    step(mirror_outdated {});
+    m_checkTimer = m_loop.after(m_deafness.interval, [this] { check(); });
+}
+
+void mirror_runner::rest()
+{
+    if (!m_following) {
+        return;
+    }
+    m_following = false;
+    m_loop.cancelTimer(m_checkTimer);
+    endCalls();
+}
+
+bool mirror_runner::following() const
+{
+    return m_following;
+}
+
+void mirror_runner::readAnew()
+{
+    step(mirror_outdated {});
+}
+
+void mirror_runner::take(mirror_relayed update)
+{
+    step(std::move(update));
+}
+
+void mirror_runner::onHistoryLost(std::function<void()> callback)
+{
+    m_historyLost = std::move(callback);
+}
+
+void mirror_runner::onReachChanged(std::function<void()> callback)
+{
+    m_reachChanged = std::move(callback);
+}
+
+void mirror_runner::step(const mirror_event &event)
+{
+    const bool wasAway = m_mirror.storeAway();
+    const auto before = m_mirror.changes();
+    const auto action = m_mirror.decide(event, m_loop.now());
+    const bool reachChanged = wasAway != m_mirror.storeAway();
+    if (reachChanged) {
+        DAISYSTILE_LOG(WARNING, "store") << (wasAway ? "Store is back." : "Store can't be reached.") << field("prefix", m_prefix);
+    }
+    if (before != m_mirror.changes()) {
+        m_changed();
+    }
+    dropLapsed();
+    carryOut(action);
+    const auto *watched = std::get_if<mirror_watched>(&event);
+    if (watched != nullptr && std::holds_alternative<watch_compacted>(watched->result)) {
+        DAISYSTILE_LOG(WARNING, "store") << "History is gone; all is read anew." << field("prefix", m_prefix);
+        m_historyLost();
+    }
+    if (reachChanged) {
+        m_reachChanged();
+    }
+}
+
+void mirror_runner::carryOut(const mirror_action &action)
+{
+    std::visit([this](const auto &each) { start(each); }, action);
+}
+
+// Each call replaces the one before; an answer that comes for an earlier one is dropped.
+void mirror_runner::start(const watch_objects &watch)
+{
+    endCalls();
+    if (!m_following) {
+        return;
+    }
+    m_watch = m_store.watch(m_prefix, watch.after, [this, call = m_call](watch_result result) {
+        if (call == m_call) {
+            m_watch = 0;
+            step(mirror_watched {std::move(result)});
+        }
+    });
+}
+
+void mirror_runner::start(const wait_for_store &wait)
+{
+    endCalls();
+    m_loop.after(wait.delay, [this, call = m_call] {
+        if (call == m_call) {
+            step(mirror_timer {});
+        }
+    });
+}
+
+void mirror_runner::start(const read_all_objects &)
+{
+    endCalls();
+    m_store.list(m_prefix, read_freshness::newest, [this, call = m_call](list_result result) {
+        if (call == m_call) {
+            step(mirror_listed {std::move(result)});
+        }
+    });
+}
+
+void mirror_runner::start(const keep_waiting &)
+{
+}
+
+void mirror_runner::endCalls()
+{
+    m_call += 1;
+    const auto watch = std::exchange(m_watch, 0);
+    if (watch != 0) {
+        m_store.cancel(watch);
+    }
+}
+
+// Only a waiting watch can be deaf.
+void mirror_runner::check()
+{
+    m_checkTimer = m_loop.after(m_deafness.interval, [this] { check(); });
+    if (m_watch == 0) {
+        return;
+    }
+    m_store.list(m_prefix, m_deafness.freshness, [this, call = m_call](list_result result) {
+        if (call == m_call) {
+            step(mirror_checked {std::move(result)});
+        }
+    });
+}
+
+void mirror_runner::dropLapsed()
+{
+    const auto before = m_mirror.changes();
+    const auto next = m_mirror.dropLapsed(m_loop.now());
+    if (before != m_mirror.changes()) {
+        m_changed();
+    }
+    if (next && !m_lapseTimer) {
+        m_lapseTimer = true;
+        m_loop.after(lapseCheck, [this] {
+            m_lapseTimer = false;
+            dropLapsed();
+        });
+    }
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/mirror_runner.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "object_mirror.h"
+
+#include <functional>
+#include <string>
+
+namespace daisystile {
+
+/// How a runner finds out that its watch is deaf.
+struct deafness_check
+{
+    milliseconds interval;
+    read_freshness freshness;
+};
+
+/// Drives one mirror by calls to the store, or rests while another daemon relays what it needs.
+class mirror_runner
+{
+public:
+    mirror_runner(reactor &loop, platform_client &store, std::string prefix, deafness_check deafness, mirror_limits limits, std::function<void()> changed);
+
+    const object_mirror &mirror() const;
+    void setPace(milliseconds pace);
+
+    /// Follows the store by calls of its own; the mirror keeps what it has.
+    void follow();
+    /// Makes no more calls of its own.
+    void rest();
+    bool following() const;
+
+    /// Reads all once, also while resting.
+    void readAnew();
+    /// Takes what another daemon relays.
+    void take(mirror_relayed update);
+
+    /// Called when the store dropped its history, so that other watches may have missed changes.
+    void onHistoryLost(std::function<void()> callback);
+    /// Called when the store can't be reached any more, or again.
+    void onReachChanged(std::function<void()> callback);
+
+private:
+    void step(const mirror_event &event);
+    void carryOut(const mirror_action &action);
+    void start(const watch_objects &watch);
+    void start(const wait_for_store &wait);
+    void start(const read_all_objects &);
+    void start(const keep_waiting &);
+    void check();
+    void dropLapsed();
+    void endCalls();
+
+    reactor &m_loop;
+    deafness_check m_deafness;
+    platform_client &m_store;
+    std::string m_prefix;
+    object_mirror m_mirror;
+    std::function<void()> m_changed;
+    std::function<void()> m_historyLost = [] {};
+    std::function<void()> m_reachChanged = [] {};
+    http_call_id m_watch = 0;
+    std::uint64_t m_call = 0;
+    timer_id m_checkTimer = 0;
+    bool m_following = false;
+    bool m_lapseTimer = false;
+};
+
+} // namespace daisystile
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -33,6 +33,9 @@
     if (const auto *checked = std::get_if<mirror_checked>(&event)) {
         return onChecked(checked->result);
     }
+    if (const auto *update = std::get_if<mirror_relayed>(&event)) {
+        return onRelayed(*update);
+    }
     m_mustRead = m_mustRead || std::holds_alternative<mirror_outdated>(event);
     if (m_mustRead) {
         return read_all_objects {};
@@ -97,13 +100,46 @@
 mirror_action object_mirror::onChecked(const list_result &result)
 {
     const auto *list = std::get_if<object_list>(&result);
-    if (list == nullptr || !m_known || m_mustRead || !outdatedBy(*list)) {
+    if (list == nullptr) {
+        return failed();
+    }
+    if (!m_known || m_mustRead || !outdatedBy(*list)) {
         return keep_waiting {};
     }
     m_mustRead = true;
     return read_all_objects {};
 }
 
+// What is known here at a later revision stays.
+mirror_action object_mirror::onRelayed(const mirror_relayed &update)
+{
+    std::vector<std::string> gone = update.removed;
+    for (const auto &[key, object] : m_objects) {
+        const bool told = std::any_of(update.objects.begin(), update.objects.end(), [&](const auto &other) { return other.key == key; });
+        if (update.whole && !told) {
+            gone.push_back(key);
+        }
+    }
+    for (const auto &key : gone) {
+        const auto known = m_objects.find(key);
+        if (known != m_objects.end() && revisionOf(known->second) <= update.revision) {
+            m_lapsed.erase(key);
+            m_objects.erase(known);
+            m_changes += 1;
+        }
+    }
+    for (const auto &object : update.objects) {
+        const auto known = m_objects.find(object.key);
+        if (known == m_objects.end() || revisionOf(known->second) < revisionOf(object)) {
+            put(object);
+        }
+    }
+    m_revision = std::max(m_revision, update.revision);
+    m_changes += m_known ? 0 : 1;
+    m_known = true;
+    return keep_waiting {};
+}
+
 bool object_mirror::outdatedBy(const object_list &list) const
 {
     const bool newer = std::any_of(list.objects.begin(), list.objects.end(), [&](const auto &object) {
@@ -197,6 +233,11 @@
     m_limits.pace = pace;
 }
 
+std::uint64_t object_mirror::revision() const
+{
+    return m_revision;
+}
+
 bool object_mirror::storeAway() const
 {
     return m_failures > 0;
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -30,10 +30,20 @@
 struct mirror_outdated
 {
 };
+/// What another daemon that follows the store holds.
+struct mirror_relayed
+{
+    /// All objects, instead of those that changed.
+    bool whole = false;
+    /// The store's revision that this is from.
+    std::uint64_t revision = 0;
+    std::vector<platform_object> objects;
+    std::vector<std::string> removed;
+};
 struct mirror_timer
 {
 };
-using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_checked, mirror_outdated, mirror_timer>;
+using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_checked, mirror_outdated, mirror_relayed, mirror_timer>;
 
 /// Read all objects anew.
 struct read_all_objects
@@ -81,12 +91,15 @@
     /// Drops lapsed objects whose time is over; the time of the next one, if any.
     std::optional<monotonic_time> dropLapsed(monotonic_time now);
     bool storeAway() const;
+    /// The store's revision up to which the objects are known.
+    std::uint64_t revision() const;
     void setPace(milliseconds pace);
 
 private:
     mirror_action onListed(const list_result &result, monotonic_time now);
     mirror_action onWatched(const watch_result &result, monotonic_time now);
     mirror_action onChecked(const list_result &result);
+    mirror_action onRelayed(const mirror_relayed &update);
     bool outdatedBy(const object_list &list) const;
     mirror_action failed();
     void reached(monotonic_time now);
--- /dev/null
+++ b/Source/Forward/relay_link.cxx
@@ -0,0 +1,129 @@
+#include "relay_link.h"
+
+namespace daisystile {
+
+namespace {
+
+constexpr milliseconds checkInterval {200};
+constexpr milliseconds longestSilence {1200};
+
+} // namespace
+
+relay_server::relay_server(reactor &loop, peer_credentials credentials, std::function<std::optional<relay_update>()> first)
+    : m_loop(loop),
+      m_credentials(std::move(credentials)),
+      m_first(std::move(first))
+{
+}
+
+leaf::result<void> relay_server::listen(const ip_address &address)
+{
+    BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, address, [this](int handle) { accepted(handle); }));
+    return {};
+}
+
+void relay_server::accepted(int handle)
+{
+    const auto number = m_next++;
+    peer_link::callbacks notify;
+    notify.established = [this, number](const peer_identity &) {
+        tellFirst(m_followers.at(number));
+    };
+    notify.frame = [](std::string_view) {
+    };
+    notify.closed = [this, number](const connection_error &) {
+        // The link ends after this callback.
+        m_loop.post([this, number] { m_followers.erase(number); });
+    };
+    m_followers[number].link = std::make_unique<peer_link>(m_loop, handle, m_credentials, std::move(notify));
+}
+
+void relay_server::tellFirst(follower &each)
+{
+    if (const auto update = m_first()) {
+        each.told = each.link->send(encodeRelayUpdate(*update));
+    }
+}
+
+void relay_server::tell(const relay_update &update)
+{
+    if (m_followers.empty()) {
+        return;
+    }
+    const auto bytes = encodeRelayUpdate(update);
+    for (auto &[number, each] : m_followers) {
+        if (each.told) {
+            each.told = each.link->send(bytes);
+        } else {
+            tellFirst(each);
+        }
+    }
+}
+
+std::size_t relay_server::followers() const
+{
+    return m_followers.size();
+}
+
+relay_client::relay_client(reactor &loop, const ip_address &address, peer_credentials credentials, callbacks notify)
+    : m_loop(loop),
+      m_notify(std::move(notify)),
+      m_heard(loop.now())
+{
+    peer_link::callbacks link;
+    link.established = [](const peer_identity &) {
+    };
+    link.frame = [this](std::string_view frame) {
+        taken(frame);
+    };
+    link.closed = [this](const connection_error &) {
+        fail();
+    };
+    m_link = std::make_unique<peer_link>(loop, address, std::move(credentials), std::move(link));
+    m_timer = m_loop.after(checkInterval, [this] { check(); });
+}
+
+relay_client::~relay_client()
+{
+    m_loop.cancelTimer(m_timer);
+}
+
+void relay_client::taken(std::string_view frame)
+{
+    m_heard = m_loop.now();
+    const bool readable = leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(update, decodeRelayUpdate(frame));
+            m_notify.updated(std::move(update));
+            return true;
+        },
+        [](const connection_error &error) {
+            DAISYSTILE_LOG(WARNING, "relay") << "Update can't be read: " << error << ".";
+            return false;
+        },
+        [] { return false; });
+    if (!readable) {
+        fail();
+    }
+}
+
+void relay_client::check()
+{
+    m_timer = 0;
+    if (m_loop.now() - m_heard > longestSilence) {
+        fail();
+        return;
+    }
+    m_timer = m_loop.after(checkInterval, [this] { check(); });
+}
+
+void relay_client::fail()
+{
+    if (m_failed) {
+        return;
+    }
+    m_failed = true;
+    m_notify.failed();
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/relay_messages.cxx
@@ -0,0 +1,67 @@
+#include "relay_messages.h"
+
+#include <Connection/connection.h>
+#include <Connection/frame_archive.h>
+
+namespace daisystile {
+
+std::string encodeRelayUpdate(const relay_update &update)
+{
+    return encodeFields(update);
+}
+
+leaf::result<relay_update> decodeRelayUpdate(std::string_view bytes)
+{
+    relay_update update;
+    if (!decodeFields(bytes, update)) {
+        return leaf::new_error(connection_error {connection_failure::frame_malformed, "relay update"});
+    }
+    return update;
+}
+
+mirror_relayed toMirror(relayed_objects objects)
+{
+    mirror_relayed update;
+    update.whole = objects.whole;
+    update.revision = objects.revision;
+    update.removed = std::move(objects.removed);
+    for (auto &object : objects.objects) {
+        update.objects.push_back({std::move(object.key), std::move(object.revision), std::move(object.value)});
+    }
+    return update;
+}
+
+relayed_objects told_objects::all() const
+{
+    relayed_objects objects;
+    objects.whole = true;
+    objects.revision = m_revision;
+    for (const auto &[key, object] : m_told) {
+        objects.objects.push_back(object);
+    }
+    return objects;
+}
+
+relayed_objects told_objects::changes(const object_mirror &mirror)
+{
+    relayed_objects changed;
+    for (auto entry = m_told.begin(); entry != m_told.end();) {
+        const bool gone = !mirror.objects().contains(entry->first);
+        if (gone) {
+            changed.removed.push_back(entry->first);
+        }
+        entry = gone ? m_told.erase(entry) : std::next(entry);
+    }
+    for (const auto &[key, object] : mirror.objects()) {
+        auto &told = m_told[key];
+        if (told.revision != object.etag) {
+            told = {key, object.etag, object.value};
+            changed.objects.push_back(told);
+        }
+    }
+    m_revision = mirror.revision();
+    changed.revision = m_revision;
+    return changed;
+}
+
+} // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -1,221 +1,232 @@
 #include "store_follower.h"
 
+#include "mirror_runner.h"
+#include "relay_choice.h"
+#include "relay_link.h"
+
 #include <algorithm>
 
 namespace daisystile {
 
 namespace {
 
-constexpr milliseconds callTimeout {1500};
+constexpr milliseconds callTimeout {1000};
 constexpr milliseconds watchWait {25000};
 constexpr milliseconds watchTimeout {27000};
-constexpr milliseconds firstListing {700};
-constexpr milliseconds secondListing {3000};
+// All daemons of a new deployment start within a moment, so the first listing waits until they are registered.
+constexpr milliseconds bootstrapListing {700};
+constexpr milliseconds bootstrapRelayDelay {700};
+constexpr milliseconds repeatedListing {800};
+constexpr unsigned repeatedListings = 4;
 constexpr milliseconds listingInterval {10000};
-constexpr milliseconds lapseCheck {250};
+// Without another daemon to follow by then, a starting daemon follows the store.
+constexpr milliseconds longestSearch {1000};
+constexpr milliseconds longestBootstrapSearch {4000};
+constexpr milliseconds relayBeat {400};
+constexpr milliseconds failedSourceRest {5000};
+constexpr milliseconds storeProbe {2000};
 // Each change of the servers is a call of every daemon, so a larger fleet fetches more changes at once.
 constexpr milliseconds shortestServersPace {250};
 constexpr milliseconds longestServersPace {1500};
 constexpr milliseconds serversPacePerDaemon {20};
 
-using mirror_changed = std::function<void()>;
-
-/// How a runner finds out that its watch is deaf.
-struct deafness_check
+std::string nameOf(const std::string &key)
 {
-    milliseconds interval;
-    read_freshness freshness;
-};
+    return key.substr(key.find('/') + 1);
+}
 
-/// Drives one mirror by calls to the store.
-class mirror_runner
+} // namespace
+
+struct store_follower::implementation
 {
-public:
-    mirror_runner(reactor &loop, platform_client &store, std::string prefix, deafness_check deafness, mirror_limits limits, mirror_changed changed)
-        : m_loop(loop),
-          m_deafness(deafness),
-          m_store(store),
-          m_prefix(std::move(prefix)),
-          m_mirror(limits, stableHash(randomBytes(8))),
-          m_changed(std::move(changed))
+    implementation(reactor &eventLoop, const entry_settings &entrySettings, std::function<void(std::shared_ptr<const entry_view>)> publishView)
+        : loop(eventLoop),
+          settings(entrySettings),
+          publish(std::move(publishView)),
+          http(eventLoop),
+          store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
+          self {settings.id, settings.domain, settings.peers},
+          registered({}, self),
+          configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
+          servers(loop, store, serverKeyPrefix, {settings.staleCheck, read_freshness::stale_allowed}, {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
+          evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); })
     {
+        view.fleet = registered.daemons(loop.now());
     }
 
     void start()
     {
-        step(mirror_begun {});
-        check();
+        for (auto *each : {&configuration, &servers, &evacuations}) {
+            each->onHistoryLost([this] { readAllAnew(); });
+            each->onReachChanged([this] { tellFollowers(); });
+        }
+        refreshEntry();
+        loop.after(settings.bootstrap ? bootstrapListing : milliseconds {0}, [this] { listFleet(); });
+        loop.after(settings.bootstrap ? longestBootstrapSearch : longestSearch, [this] {
+            if (!servers.mirror().known()) {
+                followStore();
+            }
+        });
+        beatRelay();
     }
 
-    const object_mirror &mirror() const
-    {
-        return m_mirror;
-    }
+    // Sources.
 
-    /// The store dropped its history, so a waiting watch may have missed changes.
-    void readAnew()
+    void followStore()
     {
-        if (m_watch != 0) {
-            step(mirror_outdated {});
+        if (servers.following()) {
+            return;
         }
+        DAISYSTILE_LOG(INFO, "relay") << "Following the store." << field("id", settings.id.value);
+        configuration.follow();
+        servers.follow();
+        evacuations.follow();
     }
 
-    void onHistoryLost(std::function<void()> callback)
+    void followDaemon()
     {
-        m_historyLost = std::move(callback);
+        if (servers.following()) {
+            DAISYSTILE_LOG(INFO, "relay") << "Following another daemon." << field("source", source->id.value);
+        }
+        configuration.rest();
+        servers.rest();
+        evacuations.rest();
     }
 
-    void setPace(milliseconds pace)
+    void chooseSource()
     {
-        m_mirror.setPace(pace);
+        const auto chosen = chooseRelaySource(view.fleet, self, failed, loop.now());
+        const auto *daemon = std::get_if<use_daemon>(&chosen);
+        const bool mayWait = settings.bootstrap || daemon != nullptr;
+        if (leaving || (registered.peerKey().empty() && mayWait)) {
+            return;
+        }
+        if (daemon == nullptr) {
+            client.reset();
+            source.reset();
+            followStore();
+            return;
+        }
+        if (client && source && *source == daemon->daemon) {
+            return;
+        }
+        source = daemon->daemon;
+        client = std::make_unique<relay_client>(loop,
+            source->peers,
+            credentials(),
+            relay_client::callbacks {.updated = [this](relay_update update) { take(std::move(update)); }, .failed = [this] { sourceFailed(); }});
     }
 
-private:
-    void step(const mirror_event &event)
+    // The client is in the midst of its callback.
+    void sourceFailed()
     {
-        const bool wasAway = m_mirror.storeAway();
-        const auto before = m_mirror.changes();
-        const auto action = m_mirror.decide(event, m_loop.now());
-        const auto *watched = std::get_if<mirror_watched>(&event);
-        if (watched != nullptr && std::holds_alternative<watch_compacted>(watched->result)) {
-            DAISYSTILE_LOG(WARNING, "store") << "History is gone; all is read anew." << field("prefix", m_prefix);
-            m_historyLost();
+        DAISYSTILE_LOG(WARNING, "relay") << "Source is lost." << field("source", source->id.value);
+        failed[source->id] = loop.now() + failedSourceRest;
+        if (servers.mirror().known()) {
+            followStore();
         }
-        if (wasAway != m_mirror.storeAway()) {
-            DAISYSTILE_LOG(WARNING, "store") << (wasAway ? "Store is back." : "Store can't be reached.") << field("prefix", m_prefix);
-        }
-        if (before != m_mirror.changes()) {
-            m_changed();
-        }
-        dropLapsed();
-        carryOut(action);
+        loop.post([this, old = std::shared_ptr<relay_client>(std::move(client))] { chooseSource(); });
+        loop.after(failedSourceRest, [this] { chooseSource(); });
     }
 
-    void carryOut(const mirror_action &action)
+    void take(relay_update update)
     {
-        std::visit([this](const auto &each) { start(each); }, action);
+        followDaemon();
+        servers.take(toMirror(std::move(update.servers)));
+        evacuations.take(toMirror(std::move(update.evacuations)));
+        const auto known = configuration.mirror().objects().find(configurationKey);
+        const auto revision = known == configuration.mirror().objects().end() ? 0 : std::strtoull(known->second.etag.c_str(), nullptr, 10);
+        if (update.configurationRevision > revision && update.configurationRevision > configurationAsked) {
+            configurationAsked = update.configurationRevision;
+            configuration.readAnew();
+        }
+        sourceReachesStore = update.storeReached;
+        if (!sourceReachesStore && !probing) {
+            probing = true;
+            probeStore();
+        }
     }
 
-    // Each call replaces the one before; an answer that comes for an earlier one is dropped.
-    void start(const watch_objects &watch)
+    // The store may turn away the source alone.
+    void probeStore()
     {
-        m_call += 1;
-        m_watch = m_store.watch(m_prefix, watch.after, [this, call = m_call](watch_result result) {
-            if (call == m_call) {
-                m_watch = 0;
-                step(mirror_watched {std::move(result)});
+        if (sourceReachesStore || servers.following()) {
+            probing = false;
+            return;
+        }
+        store.list(evacuationKeyPrefix, read_freshness::stale_allowed, [this](const list_result &result) {
+            if (std::holds_alternative<object_list>(result) && !sourceReachesStore && client) {
+                sourceFailed();
             }
         });
+        loop.after(storeProbe, [this] { probeStore(); });
     }
 
-    void start(const wait_for_store &wait)
+    peer_credentials credentials() const
     {
-        m_call += 1;
-        m_loop.after(wait.delay, [this, call = m_call] {
-            if (call == m_call) {
-                step(mirror_timer {});
-            }
-        });
+        return {{settings.id, life}, registered.peerKey()};
     }
 
-    void start(const read_all_objects &)
+    // Followers.
+
+    void openRelay()
     {
-        m_call += 1;
-        m_store.cancel(m_watch);
-        m_watch = 0;
-        m_store.list(m_prefix, read_freshness::newest, [this, call = m_call](list_result result) {
-            if (call == m_call) {
-                step(mirror_listed {std::move(result)});
-            }
-        });
+        relay = std::make_unique<relay_server>(loop, credentials(), [this] { return firstUpdate(); });
+        leaf::try_handle_all([&]() -> leaf::result<void> { return relay->listen(settings.peers); },
+            [](const process_error &error) { DAISYSTILE_LOG(ERROR, "relay") << "Can't listen for other daemons: " << error << "."; },
+            [] { DAISYSTILE_LOG(ERROR, "relay") << "Can't listen for other daemons."; });
     }
 
-    void start(const keep_waiting &)
+    relay_update updateHead() const
     {
+        relay_update update;
+        update.storeReached = !servers.mirror().storeAway() && !configuration.mirror().storeAway() && !evacuations.mirror().storeAway();
+        const auto found = configuration.mirror().objects().find(configurationKey);
+        update.configurationRevision = found == configuration.mirror().objects().end() ? 0 : std::strtoull(found->second.etag.c_str(), nullptr, 10);
+        return update;
     }
 
-    // Only a waiting watch can be deaf.
-    void check()
+    // Nothing is told before it is known here.
+    bool canRelay() const
     {
-        m_loop.after(m_deafness.interval, [this] { check(); });
-        if (m_watch == 0) {
-            return;
-        }
-        m_store.list(m_prefix, m_deafness.freshness, [this, call = m_call](list_result result) {
-            if (call == m_call) {
-                step(mirror_checked {std::move(result)});
-            }
-        });
+        return relay && servers.following() && servers.mirror().known() && evacuations.mirror().known() && configuration.mirror().known();
     }
 
-    void dropLapsed()
+    std::optional<relay_update> firstUpdate()
     {
-        const auto before = m_mirror.changes();
-        const auto next = m_mirror.dropLapsed(m_loop.now());
-        if (before != m_mirror.changes()) {
-            m_changed();
-        }
-        if (next && !m_lapseTimer) {
-            m_lapseTimer = true;
-            m_loop.after(lapseCheck, [this] {
-                m_lapseTimer = false;
-                dropLapsed();
-            });
+        if (!canRelay()) {
+            return std::nullopt;
         }
+        auto update = updateHead();
+        update.servers = toldServers.all();
+        update.evacuations = toldEvacuations.all();
+        return update;
     }
 
-    reactor &m_loop;
-    deafness_check m_deafness;
-    platform_client &m_store;
-    std::string m_prefix;
-    object_mirror m_mirror;
-    mirror_changed m_changed;
-    std::function<void()> m_historyLost = [] {};
-    http_call_id m_watch = 0;
-    std::uint64_t m_call = 0;
-    bool m_lapseTimer = false;
-};
-
-std::string nameOf(const std::string &key)
-{
-    return key.substr(key.find('/') + 1);
-}
-
-} // namespace
-
-struct store_follower::implementation
-{
-    implementation(reactor &eventLoop, const entry_settings &entrySettings, std::function<void(std::shared_ptr<const entry_view>)> publishView)
-        : loop(eventLoop),
-          settings(entrySettings),
-          publish(std::move(publishView)),
-          http(eventLoop),
-          store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
-          registered({}, {settings.id, settings.domain}),
-          configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
-          servers(loop, store, serverKeyPrefix, {settings.staleCheck, read_freshness::stale_allowed}, {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
-          evacuations(loop, store, evacuationKeyPrefix, {settings.staleCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); })
+    void tellFollowers()
     {
-        view.fleet = registered.daemons(loop.now());
+        if (!canRelay()) {
+            return;
+        }
+        auto update = updateHead();
+        update.servers = toldServers.changes(servers.mirror());
+        update.evacuations = toldEvacuations.changes(evacuations.mirror());
+        relay->tell(update);
     }
 
-    void start()
+    void beatRelay()
     {
-        configuration.onHistoryLost([this] { readAllAnew(); });
-        servers.onHistoryLost([this] { readAllAnew(); });
-        evacuations.onHistoryLost([this] { readAllAnew(); });
-        configuration.start();
-        servers.start();
-        evacuations.start();
-        refreshEntry();
-        loop.after(firstListing, [this] { listFleet(secondListing); });
+        tellFollowers();
+        loop.after(relayBeat, [this] { beatRelay(); });
     }
 
     void readAllAnew()
     {
-        configuration.readAnew();
-        servers.readAnew();
-        evacuations.readAnew();
+        for (auto *each : {&configuration, &servers, &evacuations}) {
+            if (each->following()) {
+                each->readAnew();
+            }
+        }
     }
 
     // A version older than the one in force never comes back.
@@ -310,10 +321,28 @@
         loop.after(registered.refreshInterval(), [this] { refreshEntry(); });
     }
 
-    void listFleet(milliseconds next)
+    // A stale listing of a fleet that has just started would show nobody.
+    void listFleet()
+    {
+        listings += 1;
+        const auto freshness = listings <= 2 ? read_freshness::newest : read_freshness::stale_allowed;
+        store.list(fleet_register::keyPrefix, freshness, [this](const list_result &result) { fleetListed(result); });
+        const auto later = std::max(listingInterval, registered.refreshInterval() / 3);
+        loop.after(listings <= repeatedListings ? repeatedListing : later, [this] { listFleet(); });
+    }
+
+    // One daemon writes the key; the others see it in a later listing, and take over if it never comes.
+    void writePeerKey(const std::vector<fleet_daemon> &fleet)
     {
-        store.list(fleet_register::keyPrefix, read_freshness::stale_allowed, [this](const list_result &result) { fleetListed(result); });
-        loop.after(next, [this] { listFleet(std::max(listingInterval, registered.refreshInterval() / 3)); });
+        const auto own = std::find(fleet.begin(), fleet.end(), self) - fleet.begin();
+        if (!registered.peerKey().empty() || own >= static_cast<std::ptrdiff_t>(listings)) {
+            return;
+        }
+        store.put(fleet_register::peerKeyEntry, fleet_register::peerKeyText(sha256Hex(randomBytes(32))), if_absent {}, [](const write_result &result) {
+            if (std::holds_alternative<object_written>(result)) {
+                DAISYSTILE_LOG(INFO, "fleet") << "Key of the daemons written.";
+            }
+        });
     }
 
     void fleetListed(const list_result &result)
@@ -333,6 +362,13 @@
             view.fleet = std::move(fleet);
             publishView();
         }
+        writePeerKey(view.fleet);
+        if (!relay && !registered.peerKey().empty()) {
+            openRelay();
+            loop.after(settings.bootstrap ? bootstrapRelayDelay : milliseconds {0}, [this] { chooseSource(); });
+        } else {
+            chooseSource();
+        }
     }
 
     void publishView()
@@ -350,13 +386,25 @@
     std::function<void(std::shared_ptr<const entry_view>)> publish;
     http_client http;
     platform_client store;
+    fleet_daemon self;
     fleet_register registered;
     entry_view view;
     std::map<std::string, server_seen> serversSeen;
     mirror_runner configuration;
     mirror_runner servers;
     mirror_runner evacuations;
+    incarnation life {stableHash(randomBytes(8))};
+    failed_sources failed;
+    std::optional<fleet_daemon> source;
+    std::unique_ptr<relay_client> client;
+    std::unique_ptr<relay_server> relay;
+    told_objects toldServers;
+    told_objects toldEvacuations;
+    std::uint64_t configurationAsked = 0;
     std::uint64_t beat = 0;
+    unsigned listings = 0;
+    bool sourceReachesStore = true;
+    bool probing = false;
     bool leaving = false;
 };
 
--- a/Source/Route/server_entry.h
+++ b/Source/Route/server_entry.h
@@ -39,6 +39,8 @@
 {
     daemon_id id;
     failure_domain_name domain;
+    /// Where other daemons reach it; port 0 when it said nothing.
+    ip_address peers;
 
     bool operator==(const fleet_daemon &) const = default;
 };
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -114,3 +114,25 @@
     EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_outdated {}, m_now)));
     EXPECT_TRUE(std::holds_alternative<watch_objects>(listed({object("a", 9)}, 9)));
 }
+
+// Load: the way to the store is cut, and the waiting watch hears nothing of it.
+TEST_F(object_mirror_test, aCheckThatFailsShowsThatTheStoreIsAway)
+{
+    listed({object("a", 3)}, 7);
+    EXPECT_TRUE(std::holds_alternative<wait_for_store>(m_mirror.decide(mirror_checked {platform_unavailable {"timed out"}}, m_now)));
+    EXPECT_TRUE(m_mirror.storeAway());
+    EXPECT_TRUE(std::holds_alternative<watch_objects>(m_mirror.decide(mirror_timer {}, m_now)));
+}
+
+TEST_F(object_mirror_test, takesWhatIsRelayedButNothingOlder)
+{
+    m_mirror.decide(mirror_relayed {true, 9, {object("a", 3), object("b", 8)}, {}}, m_now);
+    EXPECT_TRUE(m_mirror.known());
+    EXPECT_EQ(m_mirror.objects().size(), 2U);
+    m_mirror.decide(mirror_relayed {false, 6, {object("b", 5)}, {"b"}}, m_now);
+    EXPECT_EQ(m_mirror.objects().at("b").etag, "8");
+    m_mirror.decide(mirror_relayed {true, 12, {object("b", 8), object("c", 11)}, {}}, m_now);
+    EXPECT_FALSE(m_mirror.objects().contains("a"));
+    EXPECT_TRUE(m_mirror.objects().contains("c"));
+    EXPECT_EQ(m_mirror.revision(), 12U);
+}
--- /dev/null
+++ b/Tests/Forward/relay_test.cxx
@@ -0,0 +1,109 @@
+#include <Forward/forward.h>
+#include <Forward/relay_choice.h>
+#include <Forward/relay_link.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+static fleet_daemon daemonIn(const std::string &id, const std::string &domain)
+{
+    return {{id}, {domain}, {"10.0.0.1", 7740}};
+}
+
+class relay_choice_test : public testing::Test
+{
+protected:
+    relay_source choose(const std::string &id)
+    {
+        return chooseRelaySource(m_fleet, daemonIn(id, "port"), m_failed, m_now);
+    }
+
+    std::vector<fleet_daemon> m_fleet {daemonIn("p1", "port"), daemonIn("p2", "port"), daemonIn("p3", "port"), daemonIn("a1", "medina")};
+    failed_sources m_failed;
+    monotonic_time m_now {seconds {100}};
+};
+
+TEST_F(relay_choice_test, oneDaemonOfADomainFollowsTheStore)
+{
+    EXPECT_EQ(choose("p1"), relay_source(use_store {}));
+    EXPECT_EQ(choose("p2"), relay_source(use_daemon {m_fleet[0]}));
+    EXPECT_EQ(choose("p3"), relay_source(use_daemon {m_fleet[0]}));
+}
+
+TEST_F(relay_choice_test, theSecondTakesOverAndThenTheStore)
+{
+    m_failed[{"p1"}] = m_now + seconds {5};
+    EXPECT_EQ(choose("p2"), relay_source(use_store {}));
+    EXPECT_EQ(choose("p3"), relay_source(use_daemon {m_fleet[1]}));
+    m_failed[{"p2"}] = m_now + seconds {5};
+    EXPECT_EQ(choose("p3"), relay_source(use_store {}));
+    m_now += seconds {6};
+    EXPECT_EQ(choose("p3"), relay_source(use_daemon {m_fleet[0]}));
+}
+
+TEST(told_objects, tellsEachChangeOnce)
+{
+    object_mirror mirror({}, 1);
+    told_objects told;
+    mirror.decide(mirror_listed {object_list {{{"a", "1", "x"}, {"b", "2", "y"}}, 5}}, {});
+    const auto first = told.changes(mirror);
+    EXPECT_EQ(first.objects.size(), 2U);
+    EXPECT_TRUE(told.changes(mirror).objects.empty());
+    mirror.decide(mirror_listed {object_list {{{"b", "7", "z"}}, 8}}, {});
+    const auto second = told.changes(mirror);
+    EXPECT_EQ(second.removed, std::vector<std::string> {"a"});
+    ASSERT_EQ(second.objects.size(), 1U);
+    EXPECT_EQ(second.objects[0].value, "z");
+    EXPECT_EQ(second.revision, 8U);
+    EXPECT_TRUE(told.all().whole);
+    EXPECT_EQ(told.all().objects.size(), 1U);
+}
+
+TEST(relay_update, survivesItsCodecAndRefusesOtherBytes)
+{
+    relay_update update {true, 9, {true, 7, {{"servers/a", "3", "{}"}}, {"servers/b"}}, {}};
+    const auto bytes = encodeRelayUpdate(update);
+    const auto read = decodeRelayUpdate(bytes);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->servers.objects.at(0).key, "servers/a");
+    EXPECT_EQ(read->configurationRevision, 9U);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        EXPECT_FALSE(decodeRelayUpdate(std::string_view(bytes).substr(0, length))) << length;
+    }
+}
+
+TEST(relay_link, tellsFollowersAndEndsWhenTheSourceFallsSilent)
+{
+    reactor loop;
+    bool known = false;
+    relay_server server(loop, {{{"p1"}, {1}}, "a key of the daemons"}, [&] {
+        return known ? std::optional(relay_update {.configurationRevision = 1}) : std::nullopt;
+    });
+    const ip_address address {"127.0.0.1", 0};
+    std::unique_ptr<tcp_listener> probe = tcp_listener::listen(loop, address, [](int) {}).value();
+    const auto free = probe->address();
+    probe.reset();
+    ASSERT_TRUE(server.listen(free));
+    std::vector<std::uint64_t> heard;
+    bool failed = false;
+    relay_client client(loop,
+        free,
+        {{{"p2"}, {2}}, "a key of the daemons"},
+        {.updated = [&](const relay_update &update) { heard.push_back(update.configurationRevision); },
+            .failed =
+                [&] {
+                    failed = true;
+                    loop.stop();
+                }});
+    loop.after(milliseconds {100}, [&] { server.tell({.configurationRevision = 5}); });
+    loop.after(milliseconds {200}, [&] {
+        known = true;
+        server.tell({.configurationRevision = 6});
+    });
+    loop.after(milliseconds {300}, [&] { server.tell({.configurationRevision = 7}); });
+    loop.after(seconds {10}, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_TRUE(failed);
+    EXPECT_EQ(heard, (std::vector<std::uint64_t> {1, 7})) << "nothing before it was known, and the whole first";
+}
--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -109,7 +109,7 @@
     void startDaemon()
     {
         const auto file = (m_folder / "daemon.toml").string();
-        std::ofstream(file) << "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nstore = \""
+        std::ofstream(file) << "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nstore = \""
                             << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\n";
         m_daemon = std::make_unique<child_process>(
             "daisystiled", std::vector<std::string> {"--front-door", "plain", "--config", file}, (m_folder / "daemon.err").string());
