Forward: Close a connection at once when its attempt is given up

Ruled out: a repeat by the forwarder; it counted the attempt as proven not run, which the open connection made untrue. Change: what is dropped from the pool is closed in the same step. Test: sendsNothingOnceItIsClosed failed before.

--- a/Source/Forward/backend_connection.cxx
+++ b/Source/Forward/backend_connection.cxx
@@ -144,6 +144,14 @@
     return m_begun;
 }
 
+void backend_connection::close()
+{
+    m_over = true;
+    m_busy = false;
+    m_pending.clear();
+    m_stream.abort();
+}
+
 void backend_connection::abandon(monotonic_time until)
 {
     m_abandonedUntil = until;
--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -55,6 +55,8 @@
 
     /// The answer is no longer awaited; the exchange ends by itself or is broken off by its owner after a while.
     void abandon(monotonic_time until);
+    /// Sends nothing any more and calls nobody back.
+    void close();
     bool abandonedTooLong(monotonic_time now) const;
 
 private:
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -207,8 +207,10 @@
     }
 }
 
-void backend_pool::drop(backend &server, const backend_connection &connection)
+// Closed at once: one that opens later would still send a request that was meanwhile made elsewhere.
+void backend_pool::drop(backend &server, backend_connection &connection)
 {
+    connection.close();
     const auto found =
         std::find_if(server.connections.begin(), server.connections.end(), [&](const auto &other) { return other.get() == &connection; });
     if (found != server.connections.end()) {
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -80,7 +80,7 @@
     backend_connection *idleConnection(backend &server, monotonic_time now);
     void exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result);
     void lapsed(const backend_server_id &server, backend_connection &connection);
-    void drop(backend &server, const backend_connection &connection);
+    void drop(backend &server, backend_connection &connection);
     void sweep();
     void sweepServer(backend &server, monotonic_time now);
 
--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -270,6 +270,13 @@
     self.loop.after(longestLinger, [kept = m_implementation] { kept->release(); });
 }
 
+void tcp_stream::abort()
+{
+    m_implementation->ended = true;
+    m_implementation->unsent.clear();
+    m_implementation->release();
+}
+
 struct tcp_listener::implementation
 {
     void accept()
--- a/Source/Process/tcp_stream.h
+++ b/Source/Process/tcp_stream.h
@@ -48,6 +48,8 @@
     std::size_t unsent() const;
     /// Closes once everything queued is sent; no more callbacks.
     void closeWhenSent();
+    /// Closes at once, whatever is queued; no more callbacks. Allowed within one.
+    void abort();
 
 private:
     struct implementation;
--- /dev/null
+++ b/Tests/Forward/backend_connection_test.cxx
@@ -0,0 +1,117 @@
+#include <Forward/forward.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+/// A server that keeps what it receives, and connections to it.
+class backend_connection_test : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_listener = tcp_listener::listen(m_loop, {"127.0.0.1", 0}, [this](int handle) { accepted(handle); }).value();
+    }
+
+    void accepted(int handle)
+    {
+        m_accepted += 1;
+        m_stream = std::make_unique<tcp_stream>(
+            m_loop, handle, tcp_stream::callbacks {.opened = {}, .received = [this] { received(); }, .ended = [](stream_end) {}});
+    }
+
+    void received()
+    {
+        m_received.append(m_stream->input().view());
+        m_stream->input().clear();
+        if (!m_answer.empty()) {
+            m_stream->write(m_answer);
+        }
+    }
+
+    void runFor(milliseconds time)
+    {
+        m_loop.after(time, [this] { m_loop.stop(); });
+        m_loop.run();
+    }
+
+    std::unique_ptr<backend_connection> connect()
+    {
+        return std::make_unique<backend_connection>(m_loop,
+            m_listener->address(),
+            seconds {60},
+            backend_connection::callbacks {
+                .done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); },
+                .lapsed = [this](backend_connection &) { m_lapses += 1; }});
+    }
+
+    reactor m_loop;
+    std::unique_ptr<tcp_listener> m_listener;
+    std::unique_ptr<tcp_stream> m_stream;
+    std::string m_received;
+    std::string m_answer;
+    int m_accepted = 0;
+    int m_lapses = 0;
+    std::vector<exchange_result> m_results;
+};
+
+// Load: a connection opens just after its attempt was given up and made elsewhere (bsm-nuit trouble-3, TWICE).
+TEST_F(backend_connection_test, sendsNothingOnceItIsClosed)
+{
+    const auto connection = connect();
+    connection->begin({"7"}, "request", false);
+    connection->close();
+    runFor(milliseconds {50});
+    EXPECT_EQ(m_received, "");
+    EXPECT_TRUE(m_results.empty());
+    EXPECT_FALSE(connection->usable(m_loop.now()));
+}
+
+TEST_F(backend_connection_test, sendsWhenItOpensAndTakesTheAnswerThatIsAsked)
+{
+    const std::string foreign = "HTTP/1.1 200 OK\r\nServer-Stamp: a\r\nRequest-Id: 6\r\nContent-Length: 1\r\n\r\nx";
+    const std::string own = "HTTP/1.1 200 OK\r\nServer-Stamp: b\r\nRequest-Id: 7\r\nContent-Length: 1\r\n\r\ny";
+    m_answer = foreign + own;
+    const auto connection = connect();
+    connection->begin({"7"}, "request", false);
+    runFor(milliseconds {50});
+    EXPECT_EQ(m_received, "request");
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_EQ(std::get<exchange_answer>(m_results[0]).answer.receipt.value, "b");
+    EXPECT_FALSE(connection->usable(m_loop.now())) << "after a foreign answer";
+}
+
+TEST_F(backend_connection_test, tellsWhetherARequestMayHaveRun)
+{
+    const auto connection = connect();
+    connection->begin({"7"}, "request", false);
+    runFor(milliseconds {50});
+    m_stream.reset();
+    runFor(milliseconds {50});
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_TRUE(std::get<exchange_broken>(m_results[0]).mayHaveRun);
+    const auto gone = m_listener->address();
+    m_listener.reset();
+    backend_connection refused(m_loop,
+        gone,
+        seconds {60},
+        {.done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); }, .lapsed = [](backend_connection &) {}});
+    refused.begin({"8"}, "request", false);
+    runFor(milliseconds {50});
+    ASSERT_EQ(m_results.size(), 2U);
+    EXPECT_FALSE(std::get<exchange_broken>(m_results[1]).mayHaveRun);
+}
+
+TEST_F(backend_connection_test, bytesThatNobodyAskedForEndIt)
+{
+    m_answer = "HTTP/1.1 200 OK\r\nServer-Stamp: b\r\nRequest-Id: 7\r\nKeep-Alive: timeout=5\r\nContent-Length: 1\r\n\r\ny";
+    const auto connection = connect();
+    connection->begin({"7"}, "request", false);
+    runFor(milliseconds {50});
+    EXPECT_TRUE(connection->usable(m_loop.now()));
+    m_stream->write(m_answer);
+    runFor(milliseconds {50});
+    EXPECT_FALSE(connection->usable(m_loop.now()));
+    EXPECT_EQ(m_lapses, 1);
+    EXPECT_EQ(m_results.size(), 1U);
+}
