--- a/Source/Forward/backend_connection.cxx
+++ b/Source/Forward/backend_connection.cxx
@@ -22,7 +22,12 @@
       m_begun(loop.now()),
       m_stream(loop,
           address,
-          {.opened = [this] { opened(); }, .received = [this] { received(); }, .ended = [this](stream_end how) { ended(how); }})
+          {.opened = [this] { opened(); },
+              .received = [this] { received(); },
+              .ended =
+                  [this](stream_end how) {
+                      ended(how);
+                  }})
 {
 }
 
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -142,10 +142,12 @@
     return index ? found->second[*index] : nullptr;
 }
 
-bool backend_pool::hasServer(const service_name &service) const
+bool backend_pool::hasServer(const service_name &service, const std::vector<backend_server_id> &excluded) const
 {
     const auto found = m_byService.find(service);
-    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto *server) { return !server->barred; });
+    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto *server) {
+        return !server->barred && std::find(excluded.begin(), excluded.end(), server->entry.id) == excluded.end();
+    });
 }
 
 attempt_id backend_pool::send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter)
@@ -211,8 +213,7 @@
 void backend_pool::drop(backend &server, backend_connection &connection)
 {
     connection.close();
-    const auto found =
-        std::find_if(server.connections.begin(), server.connections.end(), [&](const auto &other) { return other.get() == &connection; });
+    const auto found = std::find_if(server.connections.begin(), server.connections.end(), [&](const auto &other) { return other.get() == &connection; });
     if (found != server.connections.end()) {
         m_retired.push_back(std::move(*found));
         server.connections.erase(found);
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -49,8 +49,8 @@
 
     /// The best server of a service that can take a request now, none of the excluded; null when there is none.
     backend *choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds pace);
-    /// True when some server of the service could take a request, now or after others end.
-    bool hasServer(const service_name &service) const;
+    /// True when some server of the service, none of the excluded, could take a request now or after others end.
+    bool hasServer(const service_name &service, const std::vector<backend_server_id> &excluded) const;
 
     /// Sends on a connection of the server, which choose() has just given.
     attempt_id send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter);
--- a/Source/Forward/client_door.cxx
+++ b/Source/Forward/client_door.cxx
@@ -68,7 +68,14 @@
           m_number(number),
           m_reader(limitsOf(*door.m_requests.view())),
           m_since(door.m_loop.now()),
-          m_stream(door.m_loop, handle, {.opened = {}, .received = [this] { received(); }, .ended = [this](stream_end) { ended(); }})
+          m_stream(door.m_loop,
+              handle,
+              {.opened = {},
+                  .received = [this] { received(); },
+                  .ended =
+                      [this](stream_end) {
+                          ended();
+                      }})
     {
     }
 
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -28,7 +28,9 @@
           clients(traffic, requests, registry),
           store(control, settings, [this](std::shared_ptr<const entry_view> view) { publish(std::move(view)); }),
           signals(
-              control, [this] { startDraining(); }, [this] { reload(); })
+              control,
+              [this] { startDraining(); },
+              [this] { reload(); })
     {
     }
 
@@ -73,9 +75,7 @@
         }
         BOOST_LEAF_CHECK(clients.listen(settings.clients));
         BOOST_LEAF_ASSIGN(readiness,
-            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) {
-                respond(probe(request));
-            }));
+            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) { respond(probe(request)); }));
         return entry_process::addresses {clients.address(), readiness->address()};
     }
 
@@ -108,8 +108,7 @@
     void checkDrained()
     {
         traffic.post([this] {
-            const drain_progress progress {
-                std::chrono::duration_cast<milliseconds>(traffic.now() - drainingSince), settings.grace, clients.busyConnections()};
+            const drain_progress progress {std::chrono::duration_cast<milliseconds>(traffic.now() - drainingSince), settings.grace, clients.busyConnections()};
             const auto next = drainStep(progress);
             if (next != drain_step::serve) {
                 clients.closeIdle();
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -70,11 +70,14 @@
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     if (!m_view->routes) {
+        DAISYSTILE_LOG(WARNING, "answer") << "No configuration is known yet." << field("request", head.id.value);
         reply(own_reply {statusUnavailable, milliseconds {500}});
         return 0;
     }
     const auto *via = m_view->routes->match(head.host, message.target);
     if (via == nullptr) {
+        DAISYSTILE_LOG(WARNING, "answer") << "No route." << field("request", head.id.value) << field("host", head.host)
+                                          << field("version", m_view->routes->configuration().version.value);
         reply(own_reply {statusNotFound, std::nullopt});
         return 0;
     }
@@ -168,7 +171,8 @@
     const auto left = std::chrono::duration_cast<milliseconds>(std::min(request->deadline, request->received + request->via->timeout) - now);
     auto *server = left.count() > 0 ? m_pool.choose(part.service, part.tried, pace.usual) : nullptr;
     if (server == nullptr) {
-        const bool hopeless = !m_pool.hasServer(part.service);
+        // Waiting helps only where a server that was not tried is busy.
+        const bool hopeless = !m_pool.hasServer(part.service, part.tried);
         if (hopeless && action.purpose != attempt_purpose::hedge) {
             return attempt_denied {action.part, action.purpose};
         }
@@ -185,18 +189,15 @@
     const bool bodyless = request->message.method == "HEAD";
     auto bytes = serverRequest(request->message, left, server->entry.id);
     const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, pace.hedgeDelay);
-    m_attempts.emplace(id,
-        running_attempt {request->number,
-            action.part,
-            server->entry.id,
-            request->via->name,
-            part.service,
-            now,
-            request->state.terms.repeat == repeat_rule::idempotent});
+    m_attempts.emplace(id, running_attempt {request->number, action.part, server->entry.id, request->via->name, part.service, now, request->head.id});
+    request->attemptsMade += 1;
     request->attempts.insert(id);
     part.tried.push_back(server->entry.id);
     part.arrivals += 1;
-    (action.purpose == attempt_purpose::first ? m_metrics.firstAttempts : action.purpose == attempt_purpose::retry ? m_metrics.retries : m_metrics.hedges).add();
+    (action.purpose == attempt_purpose::first          ? m_metrics.firstAttempts
+            : action.purpose == attempt_purpose::retry ? m_metrics.retries
+                                                       : m_metrics.hedges)
+        .add();
     return attempt_started {action.part, action.purpose, pace.hedgeDelay};
 }
 
@@ -218,12 +219,31 @@
     });
 }
 
+// One line a request: what was decided, from which inputs, and how old these were.
+void forwarder::logEnd(const running_request &request, const char *outcome)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(m_loop.now() - request.received);
+    const bool late = waited > request.via->objective;
+    const auto line = field("request", request.head.id.value) + field("route", request.via->name.value) + field("outcome", outcome)
+        + field("parts", std::to_string(request.state.answered) + "/" + std::to_string(request.state.terms.parts)) + field("lost", request.state.lost)
+        + field("attempts", request.attemptsMade) + field("waited_ms", static_cast<std::uint64_t>(waited.count()))
+        + field("objective_ms", static_cast<std::uint64_t>(request.via->objective.count()))
+        + field("version", request.view->routes->configuration().version.value);
+    const bool good = request.state.answered == request.state.terms.parts && !late;
+    if (good) {
+        DAISYSTILE_LOG(INFO, "answer") << "Request ended." << line;
+    } else {
+        DAISYSTILE_LOG(WARNING, "answer") << "Request ended." << line;
+    }
+}
+
 void forwarder::answer(const request_pointer &request)
 {
+    const bool complete = request->state.answered == request->state.terms.parts;
+    logEnd(*request, complete ? "complete" : "partial");
     const auto now = m_loop.now();
     m_metrics.latency.observe(std::chrono::duration_cast<microseconds>(now - request->received));
-    const bool whole = request->state.answered == request->state.terms.parts;
-    (whole ? m_metrics.complete : m_metrics.partial).add();
+    (complete ? m_metrics.complete : m_metrics.partial).add();
     const auto *shards = std::get_if<shards_target>(&request->via->target);
     if (shards == nullptr) {
         finish(request, std::move(*request->answer));
@@ -244,8 +264,14 @@
 
 void forwarder::fail(const request_pointer &request, forward_failure failure)
 {
+    const bool passedOn = request->answer.has_value();
+    const char *outcome = passedOn              ? "server_failure"
+        : failure == forward_failure::not_run   ? "not_run"
+        : failure == forward_failure::timed_out ? "timed_out"
+                                                : "failed";
+    logEnd(*request, outcome);
     // A failure that the server itself stands for is passed on.
-    if (request->answer) {
+    if (passedOn) {
         m_metrics.failed.add();
         finish(request, std::move(*request->answer));
         return;
@@ -297,6 +323,7 @@
     }
     const auto request = found->second;
     m_metrics.clientsGone.add();
+    logEnd(*request, "client_gone");
     request->state.ended = true;
     m_loop.cancelTimer(request->timer);
     abandonAttempts(*request, request->state.terms.repeat == repeat_rule::idempotent ? cancelPatience : timeLeft(m_loop.now(), request->deadline));
@@ -357,6 +384,18 @@
     }
 }
 
+void forwarder::logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange)
+{
+    const auto *broken = std::get_if<exchange_broken>(&exchange);
+    const auto took = std::chrono::duration_cast<milliseconds>(m_loop.now() - attempt.sent);
+    const auto reason = broken != nullptr ? std::string(broken->reason) : "status " + std::to_string(std::get<exchange_answer>(exchange).message.status);
+    DAISYSTILE_LOG(WARNING, "attempt") << "Attempt failed." << field("request", attempt.clientId.value) << field("part", attempt.part)
+                                       << field("service", attempt.service.value) << field("server", attempt.server.value) << field("reason", reason)
+                                       << field("took_ms", static_cast<std::uint64_t>(took.count()))
+                                       << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run")
+                                       << field("awaited", m_requests.contains(attempt.request) ? "yes" : "no");
+}
+
 void forwarder::attemptEnded(attempt_result result)
 {
     const auto found = m_attempts.find(result.attempt);
@@ -366,6 +405,9 @@
     const auto attempt = found->second;
     m_attempts.erase(found);
     const auto end = judge(attempt, result.attempt, result.exchange);
+    if (end != attempt_end::answered) {
+        logAttempt(attempt, end, result.exchange);
+    }
     const auto entry = m_requests.find(attempt.request);
     if (entry != m_requests.end()) {
         const auto request = entry->second;
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -74,6 +74,7 @@
         timer_id timer = 0;
         monotonic_time timerAt = monotonic_time::max();
         bool waiting = false;
+        unsigned attemptsMade = 0;
     };
 
     struct running_attempt
@@ -84,7 +85,7 @@
         route_name route;
         service_name service;
         monotonic_time sent;
-        bool idempotent = false;
+        client_request_id clientId;
     };
 
     /// How long requests of one route usually take at a backend server.
@@ -112,6 +113,8 @@
     attempt_end judge(const running_attempt &attempt, attempt_id id, exchange_result &exchange);
     void accept(running_request &request, part_index part, exchange_answer &exchange);
     void wakeWaiting();
+    void logEnd(const running_request &request, const char *outcome);
+    void logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange);
     route_pace &paceOf(const route &via);
     extra_load_budget &budgetOf(const service_name &service);
     milliseconds retryAfter(const running_request &request);
--- a/Source/Forward/mirror_runner.cxx
+++ b/Source/Forward/mirror_runner.cxx
@@ -8,8 +8,12 @@
 
 } // namespace
 
-mirror_runner::mirror_runner(
-    reactor &loop, platform_client &store, std::string prefix, deafness_check deafness, mirror_limits limits, std::function<void()> changed)
+mirror_runner::mirror_runner(reactor &loop,
+    platform_client &store,
+    std::string prefix,
+    deafness_check deafness,
+    mirror_limits limits,
+    std::function<void()> changed)
     : m_loop(loop),
       m_deafness(deafness),
       m_store(store),
--- a/Source/Forward/mirror_runner.h
+++ b/Source/Forward/mirror_runner.h
@@ -56,8 +56,10 @@
     std::string m_prefix;
     object_mirror m_mirror;
     std::function<void()> m_changed;
-    std::function<void()> m_historyLost = [] {};
-    std::function<void()> m_reachChanged = [] {};
+    std::function<void()> m_historyLost = [] {
+    };
+    std::function<void()> m_reachChanged = [] {
+    };
     http_call_id m_watch = 0;
     std::uint64_t m_call = 0;
     timer_id m_checkTimer = 0;
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -48,7 +48,12 @@
           self {settings.id, settings.domain, settings.peers},
           registered({}, self),
           configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
-          servers(loop, store, serverKeyPrefix, {settings.staleCheck, read_freshness::stale_allowed}, {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace}, [this] { serversChanged(); }),
+          servers(loop,
+              store,
+              serverKeyPrefix,
+              {settings.staleCheck, read_freshness::stale_allowed},
+              {.pace = shortestServersPace, .lapseGrace = settings.lapseGrace},
+              [this] { serversChanged(); }),
           evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); })
     {
         view.fleet = registered.daemons(loop.now());
@@ -114,7 +119,11 @@
         client = std::make_unique<relay_client>(loop,
             source->peers,
             credentials(),
-            relay_client::callbacks {.updated = [this](relay_update update) { take(std::move(update)); }, .failed = [this] { sourceFailed(); }});
+            relay_client::callbacks {.updated = [this](relay_update update) { take(std::move(update)); },
+                .failed =
+                    [this] {
+                        sourceFailed();
+                    }});
     }
 
     // The client is in the midst of its callback.
--- a/Source/Request/query_decision.h
+++ b/Source/Request/query_decision.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <Process/process.h>
 #include "query_state.h"
+#include <Process/process.h>
 
 namespace daisystile {
 
--- a/Source/Request/serving_state.h
+++ b/Source/Request/serving_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <Process/process.h>
 #include "service_index.h"
+#include <Process/process.h>
 
 #include <Version/version.h>
 
--- a/Source/Request/serving_table.h
+++ b/Source/Request/serving_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <Process/process.h>
 #include "serving_state.h"
+#include <Process/process.h>
 
 #include <map>
 
--- a/Source/Tool/commands.cxx
+++ b/Source/Tool/commands.cxx
@@ -46,6 +46,7 @@
         {"quarantine lift", "let a quarantined request run again", liftQuarantine},
         {"trace get", "print what a daemon recorded of one backend server", getTrace},
         {"trace replay", "replay a recorded trace and tell the first difference", replayTrace},
+        {"trace request", "print the lines of one request from many logs, in order of time", traceRequest},
         {"config check", "check a file without a daemon", checkConfig},
     };
 }
--- a/Source/Tool/trace_command.cxx
+++ b/Source/Tool/trace_command.cxx
@@ -2,7 +2,9 @@
 
 #include <Connection/connection.h>
 
+#include <algorithm>
 #include <iostream>
+#include <sstream>
 
 namespace daisystile {
 
@@ -65,4 +67,46 @@
     return show(std::get<replayed_trace>(result), file.getValue());
 }
 
+// Each line begins with its time in a form that sorts as text.
+static std::vector<std::string> linesOfRequest(const std::string &text, const std::string &request)
+{
+    std::vector<std::string> found;
+    std::istringstream lines(text);
+    const auto wanted = field("request", request);
+    for (std::string line; std::getline(lines, line);) {
+        const auto at = line.find(wanted);
+        const auto end = at + wanted.size();
+        if (at != std::string::npos && (end == line.size() || line[end] == ' ')) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+int traceRequest(const std::vector<std::string> &arguments)
+{
+    TCLAP::CmdLine line("Prints the lines of one request from the logs of many processes, in order of time.", ' ', DAISYSTILE_VERSION);
+    TCLAP::UnlabeledValueArg<std::string> request("ID", "The request's id.", true, "", "ID", line);
+    TCLAP::UnlabeledMultiArg<std::string> files("FILE", "Logs.", true, "FILE", line);
+    if (const auto code = parseCommandLine(line, arguments)) {
+        return *code;
+    }
+    std::vector<std::string> found;
+    for (const auto &file : files.getValue()) {
+        const auto text = readTextFile(file);
+        if (!text) {
+            std::cerr << file << ": expected a log, found none that can be read\n";
+            return exit_usage;
+        }
+        for (auto &each : linesOfRequest(*text, request.getValue())) {
+            found.push_back(std::move(each));
+        }
+    }
+    std::stable_sort(found.begin(), found.end());
+    for (const auto &each : found) {
+        std::cout << each << "\n";
+    }
+    return found.empty() ? exit_failed : exit_done;
+}
+
 } // namespace daisystile
--- a/Source/Version/version.h
+++ b/Source/Version/version.h
@@ -11,5 +11,5 @@
 #include "configuration.h"
 #include "domain_states.h"
 #include "fleet_view.h"
-#include <platform/platform.h>
 #include "settings.h"
+#include <platform/platform.h>
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -112,6 +112,7 @@
         BOOST_LEAF_AUTO(addresses, server.listen());
         std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
         server.run();
+        stopLogging();
         return 0;
     });
 }
@@ -133,7 +134,7 @@
 {
     blockTerminationSignals();
     const auto options = parseOptions(argc, argv);
-    startLogging(argv[0], options.logLevel);
+    startLogging(argv[0], options.logLevel, options.frontDoor == plainFrontDoor ? log_destination::standard_output : log_destination::standard_error);
     const auto text = readFile(options.config);
     if (!text) {
         std::cerr << options.config << ": expected a settings file, found none that can be read\n";
--- a/Tests/Forward/backend_connection_test.cxx
+++ b/Tests/Forward/backend_connection_test.cxx
@@ -16,8 +16,13 @@
     void accepted(int handle)
     {
         m_accepted += 1;
-        m_stream = std::make_unique<tcp_stream>(
-            m_loop, handle, tcp_stream::callbacks {.opened = {}, .received = [this] { received(); }, .ended = [](stream_end) {}});
+        m_stream = std::make_unique<tcp_stream>(m_loop,
+            handle,
+            tcp_stream::callbacks {.opened = {},
+                .received = [this] { received(); },
+                .ended =
+                    [](stream_end) {
+                    }});
     }
 
     void received()
@@ -40,9 +45,11 @@
         return std::make_unique<backend_connection>(m_loop,
             m_listener->address(),
             seconds {60},
-            backend_connection::callbacks {
-                .done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); },
-                .lapsed = [this](backend_connection &) { m_lapses += 1; }});
+            backend_connection::callbacks {.done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); },
+                .lapsed =
+                    [this](backend_connection &) {
+                        m_lapses += 1;
+                    }});
     }
 
     reactor m_loop;
@@ -95,7 +102,10 @@
     backend_connection refused(m_loop,
         gone,
         seconds {60},
-        {.done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); }, .lapsed = [](backend_connection &) {}});
+        {.done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); },
+            .lapsed =
+                [](backend_connection &) {
+                }});
     refused.begin({"8"}, "request", false);
     runFor(milliseconds {50});
     ASSERT_EQ(m_results.size(), 2U);
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -77,9 +77,8 @@
 {
     reactor loop;
     bool known = false;
-    relay_server server(loop, {{{"p1"}, {1}}, "a key of the daemons"}, [&] {
-        return known ? std::optional(relay_update {.configurationRevision = 1}) : std::nullopt;
-    });
+    relay_server server(
+        loop, {{{"p1"}, {1}}, "a key of the daemons"}, [&] { return known ? std::optional(relay_update {.configurationRevision = 1}) : std::nullopt; });
     const ip_address address {"127.0.0.1", 0};
     std::unique_ptr<tcp_listener> probe = tcp_listener::listen(loop, address, [](int) {}).value();
     const auto free = probe->address();
--- a/Tests/Forward/settings_test.cxx
+++ b/Tests/Forward/settings_test.cxx
@@ -4,7 +4,8 @@
 
 using namespace daisystile;
 
-static const std::string addresses = "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"10.0.0.1:1\"\nreadiness = \"10.0.0.1:2\"\npeers = \"10.0.0.1:4\"\nstore = \"10.0.0.2:3\"\n";
+static const std::string addresses = "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"10.0.0.1:1\"\nreadiness = \"10.0.0.1:2\"\npeers = "
+                                     "\"10.0.0.1:4\"\nstore = \"10.0.0.2:3\"\n";
 
 TEST(parseEntrySettings, readsSettingsAndBounds)
 {
--- a/Tests/Promises/child_process.cxx
+++ b/Tests/Promises/child_process.cxx
@@ -1,5 +1,6 @@
 #include "child_process.h"
 
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
@@ -109,6 +110,21 @@
     return m_addresses.at(name);
 }
 
+std::string child_process::readOutput()
+{
+    std::string text;
+    std::array<char, 4096> bytes;
+    pollfd ready {m_output, POLLIN, 0};
+    while (poll(&ready, 1, 0) > 0) {
+        const auto count = read(m_output, bytes.data(), bytes.size());
+        if (count <= 0) {
+            break;
+        }
+        text.append(bytes.data(), static_cast<std::size_t>(count));
+    }
+    return text;
+}
+
 void child_process::signal(int number) const
 {
     if (m_pid > 0 && !m_status) {
--- a/Tests/Promises/child_process.h
+++ b/Tests/Promises/child_process.h
@@ -25,6 +25,9 @@
     /// Where it listens, by the name in the ready line.
     ip_address address(const std::string &name) const;
 
+    /// What it wrote to standard output since the ready line, as far as it has come.
+    std::string readOutput();
+
     void signal(int number) const;
     /// Stopped by SIGSTOP, so that its timers and sockets stand still.
     void pause() const;
--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -23,7 +24,8 @@
 protected:
     void SetUp() override
     {
-        m_folder = std::filesystem::temp_directory_path() / ("entry-" + std::to_string(getpid()) + "-" + testing::UnitTest::GetInstance()->current_test_info()->name());
+        m_folder = std::filesystem::temp_directory_path()
+            / ("entry-" + std::to_string(getpid()) + "-" + testing::UnitTest::GetInstance()->current_test_info()->name());
         std::filesystem::create_directories(m_folder);
         m_store = std::make_unique<child_process>("platform-standin", std::vector<std::string> {}, (m_folder / "store.err").string());
         ASSERT_TRUE(m_store->waitReady());
@@ -109,7 +111,8 @@
     void startDaemon()
     {
         const auto file = (m_folder / "daemon.toml").string();
-        std::ofstream(file) << "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\nstore = \""
+        std::ofstream(file) << "id = \"d1\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = "
+                               "\"127.0.0.1:0\"\nstore = \""
                             << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\n";
         m_daemon = std::make_unique<child_process>(
             "daisystiled", std::vector<std::string> {"--front-door", "plain", "--config", file}, (m_folder / "daemon.err").string());
@@ -184,7 +187,10 @@
                         received.append(stream->input().view());
                         stream->input().clear();
                     },
-                .ended = [&](stream_end) { loop.stop(); }});
+                .ended =
+                    [&](stream_end) {
+                        loop.stop();
+                    }});
         loop.after(milliseconds {1000}, [&] { loop.stop(); });
         loop.run();
         return received;
@@ -243,7 +249,9 @@
 {
     startDaemon();
     setManner("logbook", backend_manner::full);
+    const auto started = std::chrono::steady_clock::now();
     const auto refused = ask("POST", "/note/", "n1");
+    EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds {500}) << "it is known at once that nobody takes it";
     EXPECT_EQ(refused.status, 503);
     EXPECT_TRUE(refused.headers.contains("retry-after"));
     EXPECT_EQ(runsOf("n1"), 0);
@@ -301,13 +309,15 @@
 {
     startDaemon();
     putServer(8, "draining");
-    EXPECT_TRUE(waitFor([this, i = 0]() mutable {
-        const auto before = m_servers[8]->runs().size();
-        for (int k = 0; k < 10; ++k) {
-            ask("GET", "/read/", "d" + std::to_string(i++));
-        }
-        return m_servers[8]->runs().size() == before;
-    }, seconds {3}));
+    EXPECT_TRUE(waitFor(
+        [this, i = 0]() mutable {
+            const auto before = m_servers[8]->runs().size();
+            for (int k = 0; k < 10; ++k) {
+                ask("GET", "/read/", "d" + std::to_string(i++));
+            }
+            return m_servers[8]->runs().size() == before;
+        },
+        seconds {3}));
 }
 
 TEST_F(entry_promises, refusesWhatCouldBeReadInTwoWays)
@@ -338,6 +348,49 @@
     EXPECT_EQ(runsOf("p1"), 1);
 }
 
+// From the id of a failed request to its cause, by the logs and the tool alone.
+TEST_F(entry_promises, theLogsTellWhyARequestFailed)
+{
+    startDaemon();
+    const auto file = (m_folder / "daemon.log").string();
+    const auto linesOf = [&](const std::string &id) {
+        std::ofstream(file, std::ios::app) << m_daemon->readOutput();
+        child_process tool("daisystile", {"trace", "request", id, file}, (m_folder / "tool.err").string());
+        tool.waitExit(seconds {10});
+        return tool.readOutput();
+    };
+    const auto tells = [&](const std::string &id, const std::vector<std::string> &words) {
+        const auto lines = linesOf(id);
+        return std::all_of(words.begin(), words.end(), [&](const auto &word) { return lines.find(word) != std::string::npos; });
+    };
+    setManner("logbook", backend_manner::full);
+    ask("POST", "/note/", "refused-1");
+    EXPECT_TRUE(waitFor([&] { return tells("refused-1", {"Attempt failed.", "reason=\"status 503\"", "outcome=not_run", "Request ended."}); }));
+    setManner("shard-2", backend_manner::mute);
+    ask("GET", "/find/", "partial-1");
+    EXPECT_TRUE(waitFor([&] { return tells("partial-1", {"outcome=partial", "parts=3/4", "service=shard-2", "reason=abandoned"}); }));
+    setManner("logbook", backend_manner::lose_answer);
+    ask("POST", "/note/", "lost-1");
+    EXPECT_TRUE(waitFor([&] { return tells("lost-1", {"reason=\"connection closed\"", "outcome=may_have_run", "outcome=failed", "server=logbook-"}); }));
+    EXPECT_EQ(linesOf("lost"), "") << "an id is matched whole";
+}
+
+// The daemon of this test writes to a pipe that nobody reads.
+TEST_F(entry_promises, aStuckReaderOfItsLogsCostsNoTime)
+{
+    startDaemon();
+    setManner("logbook", backend_manner::full);
+    std::vector<http_call> calls;
+    for (int i = 0; i < 3000; ++i) {
+        calls.push_back(callOf("POST", "/note/", "stuck-" + std::to_string(i)));
+    }
+    for (const auto &result : m_client.callAll(std::move(calls), 16)) {
+        EXPECT_EQ(statusOf(result), 503);
+    }
+    setManner("logbook", backend_manner::sound);
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable { return ask("GET", "/read/", "after-" + std::to_string(i++)).status == 200; }));
+}
+
 TEST_F(entry_promises, answersAllItHasReadBeforeItEnds)
 {
     startDaemon();
@@ -346,7 +399,8 @@
     }
     std::vector<int> statuses;
     for (int i = 0; i < 20; ++i) {
-        m_client.start(callOf("GET", i % 2 == 0 ? "/read/" : "/find/", "e" + std::to_string(i)), [&](const http_result &result) { statuses.push_back(statusOf(result)); });
+        m_client.start(
+            callOf("GET", i % 2 == 0 ? "/read/" : "/find/", "e" + std::to_string(i)), [&](const http_result &result) { statuses.push_back(statusOf(result)); });
     }
     m_client.waitUntil([] { return false; }, milliseconds {100});
     m_daemon->signal(SIGHUP);
--- a/Tests/StandIns/plain_backend.cxx
+++ b/Tests/StandIns/plain_backend.cxx
@@ -17,7 +17,10 @@
                               server.serve(*this, reader.take());
                           }
                       },
-                  .ended = [&server, number](stream_end) { server.m_loop.post([&server, number] { server.m_connections.erase(number); }); }}),
+                  .ended =
+                      [&server, number](stream_end) {
+                          server.m_loop.post([&server, number] { server.m_connections.erase(number); });
+                      }}),
           key(number)
     {
     }
