--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
+#include <string_view>
 
 namespace daisystile {
 
@@ -50,13 +52,7 @@
         return failed();
     }
     reached(now);
-    std::vector<std::string> missing;
-    for (const auto &[key, object] : m_objects) {
-        const bool listed = std::any_of(list->objects.begin(), list->objects.end(), [&](const auto &other) { return other.key == key; });
-        if (!listed) {
-            missing.push_back(key);
-        }
-    }
+    const auto missing = notAmong(list->objects);
     for (const auto &key : missing) {
         remove(key, now);
     }
@@ -113,13 +109,7 @@
 // What is known here at a later revision stays.
 mirror_action object_mirror::onRelayed(const mirror_relayed &update)
 {
-    std::vector<std::string> gone = update.removed;
-    for (const auto &[key, object] : m_objects) {
-        const bool told = std::any_of(update.objects.begin(), update.objects.end(), [&](const auto &other) { return other.key == key; });
-        if (update.whole && !told) {
-            gone.push_back(key);
-        }
-    }
+    const auto gone = update.whole ? notAmong(update.objects) : update.removed;
     for (const auto &key : gone) {
         const auto known = m_objects.find(key);
         if (known != m_objects.end() && revisionOf(known->second) <= update.revision) {
@@ -146,11 +136,28 @@
         const auto known = m_objects.find(object.key);
         return revisionOf(object) > (known == m_objects.end() ? m_revision : revisionOf(known->second));
     });
+    if (newer) {
+        return true;
+    }
     // An object known at a revision that the listing covers, and not in it, was removed.
-    return newer || std::any_of(m_objects.begin(), m_objects.end(), [&](const auto &known) {
-        const bool covered = revisionOf(known.second) <= list.revision && !m_lapsed.contains(known.first);
-        return covered && std::none_of(list.objects.begin(), list.objects.end(), [&](const auto &object) { return object.key == known.first; });
-    });
+    const auto missing = notAmong(list.objects);
+    return std::any_of(
+        missing.begin(), missing.end(), [&](const auto &key) { return revisionOf(m_objects.at(key)) <= list.revision && !m_lapsed.contains(key); });
+}
+
+std::vector<std::string> object_mirror::notAmong(const std::vector<platform_object> &objects) const
+{
+    std::set<std::string_view> listed;
+    for (const auto &object : objects) {
+        listed.insert(object.key);
+    }
+    std::vector<std::string> missing;
+    for (const auto &known : m_objects) {
+        if (!listed.contains(known.first)) {
+            missing.push_back(known.first);
+        }
+    }
+    return missing;
 }
 
 // Many daemons lose the store at the same moment and must not come back at the same moment.
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace daisystile {
 
@@ -101,6 +102,8 @@
     mirror_action onChecked(const list_result &result);
     mirror_action onRelayed(const mirror_relayed &update);
     bool outdatedBy(const object_list &list) const;
+    /// Keys of known objects that are not in the list.
+    std::vector<std::string> notAmong(const std::vector<platform_object> &objects) const;
     mirror_action failed();
     void reached(monotonic_time now);
     void put(const platform_object &object);
--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -380,8 +380,10 @@
 {
     startDaemon();
     setManner("logbook", backend_manner::full);
+    constexpr int count = 3000;
     std::vector<http_call> calls;
-    for (int i = 0; i < 3000; ++i) {
+    calls.reserve(count);
+    for (int i = 0; i < count; ++i) {
         calls.push_back(callOf("POST", "/note/", "stuck-" + std::to_string(i)));
     }
     for (const auto &result : m_client.callAll(std::move(calls), 16)) {
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -269,7 +269,9 @@
 {
     auto items = json::array();
     for (const auto &[id, text] : m_hosts.seen(m_loop.now())) {
-        items.push_back(objectJson(hostsKind + "/" + id, "1", text));
+        auto key = hostsKind + "/";
+        key += id;
+        items.push_back(objectJson(key, "1", text));
     }
     return jsonResponse({{"items", std::move(items)}, {"has_more", false}, {"current_rev", m_store.revision()}});
 }
