--- a/Tests/Fuzz/frame_fuzz.cxx
+++ b/Tests/Fuzz/frame_fuzz.cxx
@@ -29,6 +29,7 @@
 }
 
 // How the bytes are cut must not change the frames.
+// NOLINTNEXTLINE(readability-identifier-naming): the library calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
