Forward: Tell a new follower all that the mirror holds; end requests by one function

Cause: a new follower was told what the others had been told last, which was nothing in the first moments of a source (up to 400 ms), so it counted the servers as known with none in its catalog. Change: the first update is made from the mirrors; overlap with the next changes is harmless, as revisions guard them.

--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -297,16 +297,21 @@
 
 void forwarder::finish(const request_pointer &request, client_reply reply)
 {
-    request->state.ended = true;
-    m_loop.cancelTimer(request->timer);
-    abandonAttempts(*request, loserPatience);
-    if (request->waiting) {
-        m_waiting.erase({request->via->urgency, request->number});
-    }
-    m_requests.erase(request->number);
+    forget(*request, loserPatience);
     request->reply(std::move(reply));
 }
 
+void forwarder::forget(running_request &request, milliseconds patience)
+{
+    request.state.ended = true;
+    m_loop.cancelTimer(request.timer);
+    abandonAttempts(request, patience);
+    if (request.waiting) {
+        m_waiting.erase({request.via->urgency, request.number});
+    }
+    m_requests.erase(request.number);
+}
+
 void forwarder::abandonAttempts(running_request &request, milliseconds patience)
 {
     const auto until = m_loop.now() + patience;
@@ -324,13 +329,7 @@
     const auto request = found->second;
     m_metrics.clientsGone.add();
     logEnd(*request, "client_gone");
-    request->state.ended = true;
-    m_loop.cancelTimer(request->timer);
-    abandonAttempts(*request, request->state.terms.repeat == repeat_rule::idempotent ? cancelPatience : timeLeft(m_loop.now(), request->deadline));
-    if (request->waiting) {
-        m_waiting.erase({request->via->urgency, request->number});
-    }
-    m_requests.erase(found);
+    forget(*request, request->state.terms.repeat == repeat_rule::idempotent ? cancelPatience : timeLeft(m_loop.now(), request->deadline));
 }
 
 std::size_t forwarder::running() const
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -108,6 +108,8 @@
     void answer(const request_pointer &request);
     void fail(const request_pointer &request, forward_failure failure);
     void finish(const request_pointer &request, client_reply reply);
+    /// Ends a request without a reply; its attempts may go on for so long.
+    void forget(running_request &request, milliseconds patience);
     void abandonAttempts(running_request &request, milliseconds patience);
     void attemptEnded(attempt_result result);
     attempt_end judge(const running_attempt &attempt, attempt_id id, exchange_result &exchange);
--- a/Source/Forward/relay_messages.cxx
+++ b/Source/Forward/relay_messages.cxx
@@ -31,13 +31,13 @@
     return update;
 }
 
-relayed_objects told_objects::all() const
+relayed_objects allOf(const object_mirror &mirror)
 {
     relayed_objects objects;
     objects.whole = true;
-    objects.revision = m_revision;
-    for (const auto &[key, object] : m_told) {
-        objects.objects.push_back(object);
+    objects.revision = mirror.revision();
+    for (const auto &[key, object] : mirror.objects()) {
+        objects.objects.push_back({key, object.etag, object.value});
     }
     return objects;
 }
@@ -54,13 +54,12 @@
     }
     for (const auto &[key, object] : mirror.objects()) {
         auto &told = m_told[key];
-        if (told.revision != object.etag) {
-            told = {key, object.etag, object.value};
-            changed.objects.push_back(told);
+        if (told != object.etag) {
+            told = object.etag;
+            changed.objects.push_back({key, object.etag, object.value});
         }
     }
-    m_revision = mirror.revision();
-    changed.revision = m_revision;
+    changed.revision = mirror.revision();
     return changed;
 }
 
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -57,17 +57,19 @@
 
 mirror_relayed toMirror(relayed_objects objects);
 
+/// All that a mirror holds, for a new follower.
+relayed_objects allOf(const object_mirror &mirror);
+
 /// The objects of one kind as last told, to find what changed since.
 class told_objects
 {
 public:
-    relayed_objects all() const;
     /// What changed since the last call.
     relayed_objects changes(const object_mirror &mirror);
 
 private:
-    std::uint64_t m_revision = 0;
-    std::map<std::string, relayed_object> m_told;
+    // Revision of each object, by key.
+    std::map<std::string, std::string> m_told;
 };
 
 } // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -143,9 +143,7 @@
         followDaemon();
         servers.take(toMirror(std::move(update.servers)));
         evacuations.take(toMirror(std::move(update.evacuations)));
-        const auto known = configuration.mirror().objects().find(configurationKey);
-        const auto revision = known == configuration.mirror().objects().end() ? 0 : std::strtoull(known->second.etag.c_str(), nullptr, 10);
-        if (update.configurationRevision > revision && update.configurationRevision > configurationAsked) {
+        if (update.configurationRevision > configurationRevision() && update.configurationRevision > configurationAsked) {
             configurationAsked = update.configurationRevision;
             configuration.readAnew();
         }
@@ -186,12 +184,19 @@
             [] { DAISYSTILE_LOG(ERROR, "relay") << "Can't listen for other daemons."; });
     }
 
+    // 0 while none is known.
+    std::uint64_t configurationRevision() const
+    {
+        const auto &objects = configuration.mirror().objects();
+        const auto found = objects.find(configurationKey);
+        return found == objects.end() ? 0 : std::strtoull(found->second.etag.c_str(), nullptr, 10);
+    }
+
     relay_update updateHead() const
     {
         relay_update update;
         update.storeReached = !servers.mirror().storeAway() && !configuration.mirror().storeAway() && !evacuations.mirror().storeAway();
-        const auto found = configuration.mirror().objects().find(configurationKey);
-        update.configurationRevision = found == configuration.mirror().objects().end() ? 0 : std::strtoull(found->second.etag.c_str(), nullptr, 10);
+        update.configurationRevision = configurationRevision();
         return update;
     }
 
@@ -207,8 +212,8 @@
             return std::nullopt;
         }
         auto update = updateHead();
-        update.servers = toldServers.all();
-        update.evacuations = toldEvacuations.all();
+        update.servers = allOf(servers.mirror());
+        update.evacuations = allOf(evacuations.mirror());
         return update;
     }
 
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -56,8 +56,8 @@
     ASSERT_EQ(second.objects.size(), 1U);
     EXPECT_EQ(second.objects[0].value, "z");
     EXPECT_EQ(second.revision, 8U);
-    EXPECT_TRUE(told.all().whole);
-    EXPECT_EQ(told.all().objects.size(), 1U);
+    EXPECT_TRUE(allOf(mirror).whole);
+    EXPECT_EQ(allOf(mirror).objects.size(), 1U);
 }
 
 TEST(relay_update, survivesItsCodecAndRefusesOtherBytes)
