--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -93,6 +93,10 @@
         if (servers.following()) {
             DAISYSTILE_LOG(INFO, "relay") << "Following another daemon." << field("source", source->id.value);
         }
+        if (servers.following()) {
+            // Resting ends a read that may be under way.
+            configurationAsked = 0;
+        }
         configuration.rest();
         servers.rest();
         evacuations.rest();
