Process: Forget a handle that its own callback finds closed

Within its own callback the event loop's library has a handler suspended, so the stand-in handle was never put into its set, and it kept a pointer to a freed handler; the process ended with code 139 when the loop was destroyed. Ruled out: refused and timed-out connections on loopback; there libcurl closes through our callback (new test, green before and after). Change: a handler is resumed before the stand-in takes its place; what still can't be forgotten is kept alive and removed when its number is watched again; the loop closes while its handlers live; a connection that never opened is no longer watched once libcurl is done with it, so its number can't be taken for another's. Test: reactor.forgetsAHandleThatItsOwnCallbackClosedBeforeItWasUnwatched failed before (hang, code 139), passes now.

--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -64,15 +64,28 @@
     static int socketChanged(CURL *, curl_socket_t handle, int what, void *client, void *)
     {
         auto *self = static_cast<implementation *>(client);
-        // A kept connection is asked for again at once as a rule, so its handle stays watched.
         if (what != CURL_POLL_REMOVE) {
             self->watch(handle, {(what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0});
-        } else if (const auto found = self->watched.find(handle); found != self->watched.end()) {
-            found->second.wanted = false;
+        } else {
+            self->release(handle);
         }
         return 0;
     }
 
+    // A kept connection is asked for again at once as a rule, so its handle stays watched. One that never opened is
+    // closed by the library without a word, and its number may soon be another connection's.
+    void release(int handle)
+    {
+        const auto found = watched.find(handle);
+        if (found == watched.end()) {
+            return;
+        }
+        found->second.wanted = false;
+        if (!found->second.opened) {
+            unwatch(handle);
+        }
+    }
+
     static int closeSocket(void *client, curl_socket_t handle)
     {
         static_cast<implementation *>(client)->unwatch(handle);
@@ -84,6 +97,7 @@
         const auto [found, isNew] = watched.try_emplace(handle);
         auto &entry = found->second;
         entry.wanted = true;
+        entry.opened = entry.opened || interest.read;
         if (!isNew && entry.interest.read == interest.read && entry.interest.write == interest.write) {
             return;
         }
@@ -323,6 +337,8 @@
     {
         io_interest interest;
         bool wanted = false;
+        /// The connection was open: only then are answers waited for.
+        bool opened = false;
     };
 
     reactor &loop;
--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -159,11 +159,13 @@
         if (!opened()) {
             return;
         }
-        for (auto &[handle, watched] : handles) {
-            loop.remove_handler(handle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        for (const auto &[handle, watched] : handles) {
+            forget(handle);
         }
         loop.remove_handler(wakeHandle, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
         loop.cancel_timer(this);
+        // While the handlers that it still knows are there.
+        loop.close();
         close(wakeHandle);
     }
 
@@ -201,21 +203,32 @@
     }
 
     // The library forgets a handler only after it took the handle from the system's set, which fails for a handle that
-    // was closed before; then any open handle with that number serves to bring it about.
-    void forget(int handle)
+    // was closed before; then any open handle with that number serves to bring it about. Within its own callback a
+    // handler is suspended, and only resuming it puts the open handle into the set.
+    bool forget(int handle)
     {
         constexpr ACE_Reactor_Mask all = ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL;
         if (loop.remove_handler(handle, all) == 0) {
-            return;
+            return true;
         }
         const int standIn = fcntl(wakeHandle, F_DUPFD_CLOEXEC, handle);
+        loop.resume_handler(handle);
         loop.mask_ops(handle, ACE_Event_Handler::READ_MASK, ACE_Reactor::SET_MASK);
-        if (loop.remove_handler(handle, all) != 0) {
-            DAISYSTILE_LOG(ERROR, "reactor") << "Handler of a closed handle can't be removed." << field("handle", static_cast<std::uint64_t>(handle));
-        }
+        const bool forgotten = loop.remove_handler(handle, all) == 0 || loop.find_handler(handle) == nullptr;
         if (standIn >= 0) {
             close(standIn);
         }
+        return forgotten;
+    }
+
+    void drop(int handle, std::unique_ptr<watched_handle> watched)
+    {
+        if (forget(handle)) {
+            retired.push_back(std::move(watched));
+            return;
+        }
+        DAISYSTILE_LOG(ERROR, "reactor") << "Handler of a closed handle can't be removed." << field("handle", static_cast<std::uint64_t>(handle));
+        unforgotten[handle] = std::move(watched);
     }
 
     void runPosted()
@@ -251,6 +264,8 @@
     std::unordered_map<int, std::unique_ptr<watched_handle>> handles;
     // Handlers removed within their own callback are freed after it.
     std::vector<std::unique_ptr<watched_handle>> retired;
+    // Handlers that the library still knows; each is removed once its number is watched again.
+    std::unordered_map<int, std::unique_ptr<watched_handle>> unforgotten;
     std::unordered_map<timer_id, pending_timer> timerCallbacks;
     timer_id nextTimer = 1;
     std::atomic<bool> stopping {false};
@@ -312,6 +327,9 @@
         self.loop.mask_ops(handle, maskOf(interest), ACE_Reactor::SET_MASK);
         return;
     }
+    if (auto old = self.unforgotten.extract(handle)) {
+        self.drop(handle, std::move(old.mapped()));
+    }
     slot = std::make_unique<watched_handle>(&self.loop, handle);
     slot->callback = std::move(callback);
     slot->interest = interest;
@@ -327,10 +345,10 @@
     if (found == self.handles.end()) {
         return;
     }
-    found->second->removed = true;
-    self.forget(handle);
-    self.retired.push_back(std::move(found->second));
+    auto watched = std::move(found->second);
     self.handles.erase(found);
+    watched->removed = true;
+    self.drop(handle, std::move(watched));
 }
 
 void reactor::post(std::function<void()> callback)
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -1,9 +1,62 @@
 #include "Process/process.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <set>
 
 using namespace daisystile;
 
+namespace {
+
+/// An address where the system lets connections wait for ever, as its queue is full.
+class silent_listener
+{
+public:
+    silent_listener()
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<const sockaddr *>(&address), size), 0);
+        EXPECT_EQ(listen(m_listener, 0), 0);
+        EXPECT_EQ(getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size), 0);
+        m_port = ntohs(address.sin_port);
+        for (auto &client : m_clients) {
+            client = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            connect(client, reinterpret_cast<const sockaddr *>(&address), size);
+        }
+    }
+
+    ~silent_listener()
+    {
+        for (const int client : m_clients) {
+            close(client);
+        }
+        close(m_listener);
+    }
+
+    silent_listener(const silent_listener &) = delete;
+    silent_listener &operator=(const silent_listener &) = delete;
+
+    ip_address address() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+
+private:
+    int m_listener;
+    std::uint16_t m_port = 0;
+    std::array<int, 3> m_clients {};
+};
+
+} // namespace
+
 class http_round_trip : public testing::Test
 {
 protected:
@@ -125,3 +178,34 @@
     EXPECT_EQ(std::get<http_failure>(call({.path = "/slow", .timeout = milliseconds {20}})).kind, http_failure_kind::timed_out);
     EXPECT_EQ(std::get<http_reply>(call({.path = "/slow", .timeout = milliseconds {2000}})).body, "GET-");
 }
+
+TEST_F(http_round_trip, forgetsTheHandleOfAConnectionThatNeverOpened)
+{
+    const silent_listener silent;
+    http_result lost;
+    m_client.send({.address = silent.address(), .timeout = milliseconds {100}}, [&](http_result result) {
+        lost = std::move(result);
+        m_loop.stop();
+    });
+    m_loop.run();
+    EXPECT_EQ(std::get<http_failure>(lost).kind, http_failure_kind::timed_out);
+
+    // One of these gets the number that the connection had.
+    std::array<std::array<int, 2>, 6> pipes {};
+    std::set<int> writable;
+    for (auto &ends : pipes) {
+        ASSERT_EQ(pipe(ends.data()), 0);
+        for (const int handle : ends) {
+            m_loop.watch(handle, {.read = false, .write = true}, [&writable, handle] { writable.insert(handle); });
+        }
+    }
+    m_loop.after(milliseconds {100}, [&] { m_loop.stop(); });
+    m_loop.run();
+    for (const auto &ends : pipes) {
+        EXPECT_TRUE(writable.contains(ends[1])) << ends[1];
+        for (const int handle : ends) {
+            m_loop.unwatch(handle);
+            close(handle);
+        }
+    }
+}
--- a/Tests/Process/reactor_test.cxx
+++ b/Tests/Process/reactor_test.cxx
@@ -111,3 +111,26 @@
     }
     EXPECT_EQ(calls, 3);
 }
+
+TEST(reactor, forgetsAHandleThatItsOwnCallbackClosedBeforeItWasUnwatched)
+{
+    reactor loop;
+    int calls = 0;
+    for (int round = 0; round < 3; ++round) {
+        std::array<int, 2> ends {};
+        ASSERT_EQ(pipe(ends.data()), 0);
+        loop.watch(ends[0], {.read = true, .write = false}, [&] {
+            calls += 1;
+            close(ends[0]);
+            loop.unwatch(ends[0]);
+            loop.stop();
+        });
+        ASSERT_EQ(write(ends[1], "x", 1), 1);
+        loop.after(seconds {2}, [&] { loop.stop(); });
+        loop.run();
+        close(ends[1]);
+        loop.post([&] { loop.stop(); });
+        loop.run();
+    }
+    EXPECT_EQ(calls, 3);
+}
