Forward: A source that is cut off from the store brings back nothing that was removed

Ruled out: the compaction (all watches heard of the drain within 20 ms of its acceptance). Tests: whatWasRemovedDoesNotComeBackFromASourceThatIsBehind failed before; source_reach and revision_request are new.

--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -106,9 +106,15 @@
     return read_all_objects {};
 }
 
-// What is known here at a later revision stays.
+// What is known here at a later revision stays, and what isn't known any more at one was removed: a source that is cut
+// off from the store tells of objects that are gone.
 mirror_action object_mirror::onRelayed(const mirror_relayed &update)
 {
+    const auto isNew = [&](const platform_object &object) {
+        const auto known = m_objects.find(object.key);
+        const auto seen = known == m_objects.end() ? (m_known ? m_revision : 0) : revisionOf(known->second);
+        return revisionOf(object) > seen;
+    };
     const auto gone = update.whole ? notAmong(update.objects) : update.removed;
     for (const auto &key : gone) {
         const auto known = m_objects.find(key);
@@ -119,8 +125,7 @@
         }
     }
     for (const auto &object : update.objects) {
-        const auto known = m_objects.find(object.key);
-        if (known == m_objects.end() || revisionOf(known->second) < revisionOf(object)) {
+        if (isNew(object)) {
             put(object);
         }
     }
--- a/Source/Forward/relay_choice.cxx
+++ b/Source/Forward/relay_choice.cxx
@@ -38,4 +38,23 @@
     return use_store {};
 }
 
+bool isOfUse(const source_reach &reach)
+{
+    return reach.sourceReachesStore || !reach.followsStore || !reach.reachesStore;
+}
+
+bool revision_request::due(std::uint64_t told, std::uint64_t known)
+{
+    if (told <= known || told <= m_asked) {
+        return false;
+    }
+    m_asked = told;
+    return true;
+}
+
+void revision_request::ended()
+{
+    m_asked = 0;
+}
+
 } // namespace daisystile
--- a/Source/Forward/relay_choice.h
+++ b/Source/Forward/relay_choice.h
@@ -29,4 +29,29 @@
 /// second, and while that fails, the store. The store's calls so grow with the failure domains, not with the daemons.
 relay_source chooseRelaySource(const std::vector<fleet_daemon> &fleet, const fleet_daemon &self, const failed_sources &failed, monotonic_time now);
 
+/// Who reaches the store when a source says something.
+struct source_reach
+{
+    /// This daemon follows the store by own calls, and these succeed.
+    bool followsStore = false;
+    bool reachesStore = false;
+    bool sourceReachesStore = false;
+};
+
+/// False for a source that is cut off from the store while this daemon is not.
+bool isOfUse(const source_reach &reach);
+
+/// Decides when a follower reads a configuration that its source has told of.
+class revision_request
+{
+public:
+    /// True once for each revision that is newer than the known one.
+    bool due(std::uint64_t told, std::uint64_t known);
+    /// A read under way was given up.
+    void ended();
+
+private:
+    std::uint64_t m_asked = 0;
+};
+
 } // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -92,10 +92,8 @@
     {
         if (servers.following()) {
             DAISYSTILE_LOG(INFO, "relay") << "Following another daemon." << field("source", source->id.value);
-        }
-        if (servers.following()) {
             // Resting ends a read that may be under way.
-            configurationAsked = 0;
+            configurationRequest.ended();
         }
         configuration.rest();
         servers.rest();
@@ -130,9 +128,12 @@
                     }});
     }
 
-    // The client is in the midst of its callback.
+    // The client may be in the midst of its callback, and may fail once more until it is gone.
     void sourceFailed()
     {
+        if (!client) {
+            return;
+        }
         DAISYSTILE_LOG(WARNING, "relay") << "Source is lost." << field("source", source->id.value);
         failed[source->id] = loop.now() + failedSourceRest;
         if (servers.mirror().known()) {
@@ -144,11 +145,14 @@
 
     void take(relay_update update)
     {
+        if (!isOfUse({servers.following(), !servers.mirror().storeAway(), update.storeReached})) {
+            sourceFailed();
+            return;
+        }
         followDaemon();
         servers.take(toMirror(std::move(update.servers)));
         evacuations.take(toMirror(std::move(update.evacuations)));
-        if (update.configurationRevision > configurationRevision() && update.configurationRevision > configurationAsked) {
-            configurationAsked = update.configurationRevision;
+        if (configurationRequest.due(update.configurationRevision, configurationRevision())) {
             configuration.readAnew();
         }
         sourceReachesStore = update.storeReached;
@@ -269,6 +273,13 @@
         publishView();
     }
 
+    struct server_seen
+    {
+        std::string etag;
+        std::optional<server_entry> entry;
+        monotonic_time readAt;
+    };
+
     void serversChanged()
     {
         auto catalog = std::make_shared<server_catalog>();
@@ -279,17 +290,26 @@
                 catalog->byService[entry->service].push_back(std::move(*entry));
             }
         }
+        logGone(seen);
         serversSeen = std::move(seen);
         view.servers = std::move(catalog);
         publishView();
     }
 
-    struct server_seen
+    void logGone(const std::map<std::string, server_seen> &now) const
     {
-        std::string etag;
-        std::optional<server_entry> entry;
-        monotonic_time readAt;
-    };
+        for (const auto &[key, before] : serversSeen) {
+            if (!now.contains(key)) {
+                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key)) << field("revision", servers.mirror().revision())
+                                                << field("learned_from", learnedFrom());
+            }
+        }
+    }
+
+    std::string_view learnedFrom() const
+    {
+        return servers.following() ? "store" : "daemon";
+    }
 
     // An entry is read once; how long a server is still cold counts from then.
     std::optional<server_entry> entryOf(const std::string &key, const platform_object &object, std::map<std::string, server_seen> &seen)
@@ -312,7 +332,11 @@
             DAISYSTILE_LOG(WARNING, "store") << "Entry of a backend server can't be read." << field("server", nameOf(key)) << field("reason", mistake->reason);
             return {object.etag, std::nullopt, loop.now()};
         }
-        return {object.etag, std::get<server_entry>(std::move(read)), loop.now()};
+        auto &entry = std::get<server_entry>(read);
+        DAISYSTILE_LOG(INFO, "servers") << "Backend server changed." << field("server", entry.id.value) << field("service", entry.service.value)
+                                        << field("state", entry.draining ? "draining" : "ready") << field("revision", object.etag)
+                                        << field("learned_from", learnedFrom());
+        return {object.etag, std::move(entry), loop.now()};
     }
 
     void evacuationsChanged()
@@ -418,7 +442,7 @@
     std::unique_ptr<relay_server> relay;
     told_objects toldServers;
     told_objects toldEvacuations;
-    std::uint64_t configurationAsked = 0;
+    revision_request configurationRequest;
     std::uint64_t beat = 0;
     unsigned listings = 0;
     bool sourceReachesStore = true;
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -136,3 +136,14 @@
     EXPECT_TRUE(m_mirror.objects().contains("c"));
     EXPECT_EQ(m_mirror.revision(), 12U);
 }
+
+// Load: a daemon that is cut off from the store still relays what it knew before, to daemons that have seen more.
+TEST_F(object_mirror_test, whatWasRemovedDoesNotComeBackFromASourceThatIsBehind)
+{
+    listed({object("a", 3), object("b", 4)}, 7);
+    removed("a", 9);
+    m_mirror.decide(mirror_relayed {true, 8, {object("a", 3), object("b", 4)}, {}}, m_now);
+    EXPECT_FALSE(m_mirror.objects().contains("a"));
+    m_mirror.decide(mirror_relayed {false, 10, {object("a", 10)}, {}}, m_now);
+    EXPECT_TRUE(m_mirror.objects().contains("a")) << "registered again";
+}
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -42,6 +42,28 @@
     EXPECT_EQ(choose("p3"), relay_source(use_daemon {m_fleet[0]}));
 }
 
+// Load: the store turns away the first daemon of a domain for long; the others try it again and again.
+TEST(source_reach, aDaemonThatReachesTheStoreDoesNotLeaveItForASourceThatDoesNot)
+{
+    EXPECT_FALSE(isOfUse({.followsStore = true, .reachesStore = true, .sourceReachesStore = false}));
+    EXPECT_TRUE(isOfUse({.followsStore = true, .reachesStore = true, .sourceReachesStore = true}));
+    EXPECT_TRUE(isOfUse({.followsStore = true, .reachesStore = false, .sourceReachesStore = false}));
+    EXPECT_TRUE(isOfUse({.followsStore = false, .reachesStore = false, .sourceReachesStore = false}));
+}
+
+// Load: a follower loses its source while it reads a new configuration, and at once finds another source.
+TEST(revision_request, asksAgainAfterAReadThatWasEnded)
+{
+    revision_request request;
+    EXPECT_TRUE(request.due(28, 27));
+    EXPECT_FALSE(request.due(28, 27)) << "the read is under way";
+    request.ended();
+    EXPECT_TRUE(request.due(28, 27));
+    EXPECT_FALSE(request.due(28, 28));
+    EXPECT_TRUE(request.due(29, 28));
+    EXPECT_FALSE(request.due(27, 28));
+}
+
 TEST(told_objects, tellsEachChangeOnce)
 {
     object_mirror mirror({}, 1);
