Route: Limit attempts to a share of the servers, queue the rest by urgency, refuse at once what would be late

Cause: past the servers' capacity all requests queued at the servers and in one list of the daemon, so nearly all of them were late; parts that waited for one service held up those of others (four requests were woken, whichever server had become free), and nothing was refused before its time was over. Change: work_queue, a pure decision: attempts at a service stay within four times this daemon's share of its slots; the rest waits by urgency and age, each service on its own, the least urgent with every fifth turn; a request is refused before anything is sent when too few of its services have room in time, with the time foreseen as the earliest Retry-After; a hedge takes no room from a part that waits; what hangs for three quarters of the objective is no work. route_pace is its own class. Orphaned connections that hang are broken off.

--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -187,18 +187,11 @@
 
 void backend_pool::exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result)
 {
-    const auto found = m_attempts.find(&connection);
     const auto entry = m_servers.find(server);
     if (entry != m_servers.end() && !connection.usable(m_loop.now())) {
         drop(*entry->second, connection);
     }
-    if (found == m_attempts.end()) {
-        return;
-    }
-    const auto attempt = found->second;
-    m_attempts.erase(found);
-    m_places.erase(attempt);
-    m_done({attempt, std::move(result)});
+    endAttempt(connection, std::move(result));
 }
 
 void backend_pool::lapsed(const backend_server_id &server, backend_connection &connection)
@@ -264,8 +257,8 @@
 void backend_pool::sweep()
 {
     m_retired.clear();
-    std::erase_if(m_orphans, [](const auto &connection) { return !connection->busy(); });
     const auto now = m_loop.now();
+    sweepOrphans(now);
     for (auto entry = m_servers.begin(); entry != m_servers.end();) {
         sweepServer(*entry->second, now);
         const bool gone = !entry->second->listed && entry->second->connections.empty();
@@ -274,6 +267,33 @@
     m_loop.after(sweepInterval, [this] { sweep(); });
 }
 
+void backend_pool::sweepOrphans(monotonic_time now)
+{
+    std::erase_if(m_orphans, [](const auto &connection) { return !connection->busy(); });
+    std::vector<backend_connection *> broken;
+    for (const auto &connection : m_orphans) {
+        if (connection->abandonedTooLong(now)) {
+            broken.push_back(connection.get());
+        }
+    }
+    for (auto *connection : broken) {
+        connection->close();
+        endAttempt(*connection, exchange_broken {true, "abandoned"});
+    }
+}
+
+void backend_pool::endAttempt(const backend_connection &connection, exchange_result result)
+{
+    const auto found = m_attempts.find(&connection);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const auto attempt = found->second;
+    m_attempts.erase(found);
+    m_places.erase(attempt);
+    m_done({attempt, std::move(result)});
+}
+
 void backend_pool::sweepServer(backend &server, monotonic_time now)
 {
     std::vector<backend_connection *> broken;
@@ -284,16 +304,9 @@
         }
     }
     for (auto *connection : broken) {
-        const auto found = m_attempts.find(connection);
         const bool opened = connection->isOpen();
         drop(server, *connection);
-        if (found == m_attempts.end()) {
-            continue;
-        }
-        const auto attempt = found->second;
-        m_attempts.erase(found);
-        m_places.erase(attempt);
-        m_done({attempt, exchange_broken {opened, opened ? "abandoned" : "connection not opened"}});
+        endAttempt(*connection, exchange_broken {opened, opened ? "abandoned" : "connection not opened"});
     }
 }
 
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -83,6 +83,8 @@
     void drop(backend &server, backend_connection &connection);
     void sweep();
     void sweepServer(backend &server, monotonic_time now);
+    void sweepOrphans(monotonic_time now);
+    void endAttempt(const backend_connection &connection, exchange_result result);
 
     reactor &m_loop;
     entry_settings m_settings;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -17,14 +17,6 @@
 constexpr milliseconds giveUpMargin {20};
 constexpr milliseconds assumedTimeLeft {10000};
 
-// Before enough answers were seen, a tenth of the objective is taken for the usual latency.
-constexpr std::uint64_t leastSamples = 30;
-constexpr std::uint64_t samplesBetweenRefreshes = 64;
-constexpr double usualQuantile = 0.5;
-// A server that takes so many times the usual latency is likely to pause.
-constexpr double hedgeFactor = 1.9;
-constexpr milliseconds shortestHedgeDelay {4};
-
 // The fleet's budgets must stay below the bound while daemons come and go.
 constexpr double usableRatio = 0.9;
 constexpr double usableSlack = 0.8;
@@ -34,7 +26,8 @@
 constexpr milliseconds loserPatience {700};
 // How long cancelled work may go on before its connection is closed.
 constexpr milliseconds cancelPatience {250};
-constexpr std::size_t wokenAtOnce = 4;
+// Room also comes without an attempt that ends: a cold server bears another request, a connection is closed.
+constexpr milliseconds wakeInterval {50};
 constexpr double failureOfAnswer = 0.5;
 constexpr double failureOfFullServer = 0.3;
 
@@ -53,7 +46,21 @@
 {
     m_view = view;
     m_pool.update(view);
-    wakeWaiting();
+    countCapacity();
+    wakeAll();
+}
+
+void forwarder::countCapacity()
+{
+    const auto daemons = static_cast<unsigned>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    for (const auto &[service, servers] : m_view->servers->byService) {
+        unsigned slots = 0;
+        for (const auto &server : servers) {
+            const bool used = !server.draining && !m_view->evacuated.contains(server.domain);
+            slots += used ? server.slots : 0;
+        }
+        m_queue.setCapacity(service, {slots, daemons});
+    }
 }
 
 const std::shared_ptr<const entry_view> &forwarder::view() const
@@ -117,13 +124,36 @@
     request->deadline = request->received + left;
     terms.giveUpAt = request->received + std::min(left - giveUpMargin, via.timeout);
     terms.answerAt = std::min(request->received + via.objective - answerMargin, terms.giveUpAt);
+    const auto usual = std::chrono::duration_cast<milliseconds>(paceOf(via).usual());
+    terms.startBy = std::max(request->received, terms.answerAt - usual);
     request->state = beginForward(terms);
+    if (!admit(request)) {
+        return;
+    }
     for (const auto &each : request->parts) {
         budgetOf(each.service).firstAttempts(1, m_settings.bounds.retryRatio * usableRatio);
     }
     step(request, forward_begun {});
 }
 
+bool forwarder::admit(const request_pointer &request)
+{
+    admission_terms terms;
+    for (const auto &part : request->parts) {
+        terms.services.push_back(part.service);
+    }
+    terms.leastServices = request->state.terms.leastParts;
+    terms.urgency = request->via->urgency;
+    terms.draw = std::uniform_real_distribution<>()(m_random);
+    terms.longestWait = std::chrono::duration_cast<milliseconds>(request->state.terms.startBy - request->received);
+    const auto forecast = m_queue.foresee(terms, request->received);
+    request->foreseenWait = forecast.wait;
+    if (!forecast.inTime) {
+        fail(request, forward_failure::not_run);
+    }
+    return forecast.inTime;
+}
+
 void forwarder::step(const request_pointer &request, const forward_event &event)
 {
     std::deque<forward_event> events {event};
@@ -169,18 +199,15 @@
     auto &pace = paceOf(*request->via);
     const auto now = m_loop.now();
     const auto left = std::chrono::duration_cast<milliseconds>(std::min(request->deadline, request->received + request->via->timeout) - now);
-    auto *server = left.count() > 0 ? m_pool.choose(part.service, part.tried, pace.usual) : nullptr;
+    const bool hedge = action.purpose == attempt_purpose::hedge;
+    // Waiting helps only where a server that was not tried is busy.
+    if (!hedge && (left.count() <= 0 || !m_pool.hasServer(part.service, part.tried))) {
+        return attempt_denied {action.part, action.purpose};
+    }
+    const bool room = left.count() > 0 && m_queue.hasRoom(part.service, action.purpose, now);
+    auto *server = room ? m_pool.choose(part.service, part.tried, pace.usual()) : nullptr;
     if (server == nullptr) {
-        // Waiting helps only where a server that was not tried is busy.
-        const bool hopeless = !m_pool.hasServer(part.service, part.tried);
-        if (hopeless && action.purpose != attempt_purpose::hedge) {
-            return attempt_denied {action.part, action.purpose};
-        }
-        if (action.purpose != attempt_purpose::hedge && !request->waiting) {
-            request->waiting = true;
-            m_waiting.emplace(std::pair(request->via->urgency, request->number), request);
-        }
-        return attempt_unplaced {action.part, action.purpose};
+        return unplaced(*request, action);
     }
     if (!allowed(*request, action)) {
         m_metrics.denied.add();
@@ -188,8 +215,10 @@
     }
     const bool bodyless = request->message.method == "HEAD";
     auto bytes = serverRequest(request->message, left, server->entry.id);
-    const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, pace.hedgeDelay);
+    const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, pace.hedgeDelay());
     m_attempts.emplace(id, running_attempt {request->number, action.part, server->entry.id, request->via->name, part.service, now, request->head.id});
+    m_queue.started(part.service, id, now, request->via->objective);
+    part.waitingSince.reset();
     request->attemptsMade += 1;
     request->attempts.insert(id);
     part.tried.push_back(server->entry.id);
@@ -198,7 +227,19 @@
             : action.purpose == attempt_purpose::retry ? m_metrics.retries
                                                        : m_metrics.hedges)
         .add();
-    return attempt_started {action.part, action.purpose, pace.hedgeDelay};
+    return attempt_started {action.part, action.purpose, pace.hedgeDelay()};
+}
+
+forward_event forwarder::unplaced(running_request &request, const try_part &action)
+{
+    if (action.purpose != attempt_purpose::hedge) {
+        auto &part = request.parts[action.part];
+        part.waitingSince = part.waitingSince.value_or(m_loop.now());
+        request.waited = true;
+        m_queue.wait(part.service, request.via->urgency, {request.number, action.part, *part.waitingSince});
+        scheduleWake();
+    }
+    return attempt_unplaced {action.part, action.purpose};
 }
 
 void forwarder::schedule(const request_pointer &request)
@@ -227,6 +268,7 @@
     const auto line = field("request", request.head.id.value) + field("route", request.via->name.value) + field("outcome", outcome)
         + field("parts", std::to_string(request.state.answered) + "/" + std::to_string(request.state.terms.parts)) + field("lost", request.state.lost)
         + field("attempts", request.attemptsMade) + field("waited_ms", static_cast<std::uint64_t>(waited.count()))
+        + field("foreseen_wait_ms", static_cast<std::uint64_t>(request.foreseenWait.count()))
         + field("objective_ms", static_cast<std::uint64_t>(request.via->objective.count()))
         + field("version", request.view->routes->configuration().version.value);
     const bool good = request.state.answered == request.state.terms.parts && !late;
@@ -286,12 +328,15 @@
     finish(request, own_reply {late ? statusGatewayTimeout : statusBadGateway, std::nullopt});
 }
 
-// Spread, so that clients that were refused together don't return together.
+// Not before there is room as far as is known, and spread, so that clients that were refused together don't return
+// together. Clients wait a third of the time that they have left at the most.
 milliseconds forwarder::retryAfter(const running_request &request)
 {
     constexpr milliseconds shortest {50};
+    constexpr int partOfTimeLeft = 8;
     const auto left = timeLeft(m_loop.now(), request.deadline);
-    std::uniform_int_distribution<milliseconds::rep> spread(left.count() / 8, std::max<milliseconds::rep>(left.count() / 4, left.count() / 8 + 1));
+    const auto earliest = std::min(std::max(left / partOfTimeLeft, request.foreseenWait), left / 4);
+    std::uniform_int_distribution<milliseconds::rep> spread(earliest.count(), std::max(left / 3, earliest).count());
     return std::max(shortest, milliseconds {spread(m_random)});
 }
 
@@ -306,8 +351,8 @@
     request.state.ended = true;
     m_loop.cancelTimer(request.timer);
     abandonAttempts(request, patience);
-    if (request.waiting) {
-        m_waiting.erase({request.via->urgency, request.number});
+    if (request.waited) {
+        m_queue.forget(request.number);
     }
     m_requests.erase(request.number);
 }
@@ -344,12 +389,12 @@
         return broken->mayHaveRun ? attempt_end::failed : attempt_end::not_run;
     }
     const auto &answer = std::get<exchange_answer>(exchange).answer;
-    auto &pace = m_paces[attempt.route];
     switch (answer.verdict) {
     case answer_verdict::success: {
         const auto latency = std::chrono::duration_cast<microseconds>(m_loop.now() - attempt.sent);
-        pace.latencies.add(latency);
-        m_pool.answered(attempt.server, id, pace.usual);
+        auto &pace = m_paces.at(attempt.route);
+        m_pool.answered(attempt.server, id, pace.usual());
+        pace.add(latency);
         return attempt_end::answered;
     }
     case answer_verdict::not_executed:
@@ -403,6 +448,7 @@
     }
     const auto attempt = found->second;
     m_attempts.erase(found);
+    m_queue.ended(attempt.service, result.attempt, m_loop.now());
     const auto end = judge(attempt, result.attempt, result.exchange);
     if (end != attempt_end::answered) {
         logAttempt(attempt, end, result.exchange);
@@ -420,39 +466,49 @@
         }
         step(request, attempt_ended {attempt.part, end});
     }
-    wakeWaiting();
+    wake(attempt.service);
 }
 
-// The most urgent first, and of these the oldest.
-void forwarder::wakeWaiting()
+void forwarder::wake(const service_name &service)
 {
-    std::vector<request_pointer> woken;
-    for (auto entry = m_waiting.begin(); entry != m_waiting.end() && woken.size() < wokenAtOnce;) {
-        woken.push_back(entry->second);
-        entry->second->waiting = false;
-        entry = m_waiting.erase(entry);
-    }
-    for (const auto &request : woken) {
-        step(request, server_freed {});
+    while (const auto next = m_queue.next(service, m_loop.now())) {
+        const auto found = m_requests.find(next->request);
+        if (found == m_requests.end()) {
+            continue;
+        }
+        const auto request = found->second;
+        step(request, server_freed {next->part});
+        if (!request->state.ended && request->state.parts[next->part].waiting) {
+            return;
+        }
     }
 }
 
-forwarder::route_pace &forwarder::paceOf(const route &via)
+void forwarder::wakeAll()
 {
-    auto &pace = m_paces[via.name];
-    const auto count = pace.latencies.count();
-    if (count < leastSamples) {
-        pace.usual = microseconds {via.objective} / 10;
-        pace.hedgeDelay = via.objective / 3;
-        return pace;
+    for (const auto &service : m_queue.waitedFor()) {
+        wake(service);
     }
-    if (pace.refreshedAt == 0 || count < pace.refreshedAt || count >= pace.refreshedAt + samplesBetweenRefreshes) {
-        pace.refreshedAt = count;
-        pace.usual = pace.latencies.quantile(usualQuantile);
-        const auto delay = std::chrono::ceil<milliseconds>(pace.usual * hedgeFactor);
-        pace.hedgeDelay = std::clamp(delay, shortestHedgeDelay, std::max(shortestHedgeDelay, via.objective / 2));
+}
+
+void forwarder::scheduleWake()
+{
+    if (m_wakeScheduled) {
+        return;
     }
-    return pace;
+    m_wakeScheduled = true;
+    m_loop.after(wakeInterval, [this] {
+        m_wakeScheduled = false;
+        wakeAll();
+        if (m_queue.waiting() > 0) {
+            scheduleWake();
+        }
+    });
+}
+
+route_pace &forwarder::paceOf(const route &via)
+{
+    return m_paces.try_emplace(via.name, via.objective).first->second;
 }
 
 extra_load_budget &forwarder::budgetOf(const service_name &service)
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -52,6 +52,8 @@
         std::vector<backend_server_id> tried;
         /// Attempts that have reached, or may have reached, a server.
         unsigned arrivals = 0;
+        /// When it began to wait for room; none while it doesn't.
+        std::optional<monotonic_time> waitingSince;
         answer_receipt receipt;
         std::string body;
     };
@@ -73,7 +75,9 @@
         std::function<void(client_reply)> reply;
         timer_id timer = 0;
         monotonic_time timerAt = monotonic_time::max();
-        bool waiting = false;
+        bool waited = false;
+        /// How long it would have to wait, as foreseen when it came.
+        milliseconds foreseenWait {0};
         unsigned attemptsMade = 0;
     };
 
@@ -88,21 +92,16 @@
         client_request_id clientId;
     };
 
-    /// How long requests of one route usually take at a backend server.
-    struct route_pace
-    {
-        recent_latencies latencies;
-        std::uint64_t refreshedAt = 0;
-        microseconds usual {0};
-        milliseconds hedgeDelay {0};
-    };
-
     using request_pointer = std::shared_ptr<running_request>;
 
     void begin(const request_pointer &request);
+    /// False when it was refused, as it could not be answered in time.
+    bool admit(const request_pointer &request);
     void step(const request_pointer &request, const forward_event &event);
     void carryOut(const request_pointer &request, const forward_action &action, std::deque<forward_event> &events);
     forward_event place(const request_pointer &request, const try_part &action);
+    forward_event unplaced(running_request &request, const try_part &action);
+    void countCapacity();
     bool allowed(const running_request &request, const try_part &action);
     void schedule(const request_pointer &request);
     void answer(const request_pointer &request);
@@ -114,7 +113,10 @@
     void attemptEnded(attempt_result result);
     attempt_end judge(const running_attempt &attempt, attempt_id id, exchange_result &exchange);
     void accept(running_request &request, part_index part, exchange_answer &exchange);
-    void wakeWaiting();
+    /// Starts what waits for the service, as far as there is room.
+    void wake(const service_name &service);
+    void wakeAll();
+    void scheduleWake();
     void logEnd(const running_request &request, const char *outcome);
     void logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange);
     route_pace &paceOf(const route &via);
@@ -128,7 +130,8 @@
     forward_metrics m_metrics;
     std::unordered_map<request_number, request_pointer> m_requests;
     std::unordered_map<attempt_id, running_attempt> m_attempts;
-    std::map<std::pair<urgency_rank, request_number>, request_pointer> m_waiting;
+    work_queue m_queue;
+    bool m_wakeScheduled = false;
     std::map<route_name, route_pace> m_paces;
     std::map<route_name, weighted_turn> m_turns;
     std::map<service_name, extra_load_budget> m_budgets;
--- a/Source/Route/forward_decision.cxx
+++ b/Source/Route/forward_decision.cxx
@@ -73,14 +73,12 @@
         }
     }
 
-    void operator()(const server_freed &)
+    void operator()(const server_freed &event)
     {
-        for (part_index i = 0; i < m_state.parts.size(); ++i) {
-            auto &part = m_state.parts[i];
-            if (part.waiting) {
-                part.waiting = false;
-                m_actions.emplace_back(try_part {i, part.runs + part.refusals == 0 ? attempt_purpose::first : attempt_purpose::retry});
-            }
+        auto &part = m_state.parts[event.part];
+        if (part.waiting) {
+            part.waiting = false;
+            m_actions.emplace_back(try_part {event.part, part.runs + part.refusals == 0 ? attempt_purpose::first : attempt_purpose::retry});
         }
     }
 
@@ -92,6 +90,9 @@
                 part.hedgeAt = monotonic_time::max();
                 m_actions.emplace_back(try_part {i, attempt_purpose::hedge});
             }
+            if (part.waiting && m_now >= m_state.terms.startBy) {
+                lose(part);
+            }
         }
     }
 
@@ -196,6 +197,9 @@
         if (!part.answered && part.running > 0) {
             next = std::min(next, part.hedgeAt);
         }
+        if (part.waiting) {
+            next = std::min(next, state.terms.startBy);
+        }
     }
     return next;
 }
--- a/Source/Route/forward_decision.h
+++ b/Source/Route/forward_decision.h
@@ -40,6 +40,8 @@
     monotonic_time answerAt;
     /// From here on there is no answer worth waiting for.
     monotonic_time giveUpAt;
+    /// A part that still waits for room then is lost: its answer would come too late.
+    monotonic_time startBy = monotonic_time::max();
 };
 
 struct part_progress
@@ -93,9 +95,10 @@
     part_index part;
     attempt_end end;
 };
-/// A server may have become free for parts that wait.
+/// There may be room now for a part that waits.
 struct server_freed
 {
+    part_index part;
 };
 struct clock_ticked
 {
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -6,5 +6,7 @@
 #include "record_merge.h"
 #include "replica_choice.h"
 #include "replica_record.h"
+#include "route_pace.h"
 #include "routing.h"
 #include "server_entry.h"
+#include "work_queue.h"
--- /dev/null
+++ b/Source/Route/route_pace.cxx
@@ -0,0 +1,55 @@
+#include "route_pace.h"
+
+#include <algorithm>
+
+namespace daisystile {
+
+namespace {
+
+// Before enough answers were seen, a tenth of the objective is taken for the usual latency.
+constexpr std::uint64_t leastSamples = 30;
+constexpr std::uint64_t samplesBetweenRefreshes = 64;
+constexpr int objectiveOverUsual = 10;
+constexpr int objectiveOverFirstDelay = 3;
+constexpr double usualQuantile = 0.5;
+// A server that takes so many times the usual latency is likely to pause.
+constexpr double hedgeFactor = 1.9;
+constexpr milliseconds shortestHedgeDelay {4};
+
+} // namespace
+
+route_pace::route_pace(milliseconds objective)
+    : m_objective(objective),
+      m_usual(microseconds {objective} / objectiveOverUsual),
+      m_hedgeDelay(objective / objectiveOverFirstDelay)
+{
+}
+
+void route_pace::add(microseconds latency)
+{
+    m_latencies.add(latency);
+    const auto count = m_latencies.count();
+    if (count >= leastSamples && (m_refreshedAt == 0 || count < m_refreshedAt || count >= m_refreshedAt + samplesBetweenRefreshes)) {
+        m_refreshedAt = count;
+        refresh();
+    }
+}
+
+void route_pace::refresh()
+{
+    m_usual = m_latencies.quantile(usualQuantile);
+    const auto delay = std::chrono::ceil<milliseconds>(m_usual * hedgeFactor);
+    m_hedgeDelay = std::clamp(delay, shortestHedgeDelay, std::max(shortestHedgeDelay, m_objective / 2));
+}
+
+microseconds route_pace::usual() const
+{
+    return m_usual;
+}
+
+milliseconds route_pace::hedgeDelay() const
+{
+    return m_hedgeDelay;
+}
+
+} // namespace daisystile
