Route: Count extra load over the sliding window instead of a bucket of tokens

With 75 daemons a bucket holds 2 tokens, of which 0.6 are reserved; after a hedge the next ones are denied until 3 more requests. Change: extra_load_window counts requests and extra attempts of the last window and allows what the bound allows; the window's length is a setting (retry_window_ms), rendered from the platform's. Tests: keepsTheBoundInEveryWindow (as the rule counts), deniesHardlyAnyHedgeOfACalmDay.

--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -9,11 +9,13 @@
 constexpr number_range ratioRange {0, 10};
 constexpr number_range slackRange {0, 1e6};
 constexpr number_range graceRangeMs {100, 600000};
+constexpr number_range windowRangeMs {1000, 600000};
 
 void readBounds(table_reader &reader, fleet_bounds &bounds)
 {
     reader.number("retry_ratio", bounds.retryRatio, ratioRange);
     reader.number("retry_slack", bounds.retrySlack, slackRange);
+    reader.integer("retry_window_ms", bounds.retryWindow, windowRangeMs);
     reader.number("cold_factor", bounds.coldFactor, ratioRange);
     reader.number("cold_slack", bounds.coldSlack, slackRange);
 }
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -13,6 +13,8 @@
     double retryRatio = 0.2;
     /// Extra attempts beyond that share, in each window.
     double retrySlack = 50;
+    /// Any span of this length is a window.
+    milliseconds retryWindow {10000};
     /// Requests that a cold backend server may get in a second: its rate times the factor, plus the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -131,7 +131,7 @@
         return;
     }
     for (const auto &each : request->parts) {
-        budgetOf(each.service).firstAttempts(1, m_settings.bounds.retryRatio * usableRatio);
+        budgetOf(each.service).requested(request->received);
     }
     step(request, forward_begun {});
 }
@@ -189,7 +189,7 @@
         return true;
     }
     auto &budget = budgetOf(part.service);
-    return action.purpose == attempt_purpose::hedge ? budget.takeForHedge() : budget.take();
+    return action.purpose == attempt_purpose::hedge ? budget.takeForHedge(m_loop.now()) : budget.take(m_loop.now());
 }
 
 // Every attempt passes here: the server, the time left and the extra load are checked right before it is sent.
@@ -511,15 +511,16 @@
     return m_paces.try_emplace(via.name, via.objective).first->second;
 }
 
-extra_load_budget &forwarder::budgetOf(const service_name &service)
+extra_load_window &forwarder::budgetOf(const service_name &service)
 {
-    const double share = m_settings.bounds.retrySlack * usableSlack / static_cast<double>(std::max<std::size_t>(m_view->fleet.size(), 1));
-    const extra_load_limits limits {.largest = share, .hedgeReserve = share * hedgeReserveShare};
-    const auto found = m_budgets.find(service);
-    if (found == m_budgets.end()) {
-        return m_budgets.emplace(service, extra_load_budget(limits, share / 2)).first->second;
+    const auto &bounds = m_settings.bounds;
+    const double share = bounds.retrySlack * usableSlack / static_cast<double>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    const extra_load_terms terms {
+        .window = bounds.retryWindow, .ratio = bounds.retryRatio * usableRatio, .slack = share, .hedgeReserve = share * hedgeReserveShare};
+    const auto [found, isNew] = m_budgets.try_emplace(service, terms);
+    if (!isNew) {
+        found->second.setTerms(terms);
     }
-    found->second.setLimits(limits);
     return found->second;
 }
 
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -120,7 +120,7 @@
     void logEnd(const running_request &request, const char *outcome);
     void logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange);
     route_pace &paceOf(const route &via);
-    extra_load_budget &budgetOf(const service_name &service);
+    extra_load_window &budgetOf(const service_name &service);
     milliseconds retryAfter(const running_request &request);
 
     reactor &m_loop;
@@ -134,7 +134,7 @@
     bool m_wakeScheduled = false;
     std::map<route_name, route_pace> m_paces;
     std::map<route_name, weighted_turn> m_turns;
-    std::map<service_name, extra_load_budget> m_budgets;
+    std::map<service_name, extra_load_window> m_budgets;
     request_number m_nextRequest = 1;
     std::minstd_rand m_random;
 };
--- /dev/null
+++ b/Source/Route/extra_load_window.cxx
@@ -0,0 +1,79 @@
+#include "extra_load_window.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace daisystile {
+
+namespace {
+
+// A daemon that starts anew doesn't know what it sent before.
+constexpr double takenAtStart = 0.5;
+
+} // namespace
+
+extra_load_window::extra_load_window(const extra_load_terms &terms)
+    : m_terms(terms)
+{
+    m_counts[m_current].extra = terms.slack * takenAtStart;
+}
+
+void extra_load_window::setTerms(const extra_load_terms &terms)
+{
+    m_terms = terms;
+}
+
+void extra_load_window::advance(monotonic_time now)
+{
+    const auto length = m_terms.window / static_cast<int>(intervals - 1);
+    if (m_currentSince == monotonic_time {}) {
+        m_currentSince = now;
+    }
+    for (std::size_t passed = 0; now - m_currentSince >= length; ++passed) {
+        if (passed == intervals) {
+            m_currentSince = now;
+            return;
+        }
+        m_current = (m_current + 1) % intervals;
+        m_counts[m_current] = {};
+        m_currentSince += length;
+    }
+}
+
+void extra_load_window::requested(monotonic_time now)
+{
+    advance(now);
+    m_counts[m_current].requests += 1;
+}
+
+// Requests of the oldest interval may lie outside of the window that ends now; extra attempts of it count all the same.
+double extra_load_window::left(monotonic_time now)
+{
+    advance(now);
+    const auto sum = std::accumulate(m_counts.begin(), m_counts.end(), interval_counts {}, [](const auto &left, const auto &right) {
+        return interval_counts {left.requests + right.requests, left.extra + right.extra};
+    });
+    const auto oldest = m_counts[(m_current + 1) % intervals].requests;
+    return m_terms.ratio * (sum.requests - oldest) + m_terms.slack - sum.extra;
+}
+
+bool extra_load_window::takeAbove(double reserve, monotonic_time now)
+{
+    if (left(now) - reserve < 1) {
+        return false;
+    }
+    m_counts[m_current].extra += 1;
+    return true;
+}
+
+bool extra_load_window::take(monotonic_time now)
+{
+    return takeAbove(0, now);
+}
+
+bool extra_load_window::takeForHedge(monotonic_time now)
+{
+    return takeAbove(m_terms.hedgeReserve, now);
+}
+
+} // namespace daisystile
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -2,6 +2,7 @@
 
 /// Public header of the route library: routes, backend servers, and the pure decisions on where and when a request is sent.
 
+#include "extra_load_window.h"
 #include "forward_decision.h"
 #include "record_merge.h"
 #include "replica_choice.h"
