--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -240,6 +240,20 @@
     }
 }
 
+server_counts backend_pool::counts() const
+{
+    server_counts counts;
+    const auto now = m_loop.now();
+    for (const auto &[id, server] : m_servers) {
+        if (server->listed) {
+            counts.usable += server->barred ? 0 : 1;
+            counts.cold += !server->barred && now < server->coldUntil ? 1 : 0;
+            counts.barred += server->barred ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 std::size_t backend_pool::connections() const
 {
     std::size_t count = 0;
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -38,6 +38,14 @@
     exchange_result exchange;
 };
 
+struct server_counts
+{
+    std::size_t usable = 0;
+    /// Among the usable.
+    std::size_t cold = 0;
+    std::size_t barred = 0;
+};
+
 /// All backend servers and the connections to them, on the traffic thread.
 class backend_pool
 {
@@ -62,6 +70,8 @@
     void misdirected(const backend_server_id &server);
     void unsent(const backend_server_id &server, attempt_id attempt);
 
+    /// Servers of the catalog, by state.
+    server_counts counts() const;
     /// Connections open or being opened.
     std::size_t connections() const;
     std::size_t opened() const;
--- a/Source/Forward/forward_metrics.cxx
+++ b/Source/Forward/forward_metrics.cxx
@@ -12,6 +12,11 @@
     return registry.counter("daisystile_attempts_total", "Attempts at backend servers by purpose", {{"purpose", value}});
 }
 
+static metric_gauge servers(metrics &registry, const char *state)
+{
+    return registry.gauge("daisystile_backend_servers", "Backend servers known, by state", {{"state", state}});
+}
+
 forward_metrics::forward_metrics(metrics &registry)
     : complete(outcome(registry, "complete")),
       partial(outcome(registry, "partial")),
@@ -23,7 +28,13 @@
       retries(attempt(registry, "retry")),
       hedges(attempt(registry, "hedge")),
       denied(registry.counter("daisystile_attempts_denied_total", "Attempts that the extra load allowed did not cover")),
-      latency(registry.histogram("daisystile_request_seconds", "Time from a request's last byte to its answer"))
+      latency(registry.histogram("daisystile_request_seconds", "Time from a request's last byte to its answer")),
+      waiting(registry.gauge("daisystile_waiting_parts", "Parts of requests that wait for room at a service")),
+      configurationVersion(registry.gauge("daisystile_configuration_version", "Version of the configuration in force")),
+      daemons(registry.gauge("daisystile_fleet_daemons", "Daemons that share the bounds")),
+      usableServers(servers(registry, "usable")),
+      coldServers(servers(registry, "cold")),
+      barredServers(servers(registry, "barred"))
 {
 }
 
--- a/Source/Forward/forward_metrics.h
+++ b/Source/Forward/forward_metrics.h
@@ -20,6 +20,15 @@
     metric_counter hedges;
     metric_counter denied;
     metric_histogram latency;
+    /// Parts of requests that wait for room at a service.
+    metric_gauge waiting;
+    metric_gauge configurationVersion;
+    /// Daemons that share the bounds, this one included.
+    metric_gauge daemons;
+    metric_gauge usableServers;
+    metric_gauge coldServers;
+    /// Draining, evacuated, or another server answered at the address.
+    metric_gauge barredServers;
 };
 
 } // namespace daisystile
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -47,9 +47,22 @@
     m_view = view;
     m_pool.update(view);
     countCapacity();
+    showState();
     wakeAll();
 }
 
+void forwarder::showState()
+{
+    const auto servers = m_pool.counts();
+    m_metrics.usableServers.set(static_cast<double>(servers.usable));
+    m_metrics.coldServers.set(static_cast<double>(servers.cold));
+    m_metrics.barredServers.set(static_cast<double>(servers.barred));
+    m_metrics.daemons.set(static_cast<double>(m_view->fleet.size()));
+    if (m_view->routes) {
+        m_metrics.configurationVersion.set(static_cast<double>(m_view->routes->configuration().version.value));
+    }
+}
+
 void forwarder::countCapacity()
 {
     const auto daemons = static_cast<unsigned>(std::max<std::size_t>(m_view->fleet.size(), 1));
@@ -500,6 +513,7 @@
     m_loop.after(wakeInterval, [this] {
         m_wakeScheduled = false;
         wakeAll();
+        m_metrics.waiting.set(static_cast<double>(m_queue.waiting()));
         if (m_queue.waiting() > 0) {
             scheduleWake();
         }
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -102,6 +102,7 @@
     forward_event place(const request_pointer &request, const try_part &action);
     forward_event unplaced(running_request &request, const try_part &action);
     void countCapacity();
+    void showState();
     bool allowed(const running_request &request, const try_part &action);
     void schedule(const request_pointer &request);
     void answer(const request_pointer &request);
