Forward: A part that finds no server holds up nobody; a route's new objective counts at once

Cause (read in the diff): a part whose only untried server is full kept its place at the head of its service's queue, and the others behind it waited for it; a route's pace kept the objective of the first configuration that named it. Change: what is tried in vain waits again only after up to three others were tried; the pace takes the objective of the configuration in force.

--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -28,6 +28,8 @@
 constexpr milliseconds cancelPatience {250};
 // Room also comes without an attempt that ends: a cold server bears another request, a connection is closed.
 constexpr milliseconds wakeInterval {50};
+// Parts that are tried in vain before the rest of the queue is left alone.
+constexpr unsigned mostInVain = 4;
 constexpr double failureOfAnswer = 0.5;
 constexpr double failureOfFullServer = 0.3;
 
@@ -181,6 +183,7 @@
     if (!request->state.ended) {
         schedule(request);
     }
+    queueVain();
 }
 
 void forwarder::carryOut(const request_pointer &request, const forward_action &action, std::deque<forward_event> &events)
@@ -249,7 +252,7 @@
         auto &part = request.parts[action.part];
         part.waitingSince = part.waitingSince.value_or(m_loop.now());
         request.waited = true;
-        m_queue.wait(part.service, request.via->urgency, {request.number, action.part, *part.waitingSince});
+        m_vain.push_back({part.service, request.via->urgency, {request.number, action.part, *part.waitingSince}});
         scheduleWake();
     }
     return attempt_unplaced {action.part, action.purpose};
@@ -482,17 +485,35 @@
     wake(attempt.service);
 }
 
+// A part that no server can take now must not hold up those behind it, so it waits again only after these.
 void forwarder::wake(const service_name &service)
 {
-    while (const auto next = m_queue.next(service, m_loop.now())) {
+    m_waking += 1;
+    for (unsigned vain = 0; vain < mostInVain;) {
+        const auto next = m_queue.next(service, m_loop.now());
+        if (!next) {
+            break;
+        }
         const auto found = m_requests.find(next->request);
         if (found == m_requests.end()) {
             continue;
         }
         const auto request = found->second;
         step(request, server_freed {next->part});
-        if (!request->state.ended && request->state.parts[next->part].waiting) {
-            return;
+        vain += !request->state.ended && request->state.parts[next->part].waiting ? 1 : 0;
+    }
+    m_waking -= 1;
+    queueVain();
+}
+
+void forwarder::queueVain()
+{
+    if (m_waking > 0) {
+        return;
+    }
+    for (const auto &part : std::exchange(m_vain, {})) {
+        if (m_requests.contains(part.waiting.request)) {
+            m_queue.wait(part.service, part.urgency, part.waiting);
         }
     }
 }
@@ -522,7 +543,9 @@
 
 route_pace &forwarder::paceOf(const route &via)
 {
-    return m_paces.try_emplace(via.name, via.objective).first->second;
+    auto &pace = m_paces[via.name];
+    pace.setObjective(via.objective);
+    return pace;
 }
 
 extra_load_window &forwarder::budgetOf(const service_name &service)
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -92,6 +92,14 @@
         client_request_id clientId;
     };
 
+    /// A part for which no server was found, on its way into the queue.
+    struct unplaced_part
+    {
+        service_name service;
+        urgency_rank urgency;
+        waiting_part waiting;
+    };
+
     using request_pointer = std::shared_ptr<running_request>;
 
     void begin(const request_pointer &request);
@@ -117,6 +125,8 @@
     /// Starts what waits for the service, as far as there is room.
     void wake(const service_name &service);
     void wakeAll();
+    /// Lets the parts that found no server wait, once nothing else is being woken.
+    void queueVain();
     void scheduleWake();
     void logEnd(const running_request &request, const char *outcome);
     void logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange);
@@ -132,6 +142,8 @@
     std::unordered_map<request_number, request_pointer> m_requests;
     std::unordered_map<attempt_id, running_attempt> m_attempts;
     work_queue m_queue;
+    std::vector<unplaced_part> m_vain;
+    unsigned m_waking = 0;
     bool m_wakeScheduled = false;
     std::map<route_name, route_pace> m_paces;
     std::map<route_name, weighted_turn> m_turns;
--- a/Source/Route/route_pace.cxx
+++ b/Source/Route/route_pace.cxx
@@ -19,10 +19,17 @@
 } // namespace
 
 route_pace::route_pace(milliseconds objective)
-    : m_objective(objective),
-      m_usual(microseconds {objective} / objectiveOverUsual),
-      m_hedgeDelay(objective / objectiveOverFirstDelay)
 {
+    setObjective(objective);
+}
+
+void route_pace::setObjective(milliseconds objective)
+{
+    if (objective == m_objective) {
+        return;
+    }
+    m_objective = objective;
+    refresh();
 }
 
 void route_pace::add(microseconds latency)
@@ -37,6 +44,11 @@
 
 void route_pace::refresh()
 {
+    if (m_refreshedAt == 0) {
+        m_usual = microseconds {m_objective} / objectiveOverUsual;
+        m_hedgeDelay = m_objective / objectiveOverFirstDelay;
+        return;
+    }
     m_usual = m_latencies.quantile(usualQuantile);
     const auto delay = std::chrono::ceil<milliseconds>(m_usual * hedgeFactor);
     m_hedgeDelay = std::clamp(delay, shortestHedgeDelay, std::max(shortestHedgeDelay, m_objective / 2));
--- a/Source/Route/route_pace.h
+++ b/Source/Route/route_pace.h
@@ -12,6 +12,8 @@
 public:
     explicit route_pace(milliseconds objective = milliseconds {0});
 
+    /// Of the configuration in force; it bounds the delay.
+    void setObjective(milliseconds objective);
     void add(microseconds latency);
     microseconds usual() const;
     milliseconds hedgeDelay() const;
@@ -21,9 +23,9 @@
 
     recent_latencies m_latencies;
     std::uint64_t m_refreshedAt = 0;
-    milliseconds m_objective;
-    microseconds m_usual;
-    milliseconds m_hedgeDelay;
+    milliseconds m_objective {0};
+    microseconds m_usual {0};
+    milliseconds m_hedgeDelay {0};
 };
 
 } // namespace daisystile
