--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -67,7 +67,7 @@
     if (changed) {
         server.coldUntil = m_loop.now() + entry.coldLeft;
     }
-    server.barred = entry.draining || server.misdirected || m_view->evacuated.contains(entry.domain);
+    server.barred = server.misdirected || !m_view->mayServe(entry);
     const auto &fleet = m_view->fleet;
     const auto *terms = m_view->routes ? m_view->routes->terms(entry.service) : nullptr;
     const auto near = std::count_if(fleet.begin(), fleet.end(), [&](const auto &daemon) { return daemon.domain == entry.domain; });
@@ -86,7 +86,7 @@
     }
     const auto &bounds = m_settings.bounds;
     const double all = (terms->coldRequestsPerSecond * bounds.coldFactor + bounds.coldSlack) * coldUsableShare;
-    const double share = all / static_cast<double>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    const double share = all / static_cast<double>(m_view->sharers());
     // Half of the share may come at once and half over the second, so that no second sees more than the share.
     const double passed = std::chrono::duration<double>(now - server.coldRefilled).count();
     server.coldAllowance = std::min(share / 2, server.coldAllowance + passed * share / 2);
@@ -155,7 +155,6 @@
     const auto now = m_loop.now();
     auto *connection = idleConnection(server, now);
     if (connection == nullptr) {
-        m_openedConnections += 1;
         backend_connection::callbacks notify;
         notify.done = [this, id = server.entry.id](backend_connection &which, exchange_result result) {
             exchangeDone(id, which, std::move(result));
@@ -227,11 +226,6 @@
     }
 }
 
-void backend_pool::unsent(const backend_server_id &server, attempt_id attempt)
-{
-    failed(server, attempt, 1);
-}
-
 void backend_pool::misdirected(const backend_server_id &server)
 {
     if (const auto found = m_servers.find(server); found != m_servers.end()) {
@@ -254,20 +248,6 @@
     return counts;
 }
 
-std::size_t backend_pool::connections() const
-{
-    std::size_t count = 0;
-    for (const auto &[id, server] : m_servers) {
-        count += server->connections.size();
-    }
-    return count;
-}
-
-std::size_t backend_pool::opened() const
-{
-    return m_openedConnections;
-}
-
 void backend_pool::sweep()
 {
     m_retired.clear();
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -68,13 +68,9 @@
     void answered(const backend_server_id &server, attempt_id attempt, microseconds pace);
     void failed(const backend_server_id &server, attempt_id attempt, double weight);
     void misdirected(const backend_server_id &server);
-    void unsent(const backend_server_id &server, attempt_id attempt);
 
     /// Servers of the catalog, by state.
     server_counts counts() const;
-    /// Connections open or being opened.
-    std::size_t connections() const;
-    std::size_t opened() const;
 
 private:
     struct attempt_place
@@ -109,7 +105,6 @@
     // Freed once their own callbacks are over.
     std::vector<std::unique_ptr<backend_connection>> m_retired;
     attempt_id m_nextAttempt = 1;
-    std::size_t m_openedConnections = 0;
     std::minstd_rand m_random;
 };
 
--- a/Source/Forward/client_door.cxx
+++ b/Source/Forward/client_door.cxx
@@ -298,11 +298,6 @@
     }
 }
 
-std::size_t client_door::connections() const
-{
-    return m_connections.size();
-}
-
 std::size_t client_door::busyConnections() const
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) { return entry.second->busy(); }));
--- a/Source/Forward/client_door.h
+++ b/Source/Forward/client_door.h
@@ -24,7 +24,6 @@
     void startDraining();
     /// Closes connections without a request and accepts none any more.
     void closeIdle();
-    std::size_t connections() const;
     /// Connections with a request that is being read or answered.
     std::size_t busyConnections() const;
 
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -4,7 +4,6 @@
 #include "drain_plan.h"
 #include "store_follower.h"
 
-#include <atomic>
 #include <thread>
 
 namespace daisystile {
@@ -101,7 +100,7 @@
         drainingSince = control.now();
         DAISYSTILE_LOG(INFO, "daemon") << "Draining." << field("id", settings.id.value);
         traffic.post([this] { clients.startDraining(); });
-        store.leave([] {});
+        store.leave();
         checkDrained();
     }
 
--- a/Source/Forward/entry_view.h
+++ b/Source/Forward/entry_view.h
@@ -2,6 +2,7 @@
 
 #include <Route/route.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <vector>
@@ -18,6 +19,18 @@
     std::set<failure_domain_name> evacuated;
     /// All daemons of the fleet, this one included.
     std::vector<fleet_daemon> fleet;
+
+    /// Daemons that share the bounds; one while none is known.
+    std::size_t sharers() const
+    {
+        return std::max<std::size_t>(fleet.size(), 1);
+    }
+
+    /// Neither leaving nor in a failure domain that was taken out.
+    bool mayServe(const server_entry &server) const
+    {
+        return !server.draining && !evacuated.contains(server.domain);
+    }
 };
 
 } // namespace daisystile
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -67,12 +67,11 @@
 
 void forwarder::countCapacity()
 {
-    const auto daemons = static_cast<unsigned>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    const auto daemons = static_cast<unsigned>(m_view->sharers());
     for (const auto &[service, servers] : m_view->servers->byService) {
         unsigned slots = 0;
         for (const auto &server : servers) {
-            const bool used = !server.draining && !m_view->evacuated.contains(server.domain);
-            slots += used ? server.slots : 0;
+            slots += m_view->mayServe(server) ? server.slots : 0;
         }
         m_queue.setCapacity(service, {slots, daemons});
     }
@@ -393,11 +392,6 @@
     forget(*request, request->state.terms.repeat == repeat_rule::idempotent ? cancelPatience : timeLeft(m_loop.now(), request->deadline));
 }
 
-std::size_t forwarder::running() const
-{
-    return m_requests.size();
-}
-
 attempt_end forwarder::judge(const running_attempt &attempt, attempt_id id, exchange_result &exchange)
 {
     if (const auto *broken = std::get_if<exchange_broken>(&exchange)) {
@@ -551,7 +545,7 @@
 extra_load_window &forwarder::budgetOf(const service_name &service)
 {
     const auto &bounds = m_settings.bounds;
-    const double share = bounds.retrySlack * usableSlack / static_cast<double>(std::max<std::size_t>(m_view->fleet.size(), 1));
+    const double share = bounds.retrySlack * usableSlack / static_cast<double>(m_view->sharers());
     const extra_load_terms terms {
         .window = bounds.retryWindow, .ratio = bounds.retryRatio * usableRatio, .slack = share, .hedgeReserve = share * hedgeReserveShare};
     const auto [found, isNew] = m_budgets.try_emplace(service, terms);
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -43,8 +43,6 @@
     /// The client is gone; its request is cancelled at the backend servers.
     void clientLeft(request_number request);
 
-    std::size_t running() const;
-
 private:
     struct request_part
     {
--- a/Source/Forward/relay_link.cxx
+++ b/Source/Forward/relay_link.cxx
@@ -60,11 +60,6 @@
     }
 }
 
-std::size_t relay_server::followers() const
-{
-    return m_followers.size();
-}
-
 relay_client::relay_client(reactor &loop, const ip_address &address, peer_credentials credentials, callbacks notify)
     : m_loop(loop),
       m_notify(std::move(notify)),
--- a/Source/Forward/relay_link.h
+++ b/Source/Forward/relay_link.h
@@ -21,7 +21,6 @@
     /// Errors: process_error{address_in_use}.
     leaf::result<void> listen(const ip_address &address);
     void tell(const relay_update &update);
-    std::size_t followers() const;
 
 private:
     struct follower
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -462,11 +462,11 @@
     m_implementation->start();
 }
 
-void store_follower::leave(std::function<void()> done)
+void store_follower::leave()
 {
     auto &self = *m_implementation;
     self.leaving = true;
-    self.store.remove(self.registered.entryKey(), always {}, [done = std::move(done)](const remove_result &) { done(); });
+    self.store.remove(self.registered.entryKey(), always {}, [](const remove_result &) {});
 }
 
 bool store_follower::ready() const
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -20,8 +20,8 @@
     store_follower &operator=(const store_follower &) = delete;
 
     void start();
-    /// Takes this daemon's entry out of the store; calls back when that is done or can't be.
-    void leave(std::function<void()> done);
+    /// Takes this daemon's entry out of the store, if it can be reached.
+    void leave();
     bool ready() const;
 
 private:
--- a/Source/Process/http_message.cxx
+++ b/Source/Process/http_message.cxx
@@ -245,6 +245,9 @@
 
 void request_reader::setLimits(message_limits limits)
 {
+    if (limits == m_implementation->limits) {
+        return;
+    }
     m_implementation->limits = limits;
     if (!started()) {
         m_implementation->begin();
--- a/Source/Process/http_message.h
+++ b/Source/Process/http_message.h
@@ -65,6 +65,8 @@
 {
     std::uint32_t headBytes = 16384;
     std::uint64_t bodyBytes = 1U << 20U;
+
+    bool operator==(const message_limits &) const = default;
 };
 
 /// Reads requests one after another from a connection's bytes.
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -3,7 +3,6 @@
 /// Public header of the process library: what lives as long as the process.
 
 #include "clock.h"
-#include "extra_load_budget.h"
 #include "hash.h"
 #include "http_client.h"
 #include "http_message.h"
--- a/Source/Process/extra_load_budget.cxx
+++ b/Source/Request/extra_load_budget.cxx
@@ -4,15 +4,13 @@
 
 namespace daisystile {
 
-extra_load_budget::extra_load_budget(extra_load_limits limits, double available)
-    : m_limits(limits),
-      m_available(available)
-{
-}
+// Unused budget above this is lost, so that a long calm can't pay for a flood of retries.
+static constexpr double largestBudget = 50;
+static constexpr double retryReserve = 20;
 
 void extra_load_budget::firstAttempts(std::size_t count, double share)
 {
-    m_available = std::min(m_available + static_cast<double>(count) * share, std::max(m_limits.largest, m_available));
+    m_available = std::min(m_available + static_cast<double>(count) * share, std::max(largestBudget, m_available));
 }
 
 bool extra_load_budget::take(std::size_t count)
@@ -27,7 +25,7 @@
 
 bool extra_load_budget::takeForHedge()
 {
-    return m_available >= m_limits.hedgeReserve + 1 && take();
+    return m_available >= retryReserve + 1 && take();
 }
 
 double extra_load_budget::available() const
@@ -35,10 +33,4 @@
     return m_available;
 }
 
-void extra_load_budget::setLimits(extra_load_limits limits)
-{
-    m_limits = limits;
-    m_available = std::min(m_available, limits.largest);
-}
-
 } // namespace daisystile
--- a/Source/Request/query_decision.h
+++ b/Source/Request/query_decision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "extra_load_budget.h"
 #include "query_state.h"
 #include <Process/process.h>
 
--- a/Source/Request/request.h
+++ b/Source/Request/request.h
@@ -17,6 +17,7 @@
 #include "coordinator.h"
 #include "crash_guard.h"
 #include "daemon_process.h"
+#include "extra_load_budget.h"
 #include "keeper_choice.h"
 #include "operators_api.h"
 #include "operators_json.h"
--- a/Source/Request/serving_table.h
+++ b/Source/Request/serving_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "extra_load_budget.h"
 #include "serving_state.h"
 #include <Process/process.h>
 
--- a/Source/Route/work_queue.cxx
+++ b/Source/Route/work_queue.cxx
@@ -21,6 +21,8 @@
 constexpr double countedPart = 0.75;
 // Time over which attempts are averaged where the share is a whole slot.
 constexpr milliseconds averagingTime {200};
+// Below this part of a slot the time grows no further.
+constexpr double smallestShare = 0.05;
 // One start in so many goes to the least urgent part, so that no kind of request starves.
 constexpr unsigned turnsOfUrgent = 5;
 constexpr milliseconds rateInterval {250};
@@ -57,7 +59,7 @@
 // The smaller the share, the fewer attempts tell how crowded the service is, and the longer they are averaged.
 double work_queue::averageAt(const service_work &work, monotonic_time now)
 {
-    const double share = std::clamp(work.share, 0.05, 1.0);
+    const double share = std::clamp(work.share, smallestShare, 1.0);
     const double time = std::chrono::duration<double>(averagingTime).count() / share;
     const double passed = std::max(0.0, std::chrono::duration<double>(now - work.averagedAt).count());
     const double current = running(work, now);
