--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -309,12 +309,12 @@
     query_answer reply;
     std::vector<std::string_view> bodies;
     for (const auto &part : request->parts) {
-        if (!part.receipt.value.empty()) {
-            reply.receipts.push_back(part.receipt);
+        if (!part.signature.value.empty()) {
+            reply.signatures.push_back(part.signature);
             bodies.emplace_back(part.body);
         }
     }
-    reply.missingParts = request->parts.size() - reply.receipts.size();
+    reply.missingParts = request->parts.size() - reply.signatures.size();
     reply.records = greatestRecords(bodies, shards->topRecords);
     finish(request, std::move(reply));
 }
@@ -424,8 +424,8 @@
 {
     if (std::holds_alternative<shards_target>(request.via->target)) {
         auto &part = request.parts[index];
-        if (exchange.answer.verdict == answer_verdict::success && part.receipt.value.empty()) {
-            part.receipt = exchange.answer.receipt;
+        if (exchange.answer.verdict == answer_verdict::success && part.signature.value.empty()) {
+            part.signature = exchange.answer.signature;
             part.body = std::move(exchange.message.body);
         }
         return;
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -52,7 +52,7 @@
         unsigned arrivals = 0;
         /// When it began to wait for room; none while it doesn't.
         std::optional<monotonic_time> waitingSince;
-        answer_receipt receipt;
+        answer_signature signature;
         std::string body;
     };
 
--- a/Tests/Forward/backend_connection_test.cxx
+++ b/Tests/Forward/backend_connection_test.cxx
@@ -84,7 +84,7 @@
     runFor(milliseconds {50});
     EXPECT_EQ(m_received, "request");
     ASSERT_EQ(m_results.size(), 1U);
-    EXPECT_EQ(std::get<exchange_answer>(m_results[0]).answer.receipt.value, "b");
+    EXPECT_EQ(std::get<exchange_answer>(m_results[0]).answer.signature.value, "b");
     EXPECT_FALSE(connection->usable(m_loop.now())) << "after a foreign answer";
 }
 
