Process: A call leaves at most once; libcurl no longer repeats it by itself

Cause: while tracing ownership_promises.failureDomainThatRestartsColdIsNeverOverloaded it showed that libcurl sends a request again on a new connection when a kept one breaks before an answer, whatever the method. That send passes none of our checks (lease, deadline, slot), and a write to the store whose answer was lost is repeated without the caller knowing: it then gets the refusal of its own earlier write. Ruled out as cause of that failing test: no request was lost in any of 13 traced failures. Test that failed first: http_round_trip.sendsACallOnceWhenItsKeptConnectionBreaksUnderIt (the server saw 3 requests for 2). Change: the library's hook before a request leaves refuses the second time; the call ends as reset and may have been sent. http_call::sendAtMostOnce only asked for a new connection, so it is named newConnection. Conclusion: repeating is the callers' decision alone.

--- a/Source/Connection/execute_runner.cxx
+++ b/Source/Connection/execute_runner.cxx
@@ -25,7 +25,7 @@
     call.headers = {{"Idempotency-Key", request.key.value}, {"Request-Id", backendRequestId(request.query)}, {"Deadline", std::to_string(left.count())}};
     call.body = request.body;
     call.timeout = left;
-    call.sendAtMostOnce = true;
+    call.newConnection = true;
     return call;
 }
 
--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <unistd.h>
 #include <unordered_map>
+#include <utility>
 
 namespace daisystile {
 
@@ -23,6 +24,7 @@
     std::string headerText;
     std::vector<curl_slist> headers;
     http_reply reply;
+    bool wasSent = false;
     std::function<void(http_result)> callback;
 };
 
@@ -145,6 +147,14 @@
         drive(CURL_SOCKET_TIMEOUT);
     }
 
+    // The library sends a request again by itself when a kept connection breaks before an answer. It may have run, and
+    // whether to repeat it is the caller's decision.
+    static int mayBeSent(void *call, char *, char *, int, int)
+    {
+        auto *entry = static_cast<transfer *>(call);
+        return std::exchange(entry->wasSent, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    }
+
     static size_t takeBody(char *data, size_t size, size_t count, void *target)
     {
         static_cast<transfer *>(target)->reply.body.append(data, size * count);
@@ -247,6 +257,7 @@
         case CURLE_SEND_ERROR:
         case CURLE_GOT_NOTHING:
         case CURLE_PARTIAL_FILE:
+        case CURLE_ABORTED_BY_CALLBACK:
             return http_failure_kind::reset;
         default:
             return requestBytes > 0 ? http_failure_kind::malformed : http_failure_kind::connect_failed;
@@ -277,6 +288,7 @@
         curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &takeBody);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &takeHeader);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &mayBeSent);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
         return easy;
@@ -300,6 +312,7 @@
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<milliseconds::rep>(call.timeout.count(), 1)));
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, &entry);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, &entry);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &entry);
         if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
             curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
@@ -307,8 +320,8 @@
             curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
         }
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-        // The library sends a request again by itself when a kept connection proves dead; a new one rules that out.
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.sendAtMostOnce ? 1L : 0L);
+        // A kept connection may end just as the request leaves, after which nobody knows whether it ran.
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.newConnection ? 1L : 0L);
         makeHeaders(entry);
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, entry.headers.data());
     }
--- a/Source/Process/http_client.h
+++ b/Source/Process/http_client.h
@@ -20,8 +20,8 @@
     std::vector<http_header> headers;
     std::string body;
     milliseconds timeout {1000};
-    /// Uses a new connection and never sends twice, not even when a kept connection turns out dead.
-    bool sendAtMostOnce = false;
+    /// Uses a new connection, as a kept one may end just as the request leaves.
+    bool newConnection = false;
 };
 
 struct http_reply
@@ -67,7 +67,7 @@
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
 
-    /// The callback comes exactly once, on the reactor's thread, never from within send().
+    /// The callback comes exactly once, on the reactor's thread, never from within send(). The request leaves at most once.
     http_call_id send(http_call call, std::function<void(http_result)> callback);
     /// Drops the call and its connection; its callback reports cancelled. An ended call is ignored.
     void cancel(http_call_id call);
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -6,31 +6,54 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <set>
+#include <thread>
 
 using namespace daisystile;
 
 namespace {
 
+struct open_listener
+{
+    explicit open_listener(int backlog)
+        : handle(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        socklen_t size = sizeof address;
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(bind(handle, reinterpret_cast<const sockaddr *>(&address), size), 0);
+        EXPECT_EQ(listen(handle, backlog), 0);
+        EXPECT_EQ(getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size), 0);
+    }
+
+    ~open_listener()
+    {
+        close(handle);
+    }
+
+    open_listener(const open_listener &) = delete;
+    open_listener &operator=(const open_listener &) = delete;
+
+    ip_address shown() const
+    {
+        return {"127.0.0.1", ntohs(address.sin_port)};
+    }
+
+    int handle;
+    sockaddr_in address {};
+};
+
 /// An address where the system lets connections wait for ever, as its queue is full.
 class silent_listener
 {
 public:
     silent_listener()
-        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        EXPECT_EQ(bind(m_listener, reinterpret_cast<const sockaddr *>(&address), size), 0);
-        EXPECT_EQ(listen(m_listener, 0), 0);
-        EXPECT_EQ(getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size), 0);
-        m_port = ntohs(address.sin_port);
         for (auto &client : m_clients) {
             client = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
             // The last ones stay under way for ever.
-            static_cast<void>(connect(client, reinterpret_cast<const sockaddr *>(&address), size));
+            static_cast<void>(connect(client, reinterpret_cast<const sockaddr *>(&m_listener.address), sizeof m_listener.address));
         }
     }
 
@@ -39,7 +62,6 @@
         for (const int client : m_clients) {
             close(client);
         }
-        close(m_listener);
     }
 
     silent_listener(const silent_listener &) = delete;
@@ -47,17 +69,79 @@
 
     ip_address address() const
     {
-        return {"127.0.0.1", m_port};
+        return m_listener.shown();
     }
 
 private:
-    int m_listener;
-    std::uint16_t m_port = 0;
+    open_listener m_listener {0};
     std::array<int, 3> m_clients {};
 };
 
 } // namespace
 
+namespace {
+
+/// A server on one thread of its own that answers the first request and closes the connection on each later one unanswered.
+class closing_server
+{
+public:
+    closing_server()
+    {
+        m_thread = std::thread([this] { serve(); });
+    }
+
+    ~closing_server()
+    {
+        shutdown(m_listener.handle, SHUT_RDWR);
+        m_thread.join();
+    }
+
+    closing_server(const closing_server &) = delete;
+    closing_server &operator=(const closing_server &) = delete;
+
+    ip_address address() const
+    {
+        return m_listener.shown();
+    }
+
+    int requests() const
+    {
+        return m_requests;
+    }
+
+private:
+    void serve()
+    {
+        for (int client = accept(m_listener.handle, nullptr, nullptr); client >= 0; client = accept(m_listener.handle, nullptr, nullptr)) {
+            while (readRequest(client) && ++m_requests == 1) {
+                static constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                EXPECT_EQ(write(client, answer.data(), answer.size()), static_cast<ssize_t>(answer.size()));
+            }
+            close(client);
+        }
+    }
+
+    static bool readRequest(int client)
+    {
+        std::array<char, 4096> bytes {};
+        std::string text;
+        while (text.find("\r\n\r\nbody") == std::string::npos) {
+            const auto count = read(client, bytes.data(), bytes.size());
+            if (count <= 0) {
+                return false;
+            }
+            text.append(bytes.data(), static_cast<std::size_t>(count));
+        }
+        return true;
+    }
+
+    open_listener m_listener {1};
+    std::atomic<int> m_requests = 0;
+    std::thread m_thread;
+};
+
+} // namespace
+
 class http_round_trip : public testing::Test
 {
 protected:
@@ -68,8 +152,13 @@
 
     http_result call(http_call request)
     {
-        http_result answer;
         request.address = m_server->address();
+        return callAddress(std::move(request));
+    }
+
+    http_result callAddress(http_call request)
+    {
+        http_result answer;
         m_client.send(std::move(request), [&](http_result result) {
             answer = std::move(result);
             m_loop.stop();
@@ -168,6 +257,17 @@
     EXPECT_EQ(std::get<http_reply>(call({.method = "PUT", .body = "three"})).body, "three");
 }
 
+TEST_F(http_round_trip, sendsACallOnceWhenItsKeptConnectionBreaksUnderIt)
+{
+    closing_server server;
+    const http_call request {.method = "POST", .address = server.address(), .path = "/write", .body = "body"};
+    ASSERT_TRUE(std::holds_alternative<http_reply>(callAddress(request)));
+    const auto failure = std::get<http_failure>(callAddress(request));
+    EXPECT_EQ(failure.kind, http_failure_kind::reset);
+    EXPECT_TRUE(failure.mayHaveBeenSent);
+    EXPECT_EQ(server.requests(), 2);
+}
+
 TEST_F(http_round_trip, keepsEachCallsMethodHeadersAndTimeoutApart)
 {
     listen([this](http_request request, http_responder respond) {
