Connection: A restart between two requests is noticed by the end of kept connections

The server restarted while no request of its owner ran, so nothing was lost; its silence of 200 ms was under the 250 ms after which a request goes alone; and with a busy processor a warm answer took the owner 20 ms, so a cold one of 6 ms instead of 2 looked like any other. The gate kept 2 or 3 requests at a time. Ruled out: changes of owner (none in the logs), slots freed while the server still ran (no request ended before its answer), libcurl's own repeats (none in the traces). Change: the HTTP client tells when a server ends a connection between two calls; the gate takes that for a restart, unless the connection had been unused for 2 s while others were answered (a server that trims its connections). A server whose connections are ended by something between, without a restart, is taken for cold once.

--- a/Source/Connection/gate_trace.cxx
+++ b/Source/Connection/gate_trace.cxx
@@ -61,6 +61,10 @@
     {
         return "reference_seen latency_us=" + std::to_string(event.latency.count());
     }
+    std::string operator()(const kept_connection_ended &event) const
+    {
+        return "kept_connection_ended unused_ms=" + std::to_string(event.unused.count());
+    }
     std::string operator()(const gate_tick &) const
     {
         return "gate_tick";
@@ -167,6 +171,9 @@
     if (name == "reference_seen") {
         return reference_seen {microseconds {fields.number("latency_us")}};
     }
+    if (name == "kept_connection_ended") {
+        return kept_connection_ended {milliseconds {fields.number("unused_ms")}};
+    }
     if (name == "gate_tick") {
         return gate_tick {};
     }
--- a/Source/Connection/slot_gate.cxx
+++ b/Source/Connection/slot_gate.cxx
@@ -296,6 +296,16 @@
     }
 }
 
+// A restart between two requests ends connections and shows nowhere else: times measured here say little of a cold
+// server when this host is busy.
+void slot_gate::on(const kept_connection_ended &event)
+{
+    const bool answersElsewhere = m_now - m_lastAnswer < m_settings.unusedConnection;
+    if (event.unused < m_settings.unusedConnection || !answersElsewhere) {
+        startCold(true);
+    }
+}
+
 void slot_gate::on(const gate_tick &)
 {
 }
--- a/Source/Connection/slot_gate.h
+++ b/Source/Connection/slot_gate.h
@@ -33,6 +33,8 @@
     double stuckFactor = 8;
     milliseconds firstPause {50};
     milliseconds longestPause {2000};
+    /// A server that answers elsewhere may end a connection that it kept unused for longer than this.
+    milliseconds unusedConnection {2000};
     /// A server that said it is leaving and has never gone away is tried again after this.
     milliseconds drainHold {60000};
 };
@@ -95,11 +97,18 @@
     microseconds latency;
 };
 
+/// The server ended a connection between requests, which was unused for so long.
+struct kept_connection_ended
+{
+    milliseconds unused {0};
+};
+
 struct gate_tick
 {
 };
 
-using gate_event = std::variant<request_arrived, request_withdrawn, request_ended, gate_opened, gate_closed, health_seen, reference_seen, gate_tick>;
+using gate_event =
+    std::variant<request_arrived, request_withdrawn, request_ended, gate_opened, gate_closed, health_seen, reference_seen, kept_connection_ended, gate_tick>;
 
 struct run_request
 {
@@ -142,6 +151,7 @@
     void on(const gate_closed &event);
     void on(const health_seen &event);
     void on(const reference_seen &event);
+    void on(const kept_connection_ended &event);
     void on(const gate_tick &event);
 
     void answered(microseconds latency);
--- a/Source/Connection/slot_keeper.cxx
+++ b/Source/Connection/slot_keeper.cxx
@@ -39,11 +39,13 @@
         return;
     }
     m_catalogue.clear();
+    m_serverAt.clear();
     for (const auto &[name, entry] : m_view->config->services) {
         for (const auto &server : entry->servers) {
             const auto domain = m_view->config->domains.find(server.domain);
             const bool out = domain != m_view->config->domains.end() && domain->second.out;
             m_catalogue[server.id] = {name, &server, out};
+            m_serverAt[server.address] = server.id;
         }
     }
 }
@@ -159,6 +161,15 @@
     reportIfQuiet(server, entry);
 }
 
+void slot_keeper::connectionEnded(const kept_connection_end &end)
+{
+    const auto listed = m_serverAt.find(end.address);
+    const auto found = listed == m_serverAt.end() ? m_servers.end() : m_servers.find(listed->second);
+    if (found != m_servers.end()) {
+        apply(found->first, found->second, kept_connection_ended {end.unused});
+    }
+}
+
 void slot_keeper::apply(const backend_server_id &server, server_entry &entry, const gate_event &event)
 {
     const auto now = m_loop.now();
--- a/Source/Connection/slot_keeper.h
+++ b/Source/Connection/slot_keeper.h
@@ -48,6 +48,7 @@
     /// Refuses the request if it still waits; one that runs is left alone.
     void withdraw(slot_ticket_id ticket);
     void leave(slot_ticket_id ticket, request_end end);
+    void connectionEnded(const kept_connection_end &end);
 
     server_load loadOf(const backend_server_id &server) const;
     std::size_t openTickets() const;
@@ -102,6 +103,7 @@
     std::function<void(server_quiet)> m_quiet;
     std::shared_ptr<const fleet_view> m_view;
     std::unordered_map<backend_server_id, catalogue_entry> m_catalogue;
+    std::map<ip_address, backend_server_id> m_serverAt;
     std::map<backend_server_id, server_entry> m_servers;
     std::unordered_map<slot_ticket_id, slot_request> m_tickets;
     slot_ticket_id m_nextTicket = 1;
--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -2,9 +2,13 @@
 
 #include "log.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
 #include <utility>
@@ -32,6 +36,18 @@
 
 struct http_client::implementation
 {
+    struct watched_socket
+    {
+        io_interest interest;
+        bool wanted = false;
+        /// The connection was open: only then are answers waited for.
+        bool opened = false;
+        ip_address peer;
+        monotonic_time unusedSince;
+        /// The number of the drive in which its last call ended.
+        std::uint64_t releasedIn = 0;
+    };
+
     implementation(reactor &eventLoop, http_client_limits clientLimits)
         : loop(eventLoop),
           multi(curl_multi_init())
@@ -82,18 +98,61 @@
         if (found == watched.end()) {
             return;
         }
-        found->second.wanted = false;
-        if (!found->second.opened) {
+        auto &entry = found->second;
+        entry.wanted = false;
+        entry.unusedSince = loop.now();
+        entry.releasedIn = drives;
+        if (!entry.opened) {
             unwatch(handle);
+        } else if (entry.peer.port == 0) {
+            entry.peer = peerOf(handle);
         }
     }
 
+    static ip_address peerOf(int handle)
+    {
+        sockaddr_in peer {};
+        socklen_t size = sizeof peer;
+        std::array<char, INET_ADDRSTRLEN> text {};
+        if (getpeername(handle, reinterpret_cast<sockaddr *>(&peer), &size) != 0 || peer.sin_family != AF_INET
+            || !inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size())) {
+            return {};
+        }
+        return {text.data(), ntohs(peer.sin_port)};
+    }
+
+    // The library closes a connection that it finds ended; one that is closed with the call that used it was announced.
     static int closeSocket(void *client, curl_socket_t handle)
     {
-        static_cast<implementation *>(client)->unwatch(handle);
+        auto *self = static_cast<implementation *>(client);
+        const auto found = self->watched.find(handle);
+        if (found != self->watched.end() && found->second.releasedIn != self->drives && hasEnded(handle)) {
+            self->reportEnd(found->second);
+        }
+        self->unwatch(handle);
         return close(handle);
     }
 
+    static bool hasEnded(int handle)
+    {
+        char byte = 0;
+        const auto count = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+    }
+
+    void reportEnd(const watched_socket &entry)
+    {
+        if (entry.wanted || entry.peer.port == 0 || !keptConnectionEnd) {
+            return;
+        }
+        const auto unused = std::chrono::duration_cast<milliseconds>(loop.now() - entry.unusedSince);
+        loop.post([this, stillAlive = std::weak_ptr(alive), end = kept_connection_end {entry.peer, unused}] {
+            if (!stillAlive.expired()) {
+                keptConnectionEnd(end);
+            }
+        });
+    }
+
     void watch(int handle, io_interest interest)
     {
         const auto [found, isNew] = watched.try_emplace(handle);
@@ -185,6 +244,7 @@
     {
         const auto found = watched.find(handle);
         if (found != watched.end() && !found->second.wanted) {
+            reportEnd(found->second);
             unwatch(handle);
             return;
         }
@@ -194,6 +254,7 @@
     void drive(curl_socket_t handle)
     {
         int running = 0;
+        drives += 1;
         curl_multi_socket_action(multi, handle, 0, &running);
         collectEnded();
     }
@@ -346,14 +407,6 @@
         }
     }
 
-    struct watched_socket
-    {
-        io_interest interest;
-        bool wanted = false;
-        /// The connection was open: only then are answers waited for.
-        bool opened = false;
-    };
-
     reactor &loop;
     CURLM *multi;
     // When the library wants to be called, and when the reactor will.
@@ -364,6 +417,8 @@
     std::unordered_map<http_call_id, std::unique_ptr<transfer>> transfers;
     std::vector<CURL *> idleHandles;
     std::unordered_map<int, watched_socket> watched;
+    std::uint64_t drives = 0;
+    std::function<void(const kept_connection_end &)> keptConnectionEnd;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -405,4 +460,9 @@
     self.loop.post([callback = std::move(callback), sent = requestBytes > 0] { callback(http_failure {http_failure_kind::cancelled, sent, "cancelled"}); });
 }
 
+void http_client::onKeptConnectionEnd(std::function<void(const kept_connection_end &)> callback)
+{
+    m_implementation->keptConnectionEnd = std::move(callback);
+}
+
 } // namespace daisystile
--- a/Source/Process/http_client.h
+++ b/Source/Process/http_client.h
@@ -51,6 +51,14 @@
 using http_result = std::variant<http_reply, http_failure>;
 using http_call_id = std::uint64_t;
 
+/// The server ended a connection between two calls.
+struct kept_connection_end
+{
+    ip_address address;
+    /// Time since its last call.
+    milliseconds unused {0};
+};
+
 struct http_client_limits
 {
     /// Open connections to one address, idle ones included.
@@ -71,6 +79,8 @@
     http_call_id send(http_call call, std::function<void(http_result)> callback);
     /// Drops the call and its connection; its callback reports cancelled. An ended call is ignored.
     void cancel(http_call_id call);
+    /// Called on the reactor's thread, never from within another call of this class.
+    void onKeptConnectionEnd(std::function<void(const kept_connection_end &)> callback);
 
 private:
     struct implementation;
--- a/Tests/Connection/slot_gate_fuzz_test.cxx
+++ b/Tests/Connection/slot_gate_fuzz_test.cxx
@@ -10,7 +10,7 @@
 
 static void disturb(gate_driver &driver)
 {
-    switch (driver.random(8)) {
+    switch (driver.random(9)) {
     case 0:
         driver.restartServer(milliseconds {driver.random(500)});
         break;
@@ -33,6 +33,9 @@
     case 6:
         driver.give(request_withdrawn {driver.nextId - 1 - driver.random(5)});
         break;
+    case 7:
+        driver.give(kept_connection_ended {milliseconds {driver.random(4000)}});
+        break;
     default:
         driver.give(reference_seen {microseconds {1000 + driver.random(2000)}});
     }
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -150,6 +150,17 @@
         m_server = http_server::listen(m_loop, {"127.0.0.1", 0}, std::move(handler), limits).value();
     }
 
+    void listenAt(const ip_address &address, http_handler handler)
+    {
+        m_server = http_server::listen(m_loop, address, std::move(handler), {}).value();
+    }
+
+    void runFor(milliseconds time)
+    {
+        m_loop.after(time, [this] { m_loop.stop(); });
+        m_loop.run();
+    }
+
     http_result call(http_call request)
     {
         request.address = m_server->address();
@@ -257,6 +268,53 @@
     EXPECT_EQ(std::get<http_reply>(call({.method = "PUT", .body = "three"})).body, "three");
 }
 
+TEST_F(http_round_trip, tellsOfAKeptConnectionThatTheServerEnded)
+{
+    std::vector<kept_connection_end> ends;
+    m_client.onKeptConnectionEnd([&](const kept_connection_end &end) { ends.push_back(end); });
+    listen([](http_request, http_responder respond) { respond({}); });
+    const auto address = m_server->address();
+    ASSERT_TRUE(std::holds_alternative<http_reply>(call({})));
+    runFor(milliseconds {20});
+    EXPECT_TRUE(ends.empty());
+    m_server.reset();
+    runFor(milliseconds {20});
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].address, address);
+    EXPECT_GE(ends[0].unused, milliseconds {20});
+}
+
+TEST_F(http_round_trip, tellsOfAnEndedConnectionAlsoWhenTheNextCallFindsIt)
+{
+    std::vector<kept_connection_end> ends;
+    m_client.onKeptConnectionEnd([&](const kept_connection_end &end) { ends.push_back(end); });
+    const auto answer = [](const http_request &, const http_responder &respond) {
+        respond({});
+    };
+    listen(answer);
+    const auto address = m_server->address();
+    ASSERT_TRUE(std::holds_alternative<http_reply>(call({})));
+    m_server.reset();
+    listenAt(address, answer);
+    ASSERT_TRUE(std::holds_alternative<http_reply>(call({})));
+    runFor(milliseconds {5});
+    EXPECT_EQ(ends.size(), 1U);
+}
+
+TEST_F(http_round_trip, saysNothingOfAConnectionWhoseEndTheAnswerAnnounced)
+{
+    std::vector<kept_connection_end> ends;
+    m_client.onKeptConnectionEnd([&](const kept_connection_end &end) { ends.push_back(end); });
+    listen([](http_request, http_responder respond) {
+        http_response response;
+        response.headers.push_back({"Connection", "close"});
+        respond(std::move(response));
+    });
+    ASSERT_TRUE(std::holds_alternative<http_reply>(call({})));
+    runFor(milliseconds {20});
+    EXPECT_TRUE(ends.empty());
+}
+
 TEST_F(http_round_trip, sendsACallOnceWhenItsKeptConnectionBreaksUnderIt)
 {
     closing_server server;
