Process: A peer that reads slowly gets the whole answer before its connection is closed

Cause: closeWhenSent() released the connection 500 ms after the call, sent or not. A client that asked for the connection to be closed and read a large answer slowly lost its end. Test that failed first: tcp_stream.sendsEverythingToAPeerThatReadsLate (219264 of 8388608 bytes). Change: the 500 ms count from the last byte sent; until then the connection stays as long as the peer takes a byte in 15 s. After: all bytes.

--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -23,6 +23,10 @@
 constexpr int probeIdleSeconds = 5;
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 3;
+// For the peer's end once everything was sent to it.
+constexpr milliseconds longestLinger {500};
+// Without one byte taken by the peer; beyond the pauses of a mobile network.
+constexpr milliseconds longestSendStall {15000};
 
 bool wouldWait(int error)
 {
@@ -174,11 +178,33 @@
     {
         unsent.consume(sendNow(unsent.view()));
         if (closing && unsent.empty()) {
-            stream.close_writer();
+            endSending();
         }
         watch();
     }
 
+    // Closing with unread bytes would reset the connection and lose the answer on its way, so the peer closes first.
+    void endSending()
+    {
+        stream.close_writer();
+        loop.after(longestLinger, [kept = shared_from_this()] { kept->release(); });
+    }
+
+    // A peer that reads slowly gets everything; one that reads nothing for long is given up.
+    void keepWhileSending()
+    {
+        loop.after(longestSendStall, [kept = shared_from_this(), before = unsent.size()] {
+            if (kept->stream.get_handle() == ACE_INVALID_HANDLE || kept->unsent.empty()) {
+                return;
+            }
+            if (kept->unsent.size() == before) {
+                kept->release();
+            } else {
+                kept->keepWhileSending();
+            }
+        });
+    }
+
     void end(stream_end how)
     {
         const bool tell = !ended && !closing;
@@ -254,20 +280,17 @@
 
 void tcp_stream::closeWhenSent()
 {
-    constexpr milliseconds longestLinger {500};
     auto &self = *m_implementation;
     self.closing = true;
     self.input.clear();
     if (self.stream.get_handle() == ACE_INVALID_HANDLE) {
         return;
     }
-    if (!self.unsent.empty()) {
-        self.loop.after(longestLinger, [kept = m_implementation] { kept->release(); });
-        return;
+    if (self.unsent.empty()) {
+        self.endSending();
+    } else {
+        self.keepWhileSending();
     }
-    // Closing with unread bytes would reset the connection and lose the answer on its way, so the peer closes first.
-    self.stream.close_writer();
-    self.loop.after(longestLinger, [kept = m_implementation] { kept->release(); });
 }
 
 void tcp_stream::abort()
