Forward: Calls of the register that fail are logged; the mirror's event that only a test used is gone

Cause: a listing of the daemons, a removal and the write of the daemons' key could fail without a line. A failure that says 'someone else did it' stays silent. mirror_begun was never given by the runner, which starts with mirror_outdated. Ruled out: more lines than one for each listing, every 10 s, while the store is away.

--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -11,9 +11,6 @@
 
 namespace daisystile {
 
-struct mirror_begun
-{
-};
 struct mirror_listed
 {
     list_result result;
@@ -44,7 +41,7 @@
 struct mirror_timer
 {
 };
-using mirror_event = std::variant<mirror_begun, mirror_listed, mirror_watched, mirror_checked, mirror_outdated, mirror_relayed, mirror_timer>;
+using mirror_event = std::variant<mirror_listed, mirror_watched, mirror_checked, mirror_outdated, mirror_relayed, mirror_timer>;
 
 /// Read all objects anew.
 struct read_all_objects
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -35,6 +35,14 @@
     return key.substr(key.find('/') + 1);
 }
 
+// Another daemon may have removed the entry, or its owner have written it anew.
+void logUnlessGone(const std::string &key, const remove_result &result)
+{
+    if (std::holds_alternative<write_unknown>(result) || std::holds_alternative<platform_unavailable>(result)) {
+        DAISYSTILE_LOG(WARNING, "fleet") << "Entry of a daemon was not removed." << field("key", key);
+    }
+}
+
 } // namespace
 
 struct store_follower::implementation
@@ -383,6 +391,8 @@
         store.put(fleet_register::peerKeyEntry, fleet_register::peerKeyText(sha256Hex(randomBytes(32))), if_absent {}, [](const write_result &result) {
             if (std::holds_alternative<object_written>(result)) {
                 DAISYSTILE_LOG(INFO, "fleet") << "Key of the daemons written.";
+            } else if (!std::holds_alternative<write_conflict>(result)) {
+                DAISYSTILE_LOG(WARNING, "fleet") << "Key of the daemons was not written.";
             }
         });
     }
@@ -391,11 +401,12 @@
     {
         const auto *list = std::get_if<object_list>(&result);
         if (list == nullptr) {
+            DAISYSTILE_LOG(WARNING, "fleet") << "Daemons were not listed." << field("known", view.fleet.size());
             return;
         }
         registered.listed(*list, loop.now());
         for (const auto &object : registered.removable(loop.now())) {
-            store.remove(object.key, if_version {object.etag}, [](const remove_result &) {});
+            store.remove(object.key, if_version {object.etag}, [key = object.key](const remove_result &removal) { logUnlessGone(key, removal); });
         }
         auto fleet = registered.daemons(loop.now());
         servers.setPace(std::clamp<milliseconds>(serversPacePerDaemon * fleet.size(), shortestServersPace, longestServersPace));
@@ -466,7 +477,7 @@
 {
     auto &self = *m_implementation;
     self.leaving = true;
-    self.store.remove(self.registered.entryKey(), always {}, [](const remove_result &) {});
+    self.store.remove(self.registered.entryKey(), always {}, [key = self.registered.entryKey()](const remove_result &result) { logUnlessGone(key, result); });
 }
 
 bool store_follower::ready() const
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -39,7 +39,7 @@
 
 TEST_F(object_mirror_test, readsThenWatchesAndPacesChanges)
 {
-    EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_begun {}, m_now)));
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_outdated {}, m_now)));
     EXPECT_FALSE(m_mirror.known());
     EXPECT_EQ(std::get<watch_objects>(listed({object("a", 3)}, 7)).after, 7U);
     EXPECT_TRUE(m_mirror.known());
