--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -275,29 +275,10 @@
     });
 }
 
-// One line a request: what was decided, from which inputs, and how old these were.
-void forwarder::logEnd(const running_request &request, const char *outcome)
-{
-    const auto waited = std::chrono::duration_cast<milliseconds>(m_loop.now() - request.received);
-    const bool late = waited > request.via->objective;
-    const auto line = field("request", request.head.id.value) + field("route", request.via->name.value) + field("outcome", outcome)
-        + field("parts", std::to_string(request.state.answered) + "/" + std::to_string(request.state.terms.parts)) + field("lost", request.state.lost)
-        + field("attempts", request.attemptsMade) + field("waited_ms", static_cast<std::uint64_t>(waited.count()))
-        + field("foreseen_wait_ms", static_cast<std::uint64_t>(request.foreseenWait.count()))
-        + field("objective_ms", static_cast<std::uint64_t>(request.via->objective.count()))
-        + field("version", request.view->routes->configuration().version.value);
-    const bool good = request.state.answered == request.state.terms.parts && !late;
-    if (good) {
-        DAISYSTILE_LOG(INFO, "answer") << "Request ended." << line;
-    } else {
-        DAISYSTILE_LOG(WARNING, "answer") << "Request ended." << line;
-    }
-}
-
 void forwarder::answer(const request_pointer &request)
 {
     const bool complete = request->state.answered == request->state.terms.parts;
-    logEnd(*request, complete ? "complete" : "partial");
+    logRequestEnd(*request, complete ? "complete" : "partial", m_loop.now());
     const auto now = m_loop.now();
     m_metrics.latency.observe(std::chrono::duration_cast<microseconds>(now - request->received));
     (complete ? m_metrics.complete : m_metrics.partial).add();
@@ -326,7 +307,7 @@
         : failure == forward_failure::not_run   ? "not_run"
         : failure == forward_failure::timed_out ? "timed_out"
                                                 : "failed";
-    logEnd(*request, outcome);
+    logRequestEnd(*request, outcome, m_loop.now());
     // A failure that the server itself stands for is passed on.
     if (passedOn) {
         m_metrics.failed.add();
@@ -388,7 +369,7 @@
     }
     const auto request = found->second;
     m_metrics.clientsGone.add();
-    logEnd(*request, "client_gone");
+    logRequestEnd(*request, "client_gone", m_loop.now());
     forget(*request, request->state.terms.repeat == repeat_rule::idempotent ? cancelPatience : timeLeft(m_loop.now(), request->deadline));
 }
 
@@ -438,18 +419,6 @@
     }
 }
 
-void forwarder::logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange)
-{
-    const auto *broken = std::get_if<exchange_broken>(&exchange);
-    const auto took = std::chrono::duration_cast<milliseconds>(m_loop.now() - attempt.sent);
-    const auto reason = broken != nullptr ? std::string(broken->reason) : "status " + std::to_string(std::get<exchange_answer>(exchange).message.status);
-    DAISYSTILE_LOG(WARNING, "attempt") << "Attempt failed." << field("request", attempt.clientId.value) << field("part", attempt.part)
-                                       << field("service", attempt.service.value) << field("server", attempt.server.value) << field("reason", reason)
-                                       << field("took_ms", static_cast<std::uint64_t>(took.count()))
-                                       << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run")
-                                       << field("awaited", m_requests.contains(attempt.request) ? "yes" : "no");
-}
-
 void forwarder::attemptEnded(attempt_result result)
 {
     const auto found = m_attempts.find(result.attempt);
@@ -461,7 +430,7 @@
     m_queue.ended(attempt.service, result.attempt, m_loop.now());
     const auto end = judge(attempt, result.attempt, result.exchange);
     if (end != attempt_end::answered) {
-        logAttempt(attempt, end, result.exchange);
+        logAttemptFailure(attempt, end, result.exchange, m_requests.contains(attempt.request), m_loop.now());
     }
     const auto entry = m_requests.find(attempt.request);
     if (entry != m_requests.end()) {
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -4,30 +4,16 @@
 #include "entry_settings.h"
 #include "entry_view.h"
 #include "forward_metrics.h"
+#include "running_request.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <unordered_map>
-#include <variant>
 
 namespace daisystile {
 
-/// An answer of our own: a refusal or a failure.
-struct own_reply
-{
-    int status = 0;
-    std::optional<milliseconds> retryAfter;
-};
-
-/// What a client gets: a backend server's answer, a query's merged answer, or our own.
-using client_reply = std::variant<response_message, query_answer, own_reply>;
-
-/// Names a request that runs; 0 names none.
-using request_number = std::uint64_t;
-
 /// Sends clients' requests to backend servers and gathers their answers, on the traffic thread.
 class forwarder
 {
@@ -44,52 +30,6 @@
     void clientLeft(request_number request);
 
 private:
-    struct request_part
-    {
-        service_name service;
-        std::vector<backend_server_id> tried;
-        /// Attempts that have reached, or may have reached, a server.
-        unsigned arrivals = 0;
-        /// When it began to wait for room; none while it doesn't.
-        std::optional<monotonic_time> waitingSince;
-        answer_signature signature;
-        std::string body;
-    };
-
-    struct running_request
-    {
-        request_number number = 0;
-        request_message message;
-        client_request_head head;
-        std::shared_ptr<const entry_view> view;
-        const route *via = nullptr;
-        monotonic_time received;
-        monotonic_time deadline;
-        forward_state state;
-        std::vector<request_part> parts;
-        /// The answer to a request to one service.
-        std::optional<response_message> answer;
-        std::set<attempt_id> attempts;
-        std::function<void(client_reply)> reply;
-        timer_id timer = 0;
-        monotonic_time timerAt = monotonic_time::max();
-        bool waited = false;
-        /// How long it would have to wait, as foreseen when it came.
-        milliseconds foreseenWait {0};
-        unsigned attemptsMade = 0;
-    };
-
-    struct running_attempt
-    {
-        request_number request;
-        part_index part;
-        backend_server_id server;
-        route_name route;
-        service_name service;
-        monotonic_time sent;
-        client_request_id clientId;
-    };
-
     /// A part for which no server was found, on its way into the queue.
     struct unplaced_part
     {
@@ -126,8 +66,6 @@
     /// Lets the parts that found no server wait, once nothing else is being woken.
     void queueVain();
     void scheduleWake();
-    void logEnd(const running_request &request, const char *outcome);
-    void logAttempt(const running_attempt &attempt, attempt_end end, const exchange_result &exchange);
     route_pace &paceOf(const route &via);
     extra_load_window &budgetOf(const service_name &service);
     milliseconds retryAfter(const running_request &request);
--- /dev/null
+++ b/Source/Forward/running_request.cxx
@@ -0,0 +1,35 @@
+#include "running_request.h"
+
+namespace daisystile {
+
+void logRequestEnd(const running_request &request, const char *outcome, monotonic_time now)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - request.received);
+    const bool late = waited > request.via->objective;
+    const auto line = field("request", request.head.id.value) + field("route", request.via->name.value) + field("outcome", outcome)
+        + field("parts", std::to_string(request.state.answered) + "/" + std::to_string(request.state.terms.parts)) + field("lost", request.state.lost)
+        + field("attempts", request.attemptsMade) + field("waited_ms", static_cast<std::uint64_t>(waited.count()))
+        + field("foreseen_wait_ms", static_cast<std::uint64_t>(request.foreseenWait.count()))
+        + field("objective_ms", static_cast<std::uint64_t>(request.via->objective.count()))
+        + field("version", request.view->routes->configuration().version.value);
+    const bool good = request.state.answered == request.state.terms.parts && !late;
+    if (good) {
+        DAISYSTILE_LOG(INFO, "answer") << "Request ended." << line;
+    } else {
+        DAISYSTILE_LOG(WARNING, "answer") << "Request ended." << line;
+    }
+}
+
+void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now)
+{
+    const auto *broken = std::get_if<exchange_broken>(&exchange);
+    const auto took = std::chrono::duration_cast<milliseconds>(now - attempt.sent);
+    const auto reason = broken != nullptr ? std::string(broken->reason) : "status " + std::to_string(std::get<exchange_answer>(exchange).message.status);
+    DAISYSTILE_LOG(WARNING, "attempt") << "Attempt failed." << field("request", attempt.clientId.value) << field("part", attempt.part)
+                                       << field("service", attempt.service.value) << field("server", attempt.server.value) << field("reason", reason)
+                                       << field("took_ms", static_cast<std::uint64_t>(took.count()))
+                                       << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run")
+                                       << field("awaited", awaited ? "yes" : "no");
+}
+
+} // namespace daisystile
