Process: Who connected to us may leave an answer unread for 15 s

Cause: TCP_USER_TIMEOUT of 3 s also counts while the peer's window is closed, so the kernel reset a client that paused for longer within a large answer (a frozen client, a phone out of reach). Change: 15 s on accepted connections; on those that we open, where a vanished server must be noticed, it stays at 3 s. A client that vanished without a word is now noticed after 15 s instead of 6; its request ends by its deadline before that.

--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -19,14 +19,14 @@
 constexpr int acceptBacklog = 1024;
 constexpr int acceptsPerWake = 16;
 // A peer that has vanished without a word is noticed by unanswered bytes, or by unanswered probes while nothing is sent.
-constexpr int unansweredTimeoutMs = 3000;
+constexpr milliseconds longestUnanswered {3000};
+// Who connected to us may be slow to read what is ready for it: without one byte taken, beyond the pauses of a mobile network.
+constexpr milliseconds longestSendStall {15000};
 constexpr int probeIdleSeconds = 5;
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 3;
 // For the peer's end once everything was sent to it.
 constexpr milliseconds longestLinger {500};
-// Without one byte taken by the peer; beyond the pauses of a mobile network.
-constexpr milliseconds longestSendStall {15000};
 
 bool wouldWait(int error)
 {
@@ -38,11 +38,11 @@
     stream.set_option(level, option, &value, sizeof value);
 }
 
-void setOptions(ACE_SOCK_Stream &stream)
+void setOptions(ACE_SOCK_Stream &stream, milliseconds unanswered)
 {
     stream.enable(ACE_NONBLOCK);
     setOption(stream, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(stream, IPPROTO_TCP, TCP_USER_TIMEOUT, unansweredTimeoutMs);
+    setOption(stream, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unanswered.count()));
     setOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
     setOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
@@ -85,7 +85,7 @@
             });
             return;
         }
-        setOptions(stream);
+        setOptions(stream, longestUnanswered);
         start(false);
     }
 
@@ -239,7 +239,7 @@
     : m_implementation(std::make_shared<implementation>(loop, std::move(notify)))
 {
     m_implementation->stream.set_handle(handle);
-    setOptions(m_implementation->stream);
+    setOptions(m_implementation->stream, longestSendStall);
     m_implementation->start(true);
 }
 
--- a/Tests/Process/tcp_stream_test.cxx
+++ b/Tests/Process/tcp_stream_test.cxx
@@ -1,5 +1,6 @@
 #include "Process/process.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,12 +13,22 @@
 
 namespace {
 
-/// Two ends of a connection: one for the loop, one that a test's own thread reads.
+/// Two ends of a TCP connection: the accepted one for the loop, one that a test's own thread reads.
 std::array<int, 2> connectedPair()
 {
-    std::array<int, 2> ends {-1, -1};
-    EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()), 0);
-    return ends;
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    EXPECT_EQ(bind(listener, reinterpret_cast<const sockaddr *>(&address), size), 0);
+    EXPECT_EQ(listen(listener, 1), 0);
+    EXPECT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size), 0);
+    const int peer = socket(AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ(connect(peer, reinterpret_cast<const sockaddr *>(&address), size), 0);
+    const int accepted = accept(listener, nullptr, nullptr);
+    close(listener);
+    return {accepted, peer};
 }
 
 std::size_t readAll(int handle)
@@ -32,9 +43,13 @@
 
 } // namespace
 
-TEST(tcp_stream, sendsEverythingToAPeerThatReadsLate)
+class slow_readers : public testing::TestWithParam<milliseconds>
 {
-    static constexpr std::size_t answerBytes = 8U << 20U;
+};
+
+TEST_P(slow_readers, getEverythingBeforeTheConnectionIsClosed)
+{
+    static constexpr std::size_t answerBytes = 32U << 20U;
     reactor loop;
     const auto ends = connectedPair();
     tcp_stream stream(loop,
@@ -49,7 +64,7 @@
     stream.closeWhenSent();
     std::size_t received = 0;
     std::thread peer([&] {
-        std::this_thread::sleep_for(milliseconds {1200});
+        std::this_thread::sleep_for(GetParam());
         received = readAll(ends[1]);
         close(ends[1]);
         loop.post([&] { loop.stop(); });
@@ -58,3 +73,5 @@
     peer.join();
     EXPECT_EQ(received, answerBytes);
 }
+
+INSTANTIATE_TEST_SUITE_P(pauses, slow_readers, testing::Values(milliseconds {1200}, milliseconds {5000}));
