Forward: A client that still reads its answer counts as busy until it has it

Cause: an answer with 'Connection: close', as each one while draining, took the connection out of the door's list at once. The daemon then saw nothing busy and ended 3 s after SIGTERM, in the midst of answers to slow readers. Test that failed first: entry_promises.aSlowReaderHasItsAnswerBeforeTheDaemonEnds (24576 of 7340032 bytes). Change: such a connection stays in the list until everything is sent or the peer is gone; the grace period still bounds it. After: all bytes, and the daemon ends with 0.

--- a/Source/Forward/client_door.cxx
+++ b/Source/Forward/client_door.cxx
@@ -81,23 +81,28 @@
 
     bool busy() const
     {
-        return m_answering || m_reader.started() || m_stream.unsent() > 0;
+        return m_answering || (!m_over && m_reader.started()) || sending();
     }
 
     void closeIfIdle()
     {
-        if (!busy()) {
+        if (busy()) {
+            return;
+        }
+        if (!m_over) {
             m_stream.closeWhenSent();
-            m_door.retire(m_number);
         }
+        m_door.retire(m_number);
     }
 
     void sweep(monotonic_time now, const client_limits &limits)
     {
-        if (m_answering) {
+        if (m_answering || sending()) {
             return;
         }
-        if (m_reader.started()) {
+        if (m_over) {
+            closeIfIdle();
+        } else if (m_reader.started()) {
             if (now - m_since > limits.headTimeout) {
                 refuse(statusTimeout);
             }
@@ -107,6 +112,11 @@
     }
 
 private:
+    bool sending() const
+    {
+        return m_stream.isOpen() && m_stream.unsent() > 0;
+    }
+
     void received()
     {
         if (m_answering) {
@@ -193,11 +203,14 @@
         close();
     }
 
+    // A client that still reads its answer counts as busy until it has it.
     void close()
     {
         m_over = true;
         m_stream.closeWhenSent();
-        m_door.retire(m_number);
+        if (!sending()) {
+            m_door.retire(m_number);
+        }
     }
 
     void ended()
--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -3,12 +3,16 @@
 
 #include <StandIns/plain_backend.h>
 
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 using namespace daisystile;
 using nlohmann::json;
@@ -416,3 +420,39 @@
         EXPECT_EQ(status, 200);
     }
 }
+
+TEST_F(entry_promises, aSlowReaderHasItsAnswerBeforeTheDaemonEnds)
+{
+    static constexpr std::size_t answerBytes = 7U << 20U;
+    int receiveBytes = 16384;
+    addServer("logbook", std::string(answerBytes, 'x'));
+    for (std::size_t i = 0; i + 1 < m_servers.size(); ++i) {
+        putServer(i, "draining");
+    }
+    startDaemon();
+    const auto address = m_daemon->address("clients");
+    std::size_t received = 0;
+    std::thread reader([&] {
+        const ACE_INET_Addr target(address.port, address.host.c_str());
+        ACE_SOCK_Stream stream;
+        ASSERT_EQ(stream.open(SOCK_STREAM, AF_INET, 0, 0), 0);
+        stream.set_option(SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+        ASSERT_EQ(ACE_SOCK_Connector().connect(stream, target), 0);
+        const std::string request =
+            std::string("GET /read/ HTTP/1.1\r\nHost: ") + host + "\r\nRequest-Id: slow\r\nDeadline-Ms: 5000\r\nConnection: close\r\n\r\n";
+        ASSERT_EQ(stream.send_n(request.data(), request.size()), static_cast<ssize_t>(request.size()));
+        // Beyond the moment at which a daemon without work ends.
+        std::this_thread::sleep_for(milliseconds {4500});
+        std::array<char, 65536> bytes {};
+        for (auto count = stream.recv(bytes.data(), bytes.size()); count > 0; count = stream.recv(bytes.data(), bytes.size())) {
+            received += static_cast<std::size_t>(count);
+        }
+        stream.close();
+    });
+    EXPECT_TRUE(waitFor([&] { return runsOf("slow") == 1; }));
+    m_client.waitUntil([] { return false; }, milliseconds {500});
+    m_daemon->signal(SIGTERM);
+    reader.join();
+    EXPECT_GT(received, answerBytes);
+    EXPECT_EQ(m_daemon->waitExit(seconds {7}), 0);
+}
