--- a/Source/Connection/slot_keeper.cxx
+++ b/Source/Connection/slot_keeper.cxx
@@ -161,12 +161,19 @@
     reportIfQuiet(server, entry);
 }
 
-void slot_keeper::connectionEnded(const kept_connection_end &end)
+void slot_keeper::connectionEnded(const ended_connection &end)
 {
     const auto listed = m_serverAt.find(end.address);
     const auto found = listed == m_serverAt.end() ? m_servers.end() : m_servers.find(listed->second);
-    if (found != m_servers.end()) {
-        apply(found->first, found->second, kept_connection_ended {end.unused});
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto &gate = found->second.gate;
+    const auto before = gate.allowed(m_loop.now());
+    apply(found->first, found->second, kept_connection_ended {end.unused});
+    if (gate.allowed(m_loop.now()) < before) {
+        DAISYSTILE_LOG(INFO, "owner") << "Server ended a kept connection and is taken for cold." << field("server", found->first.value)
+                                      << field("unused_ms", static_cast<std::uint64_t>(end.unused.count()));
     }
 }
 
--- a/Source/Connection/slot_keeper.h
+++ b/Source/Connection/slot_keeper.h
@@ -48,7 +48,7 @@
     /// Refuses the request if it still waits; one that runs is left alone.
     void withdraw(slot_ticket_id ticket);
     void leave(slot_ticket_id ticket, request_end end);
-    void connectionEnded(const kept_connection_end &end);
+    void connectionEnded(const ended_connection &end);
 
     server_load loadOf(const backend_server_id &server) const;
     std::size_t openTickets() const;
--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -142,13 +142,13 @@
 
     void reportEnd(const watched_socket &entry)
     {
-        if (entry.wanted || entry.peer.port == 0 || !keptConnectionEnd) {
+        if (entry.wanted || entry.peer.port == 0 || !connectionEnded) {
             return;
         }
         const auto unused = std::chrono::duration_cast<milliseconds>(loop.now() - entry.unusedSince);
-        loop.post([this, stillAlive = std::weak_ptr(alive), end = kept_connection_end {entry.peer, unused}] {
+        loop.post([this, stillAlive = std::weak_ptr(alive), end = ended_connection {entry.peer, unused}] {
             if (!stillAlive.expired()) {
-                keptConnectionEnd(end);
+                connectionEnded(end);
             }
         });
     }
@@ -418,7 +418,7 @@
     std::vector<CURL *> idleHandles;
     std::unordered_map<int, watched_socket> watched;
     std::uint64_t drives = 0;
-    std::function<void(const kept_connection_end &)> keptConnectionEnd;
+    std::function<void(const ended_connection &)> connectionEnded;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -460,9 +460,9 @@
     self.loop.post([callback = std::move(callback), sent = requestBytes > 0] { callback(http_failure {http_failure_kind::cancelled, sent, "cancelled"}); });
 }
 
-void http_client::onKeptConnectionEnd(std::function<void(const kept_connection_end &)> callback)
+void http_client::onConnectionEnded(std::function<void(const ended_connection &)> callback)
 {
-    m_implementation->keptConnectionEnd = std::move(callback);
+    m_implementation->connectionEnded = std::move(callback);
 }
 
 } // namespace daisystile
--- a/Source/Process/http_client.h
+++ b/Source/Process/http_client.h
@@ -52,7 +52,7 @@
 using http_call_id = std::uint64_t;
 
 /// The server ended a connection between two calls.
-struct kept_connection_end
+struct ended_connection
 {
     ip_address address;
     /// Time since its last call.
@@ -80,7 +80,7 @@
     /// Drops the call and its connection; its callback reports cancelled. An ended call is ignored.
     void cancel(http_call_id call);
     /// Called on the reactor's thread, never from within another call of this class.
-    void onKeptConnectionEnd(std::function<void(const kept_connection_end &)> callback);
+    void onConnectionEnded(std::function<void(const ended_connection &)> callback);
 
 private:
     struct implementation;
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -270,8 +270,8 @@
 
 TEST_F(http_round_trip, tellsOfAKeptConnectionThatTheServerEnded)
 {
-    std::vector<kept_connection_end> ends;
-    m_client.onKeptConnectionEnd([&](const kept_connection_end &end) { ends.push_back(end); });
+    std::vector<ended_connection> ends;
+    m_client.onConnectionEnded([&](const ended_connection &end) { ends.push_back(end); });
     listen([](http_request, http_responder respond) { respond({}); });
     const auto address = m_server->address();
     ASSERT_TRUE(std::holds_alternative<http_reply>(call({})));
@@ -286,8 +286,8 @@
 
 TEST_F(http_round_trip, tellsOfAnEndedConnectionAlsoWhenTheNextCallFindsIt)
 {
-    std::vector<kept_connection_end> ends;
-    m_client.onKeptConnectionEnd([&](const kept_connection_end &end) { ends.push_back(end); });
+    std::vector<ended_connection> ends;
+    m_client.onConnectionEnded([&](const ended_connection &end) { ends.push_back(end); });
     const auto answer = [](const http_request &, const http_responder &respond) {
         respond({});
     };
@@ -303,8 +303,8 @@
 
 TEST_F(http_round_trip, saysNothingOfAConnectionWhoseEndTheAnswerAnnounced)
 {
-    std::vector<kept_connection_end> ends;
-    m_client.onKeptConnectionEnd([&](const kept_connection_end &end) { ends.push_back(end); });
+    std::vector<ended_connection> ends;
+    m_client.onConnectionEnded([&](const ended_connection &end) { ends.push_back(end); });
     listen([](http_request, http_responder respond) {
         http_response response;
         response.headers.push_back({"Connection", "close"});
