--- a/Source/Forward/client_door.cxx
+++ b/Source/Forward/client_door.cxx
@@ -100,13 +100,11 @@
         if (m_answering || sending()) {
             return;
         }
-        if (m_over) {
-            closeIfIdle();
-        } else if (m_reader.started()) {
+        if (!m_over && m_reader.started()) {
             if (now - m_since > limits.headTimeout) {
                 refuse(statusTimeout);
             }
-        } else if (now - m_since > limits.idleTimeout + idleGrace) {
+        } else if (m_over || now - m_since > limits.idleTimeout + idleGrace) {
             closeIfIdle();
         }
     }
