Tests: One listener for three tests that opened their own; one replay for the two restarts seen by connections

Change: Tests/open_listener.h, and one function with that time. All tests, bounds and expectations stay.

--- a/Tests/Connection/slot_gate_test.cxx
+++ b/Tests/Connection/slot_gate_test.cxx
@@ -75,33 +75,29 @@
     EXPECT_EQ(driver.overColdCapacity, 0U);
 }
 
-TEST(slot_gate, restartBetweenTwoRequestsIsNoticedByTheEndOfConnections)
+/// A server restarts this long after its last answer; seen from a busy host, a cold server is no slower than a warm one.
+static void expectRestartNoticedByConnections(milliseconds sinceLastAnswer)
 {
     auto driver = warmDriver();
-    // Seen from a busy host, a cold server is no slower than a warm one.
     driver.coldFactor = 1;
-    // What waited is answered within this.
-    const milliseconds lastAnswerBefore {30};
-    driver.run(lastAnswerBefore, 0);
+    driver.run(sinceLastAnswer, 0);
     driver.restartServer(milliseconds {200});
-    driver.give(kept_connection_ended {lastAnswerBefore});
+    driver.give(kept_connection_ended {sinceLastAnswer});
     driver.run(milliseconds {200}, 0);
     driver.run(backToFullLimit);
     EXPECT_EQ(driver.overColdCapacity, 0U);
     EXPECT_EQ(driver.gate.allowed(driver.now), 3U);
 }
 
+TEST(slot_gate, restartBetweenTwoRequestsIsNoticedByTheEndOfConnections)
+{
+    // What waited is answered within this.
+    expectRestartNoticedByConnections(milliseconds {30});
+}
+
 TEST(slot_gate, restartOfAServerLeftAloneIsNoticedByTheEndOfConnections)
 {
-    auto driver = warmDriver();
-    driver.coldFactor = 1;
-    driver.run(milliseconds {5000}, 0);
-    driver.restartServer(milliseconds {200});
-    driver.give(kept_connection_ended {milliseconds {5000}});
-    driver.run(milliseconds {200}, 0);
-    driver.run(backToFullLimit);
-    EXPECT_EQ(driver.overColdCapacity, 0U);
-    EXPECT_EQ(driver.gate.allowed(driver.now), 3U);
+    expectRestartNoticedByConnections(milliseconds {5000});
 }
 
 TEST(slot_gate, endOfAConnectionLongUnusedChangesNothingWhileOthersAnswer)
--- a/Tests/Process/tcp_stream_test.cxx
+++ b/Tests/Process/tcp_stream_test.cxx
@@ -1,9 +1,4 @@
-#include "Process/process.h"
-
-#include <arpa/inet.h>
-#include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "open_listener.h"
 
 #include <array>
 #include <chrono>
@@ -16,19 +11,10 @@
 /// Two ends of a TCP connection: the accepted one for the loop, one that a test's own thread reads.
 std::array<int, 2> connectedPair()
 {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    EXPECT_EQ(bind(listener, reinterpret_cast<const sockaddr *>(&address), size), 0);
-    EXPECT_EQ(listen(listener, 1), 0);
-    EXPECT_EQ(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size), 0);
+    const open_listener listener(1);
     const int peer = socket(AF_INET, SOCK_STREAM, 0);
-    EXPECT_EQ(connect(peer, reinterpret_cast<const sockaddr *>(&address), size), 0);
-    const int accepted = accept(listener, nullptr, nullptr);
-    close(listener);
-    return {accepted, peer};
+    EXPECT_EQ(connect(peer, reinterpret_cast<const sockaddr *>(&listener.address), sizeof listener.address), 0);
+    return {accept(listener.handle, nullptr, nullptr), peer};
 }
 
 std::size_t readAll(int handle)
--- a/Tests/Soak/entry_soak.cxx
+++ b/Tests/Soak/entry_soak.cxx
@@ -1,5 +1,6 @@
 #include "soak_client.h"
 
+#include <open_listener.h>
 #include <Promises/child_process.h>
 #include <Promises/test_client.h>
 #include <Route/route.h>
@@ -14,11 +15,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <netinet/in.h>
 #include <random>
 #include <set>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace daisystile;
 using nlohmann::json;
@@ -43,19 +41,6 @@
     return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
-std::uint16_t freePort()
-{
-    const int handle = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    EXPECT_EQ(bind(handle, reinterpret_cast<const sockaddr *>(&address), size), 0);
-    EXPECT_EQ(getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size), 0);
-    close(handle);
-    return ntohs(address.sin_port);
-}
-
 std::string shardName(int shard)
 {
     return "shard-" + std::to_string(shard);
@@ -229,7 +214,7 @@
         daemon.settingsFile = (m_folder / ("daemon-" + std::to_string(index) + ".toml")).string();
         std::ofstream(daemon.settingsFile) << "id = \"d" << index << "\"\nfailure_domain = \"" << (index % 2 == 0 ? "port" : "medina")
                                            << "\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:"
-                                           << freePort() << "\"\nstore = \"" << toString(store) << "\"\ngrace_ms = 6000\n";
+                                           << open_listener(0).shown().port << "\"\nstore = \"" << toString(store) << "\"\ngrace_ms = 6000\n";
         m_daemons.push_back(std::move(daemon));
     }
 
