Process: End messages whose head or body never ends

Cause: a server or client may send bytes that are no message until the other side closes. The parser leaves an unfinished line, such as the extension of a chunk, in the input buffer, which then grew without bound; interim responses (1xx) were skipped for ever. Change: an unfinished line may be as long as a head; 16 interim responses may precede a final one. The head of a response can be read before its body is complete. Result: http_message_test. The cases with a chunk extension and with interim responses accepted a megabyte before, without an end; head, body and trailers were bounded already.

--- a/Source/Process/http_message.cxx
+++ b/Source/Process/http_message.cxx
@@ -115,7 +115,8 @@
     return error == beast::error::body_limit ? read_progress::body_too_large : read_progress::malformed;
 }
 
-template<class Parser> read_progress feed(Parser &parser, byte_queue &input)
+// The parser leaves an unfinished line, such as the extension of a chunk, in the input. Lines are as long as a head at most.
+template<class Parser> read_progress feed(Parser &parser, byte_queue &input, const message_limits &limits)
 {
     while (!parser.is_done() && !input.empty()) {
         const auto bytes = input.view();
@@ -123,7 +124,7 @@
         const auto used = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
         input.consume(used);
         if (error == beast::error::need_more) {
-            break;
+            return input.size() > limits.headBytes ? read_progress::head_too_large : read_progress::incomplete;
         }
         if (error) {
             return failureOf(error);
@@ -133,6 +134,8 @@
 }
 
 constexpr int firstFinalStatus = 200;
+// Before one final response; a server that sends more may never send a final one.
+constexpr unsigned maxInterimResponses = 16;
 constexpr std::size_t compactThresholdBytes = 65536;
 
 } // namespace
@@ -212,7 +215,7 @@
 read_progress request_reader::read(byte_queue &input)
 {
     auto &parser = *m_implementation->parser;
-    const auto progress = feed(parser, input);
+    const auto progress = feed(parser, input, m_implementation->limits);
     if (parser.is_header_done()) {
         const auto *expectation = parser.message.header("expect");
         parser.message.expectsContinue = expectation != nullptr && equalIgnoringCase(*expectation, "100-continue");
@@ -277,6 +280,7 @@
     }
 
     message_limits limits;
+    unsigned interimResponses = 0;
     std::unique_ptr<parser_type> parser = std::make_unique<parser_type>(limits);
 };
 
@@ -290,10 +294,14 @@
 read_progress response_reader::read(byte_queue &input)
 {
     while (true) {
-        const auto progress = feed(*m_implementation->parser, input);
+        const auto progress = feed(*m_implementation->parser, input, m_implementation->limits);
         if (progress != read_progress::complete || m_implementation->parser->message.status >= firstFinalStatus) {
             return m_implementation->finish(progress);
         }
+        m_implementation->interimResponses += 1;
+        if (m_implementation->interimResponses > maxInterimResponses) {
+            return read_progress::malformed;
+        }
         m_implementation->begin();
     }
 }
@@ -314,9 +322,20 @@
     return m_implementation->parser->got_some();
 }
 
+bool response_reader::headComplete() const
+{
+    return m_implementation->parser->is_header_done() && m_implementation->parser->message.status >= firstFinalStatus;
+}
+
+const response_message &response_reader::message() const
+{
+    return m_implementation->parser->message;
+}
+
 response_message response_reader::take()
 {
     auto message = std::move(m_implementation->parser->message);
+    m_implementation->interimResponses = 0;
     m_implementation->begin();
     return message;
 }
--- a/Source/Process/http_message.h
+++ b/Source/Process/http_message.h
@@ -108,6 +108,10 @@
     /// Handles an orderly end of the connection: `complete` if it delimits the body, `malformed` otherwise.
     read_progress end();
     bool started() const;
+    /// True once the head of the final response has been read.
+    bool headComplete() const;
+    /// The response as parsed so far.
+    const response_message &message() const;
     response_message take();
     /// Expects a response without a body, whatever its headers say (a response to HEAD).
     void expectNoBody();
--- /dev/null
+++ b/Tests/Process/http_message_test.cxx
@@ -0,0 +1,68 @@
+#include <Process/process.h>
+
+#include <gtest/gtest.h>
+
+using namespace daisystile;
+
+namespace {
+
+constexpr message_limits limits {.headBytes = 1024, .bodyBytes = 10000};
+constexpr std::size_t maxFedBytes = 1U << 20U;
+
+/// Feeds the start and then the filler again and again until the reader ends. Returns `incomplete` if it accepts a megabyte.
+template<class Reader> read_progress feedEndlessly(std::string_view start, std::string_view filler)
+{
+    Reader reader(limits);
+    byte_queue input;
+    input.append(start);
+    for (std::size_t fed = 0; fed < maxFedBytes; fed += filler.size()) {
+        input.append(filler);
+        const auto progress = reader.read(input);
+        if (progress != read_progress::incomplete) {
+            return progress;
+        }
+    }
+    return read_progress::incomplete;
+}
+
+} // namespace
+
+TEST(response_reader, endsAResponseWithoutEnd)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    EXPECT_EQ(feedEndlessly<response_reader>(ok, "Filler: 0123456789abcdef\r\n"), read_progress::head_too_large);
+    EXPECT_EQ(feedEndlessly<response_reader>(ok + "Filler: ", "0123456789abcdef"), read_progress::head_too_large);
+    EXPECT_EQ(feedEndlessly<response_reader>(ok + "\r\n", "0123456789abcdef"), read_progress::body_too_large);
+    EXPECT_EQ(feedEndlessly<response_reader>("", "HTTP/1.1 102 Processing\r\n\r\n"), read_progress::malformed);
+    const auto chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    EXPECT_EQ(feedEndlessly<response_reader>(chunked, "4\r\nabcd\r\n"), read_progress::body_too_large);
+    EXPECT_EQ(feedEndlessly<response_reader>(chunked + "5;", "0123456789abcdef"), read_progress::head_too_large);
+    EXPECT_NE(feedEndlessly<response_reader>(chunked + "0\r\n", "Filler: 0123456789abcdef\r\n"), read_progress::incomplete);
+    EXPECT_EQ(feedEndlessly<response_reader>("", std::string(64, '\0')), read_progress::malformed);
+}
+
+TEST(request_reader, endsARequestWithoutEnd)
+{
+    const std::string post = "POST / HTTP/1.1\r\n";
+    EXPECT_EQ(feedEndlessly<request_reader>(post, "Filler: 0123456789abcdef\r\n"), read_progress::head_too_large);
+    EXPECT_NE(feedEndlessly<request_reader>("", "GGGGGGGGGGGGGGGG"), read_progress::incomplete);
+    const auto chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    EXPECT_EQ(feedEndlessly<request_reader>(chunked, "4\r\nabcd\r\n"), read_progress::body_too_large);
+    EXPECT_EQ(feedEndlessly<request_reader>(chunked + "5;", "0123456789abcdef"), read_progress::head_too_large);
+    EXPECT_NE(feedEndlessly<request_reader>(chunked + "0\r\n", "Filler: 0123456789abcdef\r\n"), read_progress::incomplete);
+}
+
+TEST(response_reader, skipsInterimResponses)
+{
+    response_reader reader(limits);
+    byte_queue input;
+    input.append("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+    EXPECT_EQ(reader.read(input), read_progress::incomplete);
+    EXPECT_FALSE(reader.headComplete());
+    input.append("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+    EXPECT_EQ(reader.read(input), read_progress::incomplete);
+    EXPECT_TRUE(reader.headComplete());
+    input.append("ok");
+    EXPECT_EQ(reader.read(input), read_progress::complete);
+    EXPECT_EQ(reader.take().body, "ok");
+}
