Process: Tell since when an event has been ready; use a clock that counts suspensions

Change: the reactor derives from its polls since when the event that it handles can have been ready (poll_clock, pure); now() reads CLOCK_BOOTTIME. A suspension can't be played in a test without special rights; the clock has no test of its own.

--- a/Source/Process/clock.h
+++ b/Source/Process/clock.h
@@ -6,6 +6,11 @@
 
 /// Monotonic time, unaffected by changes of the system clock; it advances while the process is stopped. All timeouts use it.
 using monotonic_time = std::chrono::steady_clock::time_point;
+
+/// The current time. It also advances while the host is suspended, so that a lease or deadline that has passed meanwhile is
+/// not used afterwards.
+monotonic_time monotonicNow();
+
 using milliseconds = std::chrono::milliseconds;
 using microseconds = std::chrono::microseconds;
 using seconds = std::chrono::seconds;
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -12,6 +12,7 @@
 #include "latency_histogram.h"
 #include "log.h"
 #include "metrics.h"
+#include "poll_clock.h"
 #include "process_error.h"
 #include "reactor.h"
 #include "recent_latencies.h"
--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -1,6 +1,7 @@
 #include "reactor.h"
 
 #include "log.h"
+#include "poll_clock.h"
 
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
@@ -32,6 +33,11 @@
 class monotonic_timer_queue : public monotonic_timer_heap
 {
 public:
+    explicit monotonic_timer_queue(poll_clock &polls)
+        : m_polls(polls)
+    {
+    }
+
     ACE_Time_Value *calculate_timeout(ACE_Time_Value *maxWait) override // NOLINT(readability-identifier-naming)
     {
         return roundedUp(monotonic_timer_heap::calculate_timeout(maxWait), maxWait);
@@ -43,7 +49,16 @@
     }
 
 private:
+    // ACE calculates the timeout right before each poll.
     ACE_Time_Value *roundedUp(ACE_Time_Value *wait, const ACE_Time_Value *maxWait)
+    {
+        auto *rounded = round(wait, maxWait);
+        const auto longest = rounded == nullptr ? monotonic_time::duration::max() : seconds {rounded->sec()} + microseconds {rounded->usec()};
+        m_polls.polled(monotonicNow(), longest);
+        return rounded;
+    }
+
+    ACE_Time_Value *round(ACE_Time_Value *wait, const ACE_Time_Value *maxWait)
     {
         if (wait == nullptr || wait == maxWait || *wait == ACE_Time_Value::zero) {
             return wait;
@@ -57,6 +72,7 @@
         return &m_roundedWait;
     }
 
+    poll_clock &m_polls;
     ACE_Time_Value m_roundedWait;
 };
 
@@ -89,8 +105,9 @@
 class watched_handle : public ACE_Event_Handler
 {
 public:
-    watched_handle(ACE_Reactor *loop, int handle)
+    watched_handle(ACE_Reactor *loop, poll_clock &polls, int handle)
         : ACE_Event_Handler(loop),
+          m_polls(polls),
           m_handle(handle)
     {
     }
@@ -117,6 +134,7 @@
 private:
     int call()
     {
+        m_polls.handling(monotonicNow());
         if (!removed) {
             // The callback may replace itself while it runs.
             auto current = std::move(callback);
@@ -129,6 +147,7 @@
         return 0;
     }
 
+    poll_clock &m_polls;
     int m_handle;
 };
 
@@ -137,7 +156,8 @@
 struct reactor::implementation : public ACE_Event_Handler
 {
     implementation()
-        : poll(handleTableSize(), true, nullptr, &timers),
+        : timers(polls),
+          poll(handleTableSize(), true, nullptr, &timers),
           loop(&poll, false),
           wakeHandle(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
@@ -183,6 +203,7 @@
 
     int handle_input(ACE_HANDLE) override
     {
+        polls.handling(monotonicNow());
         std::uint64_t count = 0;
         [[maybe_unused]] const auto bytes = read(wakeHandle, &count, sizeof count);
         runPosted();
@@ -191,6 +212,7 @@
 
     int handle_timeout(const ACE_Time_Value &, const void *argument) override
     {
+        polls.handling(monotonicNow());
         const auto id = reinterpret_cast<std::uintptr_t>(argument);
         auto found = timerCallbacks.find(id);
         if (found == timerCallbacks.end()) {
@@ -256,6 +278,7 @@
         std::function<void()> callback;
     };
 
+    poll_clock polls;
     monotonic_timer_queue timers;
     ACE_Dev_Poll_Reactor poll;
     ACE_Reactor loop;
@@ -289,7 +312,12 @@
 
 monotonic_time reactor::now() const
 {
-    return std::chrono::steady_clock::now();
+    return monotonicNow();
+}
+
+monotonic_time reactor::readySince() const
+{
+    return std::min(m_implementation->polls.readySince(), now());
 }
 
 timer_id reactor::after(milliseconds delay, std::function<void()> callback)
@@ -331,7 +359,7 @@
     if (auto old = self.stillRegistered.extract(handle)) {
         self.retire(handle, std::move(old.mapped()));
     }
-    slot = std::make_unique<watched_handle>(&self.loop, handle);
+    slot = std::make_unique<watched_handle>(&self.loop, self.polls, handle);
     slot->callback = std::move(callback);
     slot->interest = interest;
     if (self.loop.register_handler(slot.get(), maskOf(interest)) != 0) {
--- a/Source/Process/reactor.h
+++ b/Source/Process/reactor.h
@@ -30,6 +30,9 @@
     bool opened() const;
 
     monotonic_time now() const;
+    /// Within a callback: the earliest time at which its event can have been ready. Earlier than now() by the time for which
+    /// the loop was busy or the process was paused.
+    monotonic_time readySince() const;
 
     /// Calls back once after the delay.
     timer_id after(milliseconds delay, std::function<void()> callback);
