Forward: Answer requests that arrive while the listener closes

Cause: a planned stop closed the listening socket with connections in its accept queue, which reset them with their requests, and closed idle connections whose next request had arrived but was not read yet. Change: pending connections are accepted before the listener closes, a new connection has 0.5 s for its first request, and an idle connection is read once more before it is closed.

--- a/Source/Forward/client_server.cxx
+++ b/Source/Forward/client_server.cxx
@@ -11,6 +11,8 @@
 constexpr std::size_t maxPipelinedBytes = 256U << 10U;
 // Clients may still send on a connection whose idle time has nearly reached the limit.
 constexpr milliseconds idleGrace {1000};
+// A client that has just connected is about to send its first request.
+constexpr milliseconds firstRequestGrace {500};
 constexpr int statusBadRequest = 400;
 constexpr int statusTimeout = 408;
 constexpr int statusBodyTooLarge = 413;
@@ -81,11 +83,15 @@
 
     bool busy() const
     {
-        return m_answering || (!m_closed && m_reader.started()) || sending();
+        return m_answering || (!m_closed && m_reader.started()) || sending() || awaitsFirstRequest();
     }
 
+    // Closing a connection with unread bytes would reset it, and the client could not tell whether its request has run.
     void closeIfIdle()
     {
+        if (!m_closed && !busy()) {
+            m_stream.readPending();
+        }
         if (busy()) {
             return;
         }
@@ -110,6 +116,11 @@
     }
 
 private:
+    bool awaitsFirstRequest() const
+    {
+        return !m_closed && !m_hasSent && m_server.m_loop.now() - m_since < firstRequestGrace;
+    }
+
     bool sending() const
     {
         return m_stream.isOpen() && m_stream.unsent() > 0;
@@ -117,6 +128,7 @@
 
     void received()
     {
+        m_hasSent = true;
         if (m_answering) {
             if (m_stream.input().size() > maxPipelinedBytes) {
                 ended();
@@ -229,6 +241,8 @@
     bool m_keepAlive = true;
     bool m_bodyless = false;
     bool m_continued = false;
+    // The client has sent at least one byte.
+    bool m_hasSent = false;
     bool m_closed = false;
     // Declared last, so that it is destroyed before the members that its callbacks use.
     tcp_stream m_stream;
@@ -298,7 +312,10 @@
 
 void client_server::closeIdle()
 {
-    m_listener.reset();
+    if (m_listener) {
+        m_listener->acceptPending();
+        m_listener.reset();
+    }
     std::vector<client_connection *> open;
     open.reserve(m_connections.size());
     for (const auto &[number, connection] : m_connections) {
--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -280,6 +280,14 @@
     return m_implementation->unsent.size();
 }
 
+void tcp_stream::readPending()
+{
+    const auto kept = m_implementation;
+    if (isOpen()) {
+        kept->receive();
+    }
+}
+
 void tcp_stream::closeWhenSent()
 {
     auto &self = *m_implementation;
@@ -304,7 +312,8 @@
 
 struct tcp_listener::implementation
 {
-    void accept()
+    // Returns false when no connection is pending.
+    bool accept()
     {
         for (int i = 0; i < acceptsPerEvent; ++i) {
             ACE_SOCK_Stream stream;
@@ -312,11 +321,12 @@
                 if (errno == EMFILE || errno == ENFILE) {
                     DAISYSTILE_LOG(ERROR, "listener") << "Connection can't be accepted: no file descriptor is available.";
                 }
-                return;
+                return false;
             }
             accepted(stream.get_handle());
             stream.set_handle(ACE_INVALID_HANDLE);
         }
+        return true;
     }
 
     reactor *loop = nullptr;
@@ -359,4 +369,10 @@
     return {local.get_host_addr(), local.get_port_number()};
 }
 
+void tcp_listener::acceptPending()
+{
+    constexpr int maxRounds = acceptBacklog / acceptsPerEvent + 1;
+    for (int round = 0; round < maxRounds && m_implementation->accept(); ++round) { }
+}
+
 } // namespace daisystile
--- a/Source/Process/tcp_stream.h
+++ b/Source/Process/tcp_stream.h
@@ -46,6 +46,8 @@
     void write(std::string_view bytes);
     /// Number of queued bytes that the socket has not accepted yet.
     std::size_t unsent() const;
+    /// Reads bytes that have arrived but were not reported yet; calls back like the event loop.
+    void readPending();
     /// Closes after all queued bytes are sent; no more callbacks follow.
     void closeWhenSent();
     /// Closes at once and discards queued bytes; no more callbacks follow. May be called within a callback.
@@ -69,6 +71,8 @@
     tcp_listener &operator=(const tcp_listener &) = delete;
 
     ip_address address() const;
+    /// Accepts the connections that are established but were not accepted yet. Closing the listener would reset them.
+    void acceptPending();
 
 private:
     struct implementation;
--- /dev/null
+++ b/Tests/Forward/client_server_test.cxx
@@ -0,0 +1,133 @@
+#include <Forward/forward.h>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <gtest/gtest.h>
+
+#include <array>
+
+using namespace daisystile;
+
+namespace {
+
+const std::string request = "GET /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nDeadline-Ms: 1000\r\n\r\n";
+
+/// A client with a blocking connection.
+class blocking_client
+{
+public:
+    explicit blocking_client(const ip_address &address)
+    {
+        ACE_SOCK_Connector connector;
+        EXPECT_EQ(connector.connect(m_stream, ACE_INET_Addr(address.port, address.host.c_str())), 0);
+    }
+
+    ~blocking_client()
+    {
+        m_stream.close();
+    }
+
+    blocking_client(const blocking_client &) = delete;
+    blocking_client &operator=(const blocking_client &) = delete;
+
+    void send(const std::string &bytes)
+    {
+        EXPECT_EQ(m_stream.send_n(bytes.data(), bytes.size()), static_cast<ssize_t>(bytes.size()));
+    }
+
+    // What has been received so far; empty if the connection was reset.
+    std::string received()
+    {
+        const ACE_Time_Value noWait = ACE_Time_Value::zero;
+        std::array<char, 4096> bytes {};
+        const auto count = m_stream.recv(bytes.data(), bytes.size(), &noWait);
+        return count > 0 ? std::string(bytes.data(), static_cast<std::size_t>(count)) : std::string();
+    }
+
+private:
+    ACE_SOCK_Stream m_stream;
+};
+
+/// A server without a configuration, which answers each request with 503.
+class client_server_test : public testing::Test
+{
+protected:
+    client_server_test()
+        : m_requests(m_loop, settings(), m_registry),
+          m_clients(m_loop, m_requests, m_registry)
+    {
+    }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(leaf::try_handle_all(
+            [this]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(m_clients.listen({"127.0.0.1", 0}));
+                return true;
+            },
+            [] { return false; }));
+    }
+
+    static entry_settings settings()
+    {
+        entry_settings settings;
+        settings.id = {"d1"};
+        return settings;
+    }
+
+    void runFor(milliseconds time)
+    {
+        m_loop.after(time, [this] { m_loop.stop(); });
+        m_loop.run();
+    }
+
+    reactor m_loop;
+    metrics m_registry;
+    forwarder m_requests;
+    client_server m_clients;
+};
+
+} // namespace
+
+// Connections that were established but not accepted when the listener closed were reset, with their requests.
+TEST_F(client_server_test, answersRequestsOfConnectionsThatWereNotAcceptedYet)
+{
+    std::vector<std::unique_ptr<blocking_client>> clients;
+    for (int i = 0; i < 40; ++i) {
+        clients.push_back(std::make_unique<blocking_client>(m_clients.address()));
+        clients.back()->send(request);
+    }
+    m_clients.startDraining();
+    m_clients.closeIdle();
+    EXPECT_GT(m_clients.busyConnections(), 0U) << "the process must not end yet";
+    runFor(milliseconds {100});
+    for (const auto &client : clients) {
+        EXPECT_TRUE(client->received().starts_with("HTTP/1.1 503")) << "no answer";
+    }
+}
+
+TEST_F(client_server_test, waitsForTheFirstRequestOfANewConnection)
+{
+    blocking_client client(m_clients.address());
+    runFor(milliseconds {20});
+    m_clients.closeIdle();
+    EXPECT_EQ(m_clients.busyConnections(), 1U);
+    client.send(request);
+    runFor(milliseconds {50});
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503"));
+}
+
+// A request that had arrived on an idle connection, but was not read yet, was lost when the connection closed.
+TEST_F(client_server_test, answersARequestThatHasArrivedOnAnIdleConnection)
+{
+    blocking_client client(m_clients.address());
+    client.send(request);
+    runFor(milliseconds {50});
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503"));
+    client.send(request);
+    m_clients.startDraining();
+    m_clients.closeIdle();
+    runFor(milliseconds {50});
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503"));
+}
