platform, Route: Read what a backend server states about further requests

Server-Leaving and, on a 503 or 429, Retry-After are decoded once, from the head of an answer; an answer 421 says nothing about the server that was meant. The stand-in for backend servers learns both headers and four ways to send without end.

--- a/Tests/Platform/translation_test.cxx
+++ b/Tests/Platform/translation_test.cxx
@@ -107,3 +107,41 @@
     const response_message answer {.status = 200, .reason = "OK", .headers = {{"Server-Stamp", "s"}, {"Keep-Alive", "timeout=4"}}, .body = "x"};
     EXPECT_EQ(relayedAnswer(answer, client_connection::keep, false), "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 1\r\n\r\nx");
 }
+
+TEST(readServerNotice, readsWhatAnAnswerStatesAboutFurtherRequests)
+{
+    const auto notice = [](int status, std::vector<http_header> headers) {
+        return readServerNotice({.status = status, .headers = std::move(headers)});
+    };
+    EXPECT_FALSE(notice(200, {{"Server-Stamp", "s"}}));
+    EXPECT_TRUE(notice(200, {{"server-leaving", " 1 "}})->leaving);
+    EXPECT_TRUE(notice(500, {{"Server-Leaving", "1"}})->leaving);
+    EXPECT_FALSE(notice(200, {{"Server-Leaving", "0"}}));
+    EXPECT_EQ(notice(503, {{"Retry-After", "2"}})->retryAfter, milliseconds {2000});
+    EXPECT_EQ(notice(503, {{"Retry-After", "0.25"}})->retryAfter, milliseconds {250});
+    EXPECT_EQ(notice(429, {{"Retry-After", "1"}})->retryAfter, milliseconds {1000});
+    EXPECT_FALSE(notice(200, {{"Retry-After", "2"}})) << "only a refusal asks for a pause";
+    EXPECT_FALSE(notice(421, {{"Server-Leaving", "1"}, {"Retry-After", "9"}})) << "another server has answered";
+}
+
+TEST(readServerNotice, boundsAndReportsInvalidRetryTimes)
+{
+    const auto notice = [](const std::string &value) {
+        return readServerNotice({.status = 503, .headers = {{"Retry-After", value}}});
+    };
+    for (const auto *value : {"", "-1", "soon", "Sat, 05 Dec 2026 10:00:00 GMT", "1e999", "nan", "inf", "2 s"}) {
+        EXPECT_FALSE(notice(value)->retryAfter) << value;
+        EXPECT_TRUE(notice(value)->retryAfterMalformed) << value;
+    }
+    EXPECT_EQ(notice("1e300")->retryAfter, milliseconds {86400000});
+}
+
+// A deadline beyond the range of the clock made the deadline lie in the past.
+TEST(readRequestHead, limitsTheStatedTimeLeft)
+{
+    const auto timeLeft = [](const std::string &value) {
+        return *readRequestHead(request({{"Request-Id", "7"}, {"Host", "h"}, {"Deadline-Ms", value}}))->timeLeft;
+    };
+    EXPECT_EQ(timeLeft("9223372036854775807"), milliseconds {86400000});
+    EXPECT_EQ(timeLeft("-9223372036854775807"), milliseconds {0});
+}
--- a/Tests/StandIns/plain_backend.cxx
+++ b/Tests/StandIns/plain_backend.cxx
@@ -64,6 +64,18 @@
     m_delayMs = static_cast<int>(delay.count());
 }
 
+void plain_backend::setExtraHeaders(std::string lines)
+{
+    const std::lock_guard guard(m_mutex);
+    m_extraHeaders = std::move(lines);
+}
+
+std::string plain_backend::extraHeaders() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_extraHeaders;
+}
+
 std::map<std::string, int> plain_backend::runs() const
 {
     const std::lock_guard guard(m_mutex);
@@ -87,11 +99,11 @@
 {
     const auto mode = m_responseMode.load();
     if (mode == backend_response_mode::not_executed) {
-        from.stream.write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        from.stream.write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n" + extraHeaders() + "\r\n");
         return;
     }
     if (mode == backend_response_mode::other_server) {
-        from.stream.write("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
+        from.stream.write("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n" + extraHeaders() + "\r\n");
         return;
     }
     {
@@ -117,11 +129,31 @@
         m_connections.erase(from.key);
         return;
     }
+    const std::string head = "HTTP/1.1 200 OK\r\n" + extraHeaders();
+    switch (mode) {
+    case backend_response_mode::endless_head:
+        from.stream.write(head);
+        sendEndlessly(from.key, "Filler: " + std::string(1000, 'x') + "\r\n");
+        return;
+    case backend_response_mode::endless_interim_responses:
+        sendEndlessly(from.key, "HTTP/1.1 102 Processing\r\n\r\n");
+        return;
+    case backend_response_mode::endless_body:
+        from.stream.write(head + "\r\n");
+        sendEndlessly(from.key, std::string(16384, 'x'));
+        return;
+    case backend_response_mode::endless_chunk_extension:
+        from.stream.write(head + "Transfer-Encoding: chunked\r\n\r\n5;");
+        sendEndlessly(from.key, std::string(16384, 'x'));
+        return;
+    default:
+        break;
+    }
     const auto *id = message.header("Request-Id");
     const auto stamp = m_id + "." + std::to_string(++m_lastStamp);
     const auto *status = mode == backend_response_mode::failing ? "500 Internal Server Error" : "200 OK";
     auto bytes = std::string("HTTP/1.1 ") + status + "\r\nServer-Stamp: " + stamp + "\r\nRequest-Id: " + (id == nullptr ? "" : *id)
-        + "\r\nContent-Length: " + std::to_string(m_records.size()) + "\r\n\r\n" + m_records;
+        + "\r\nContent-Length: " + std::to_string(m_records.size()) + "\r\n" + extraHeaders() + "\r\n" + m_records;
     if (mode == backend_response_mode::truncate) {
         from.stream.write(std::string_view(bytes).substr(0, bytes.size() - 1));
         from.stream.closeWhenSent();
@@ -137,4 +169,18 @@
     }
 }
 
+// Sends as fast as the caller reads.
+void plain_backend::sendEndlessly(int key, const std::string &bytes)
+{
+    constexpr std::size_t maxUnsentBytes = 1U << 20U;
+    const auto found = m_connections.find(key);
+    if (found == m_connections.end()) {
+        return;
+    }
+    while (found->second->stream.isOpen() && found->second->stream.unsent() < maxUnsentBytes) {
+        found->second->stream.write(bytes);
+    }
+    m_loop.after(milliseconds {1}, [this, key, bytes] { sendEndlessly(key, bytes); });
+}
+
 } // namespace daisystile
--- a/Tests/StandIns/plain_backend.h
+++ b/Tests/StandIns/plain_backend.h
@@ -28,6 +28,11 @@
     other_server,
     /// Responds 500 with a Server-Stamp, so the request was run.
     failing,
+    /// Sends header lines, interim responses, body bytes or the extension of a chunk until the caller closes the connection.
+    endless_head,
+    endless_interim_responses,
+    endless_body,
+    endless_chunk_extension,
 };
 
 /// Backend server that speaks the protocol of the plain HTTP front end, on its own thread.
@@ -44,6 +49,8 @@
     ip_address address() const;
     void setResponseMode(backend_response_mode mode);
     void setDelay(milliseconds delay);
+    /// Header lines, each ending in CRLF, that are added to every response.
+    void setExtraHeaders(std::string lines);
     /// How often each request was run, by request id.
     std::map<std::string, int> runs() const;
     /// The latest request that was run, as received.
@@ -55,6 +62,8 @@
     void addConnection(int handle);
     void serve(connection &from, request_message message);
     void sendResponse(connection &from, const request_message &message);
+    void sendEndlessly(int key, const std::string &bytes);
+    std::string extraHeaders() const;
 
     std::string m_id;
     std::string m_records;
@@ -67,6 +76,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_runs;
     request_message m_latest;
+    std::string m_extraHeaders;
     std::thread m_thread;
 };
 
