Forward: Relay the configuration and the fleet; verify after a pause

Change: the source of a failure domain, now its strongest daemon, relays both. A process that has just started still reads its first configuration from the store, unless the store can't be reached. Own entries are refreshed by a fleet above 150 at 5 a second in all. A source that was paused relays nothing until it has read everything again, so that a daemon that starts beside it doesn't take a removed server or an old configuration. The registration moves out of store_follower into fleet_runner.

--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr number_range ratioRange {0, 10};
+constexpr number_range strengthRange {0.001, 1024};
 constexpr number_range slackRange {0, 1e6};
 constexpr number_range graceRangeMs {100, 600000};
 constexpr number_range windowRangeMs {1000, 600000};
@@ -28,6 +29,8 @@
     reader.address("clients", settings.clients);
     reader.address("readiness", settings.readiness);
     reader.address("peers", settings.peers);
+    reader.address("queries", settings.queries, presence::optional);
+    reader.number("strength", settings.strength, strengthRange);
     reader.boolean("bootstrap", settings.bootstrap);
     reader.address("store", settings.store);
     reader.integer("grace_ms", settings.grace, graceRangeMs);
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -30,8 +30,12 @@
     region_name region;
     ip_address clients;
     ip_address readiness;
-    /// Listening address for connections from other daemons.
+    /// Listening address for daemons that follow this one.
     ip_address peers;
+    /// Listening address for queries that other daemons delegate to this one; port 0 to take none.
+    ip_address queries;
+    /// Processor share of this daemon, in cores.
+    double strength = 1;
     ip_address store;
     /// Whether the whole deployment is starting for the first time.
     bool bootstrap = false;
--- a/Source/Forward/fleet_registry.cxx
+++ b/Source/Forward/fleet_registry.cxx
@@ -14,6 +14,13 @@
     return object.is_object() && found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+// Port 0 if there is no valid address.
+ip_address addressOf(const nlohmann::json &object, const char *key)
+{
+    const auto text = textOf(object, key);
+    return leaf::try_handle_all([&]() -> leaf::result<ip_address> { return parseIpAddress(text); }, [] { return ip_address {}; });
+}
+
 std::optional<fleet_daemon> readEntry(const platform_object &object)
 {
     const auto json = nlohmann::json::parse(object.value, nullptr, false);
@@ -25,8 +32,10 @@
     fleet_daemon daemon;
     daemon.id.value = object.key.substr(std::string_view(fleet_registry::keyPrefix).size());
     daemon.domain.value = domain;
-    const auto peers = textOf(json, "peers");
-    daemon.peers = leaf::try_handle_all([&]() -> leaf::result<ip_address> { return parseIpAddress(peers); }, [] { return ip_address {}; });
+    daemon.peers = addressOf(json, "peers");
+    daemon.queries = addressOf(json, "queries");
+    const auto strength = json.find("strength");
+    daemon.strength = strength != json.end() && strength->is_number() ? strength->get<double>() : daemon.strength;
     return daemon;
 }
 
@@ -58,7 +67,7 @@
 
 std::vector<fleet_daemon> fleet_registry::daemons(monotonic_time now) const
 {
-    const auto maxAge = refreshInterval() * m_limits.missedUntilAbsent;
+    const auto maxAge = refreshInterval(m_entries.size()) * m_limits.missedUntilAbsent;
     std::vector<fleet_daemon> found {m_self};
     for (const auto &[key, entry] : m_entries) {
         if (entry.daemon.id != m_self.id && now - entry.changed < maxAge) {
@@ -71,7 +80,7 @@
 
 std::vector<platform_object> fleet_registry::removable(monotonic_time now) const
 {
-    const auto maxAge = refreshInterval() * m_limits.missedUntilRemoved;
+    const auto maxAge = refreshInterval(m_entries.size()) * m_limits.missedUntilRemoved;
     std::vector<platform_object> found;
     for (const auto &[key, entry] : m_entries) {
         if (entry.daemon.id != m_self.id && now - entry.changed >= maxAge) {
@@ -81,15 +90,20 @@
     return found;
 }
 
-milliseconds fleet_registry::refreshInterval() const
+milliseconds fleet_registry::refreshInterval(std::size_t daemons) const
 {
-    const auto refreshSeconds = static_cast<double>(m_entries.size()) / m_limits.fleetWritesPerSecond;
+    const auto refreshSeconds = static_cast<double>(daemons) / m_limits.fleetWritesPerSecond;
     return std::max(m_limits.refresh, milliseconds {static_cast<milliseconds::rep>(refreshSeconds * 1000)});
 }
 
 std::string fleet_registry::entryText(std::uint64_t beat) const
 {
-    return nlohmann::json {{"domain", m_self.domain.value}, {"peers", toString(m_self.peers)}, {"beat", beat}}.dump();
+    return nlohmann::json {{"domain", m_self.domain.value},
+        {"peers", toString(m_self.peers)},
+        {"queries", toString(m_self.queries)},
+        {"strength", m_self.strength},
+        {"beat", beat}}
+        .dump();
 }
 
 const std::string &fleet_registry::peerKey() const
--- a/Source/Forward/fleet_registry.h
+++ b/Source/Forward/fleet_registry.h
@@ -13,7 +13,7 @@
     /// Refresh interval in a small fleet.
     milliseconds refresh {30000};
     /// Limit on the refreshes that the whole fleet writes per second.
-    double fleetWritesPerSecond = 20;
+    double fleetWritesPerSecond = 5;
     /// Number of missed refreshes after which a daemon counts as absent.
     unsigned missedUntilAbsent = 3;
     /// Number of missed refreshes after which any daemon may remove the entry.
@@ -32,8 +32,8 @@
     std::vector<fleet_daemon> daemons(monotonic_time now) const;
     /// Stale entries that may be removed.
     std::vector<platform_object> removable(monotonic_time now) const;
-    /// Time between two refreshes; increases with the size of the fleet.
-    milliseconds refreshInterval() const;
+    /// Time between two refreshes in a fleet of this many daemons.
+    milliseconds refreshInterval(std::size_t daemons) const;
     /// Value and key of this daemon's own entry.
     std::string entryText(std::uint64_t beat) const;
     std::string entryKey() const;
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -214,6 +214,11 @@
     return m_known;
 }
 
+bool object_mirror::upToDate() const
+{
+    return m_known && !m_mustRead;
+}
+
 std::uint64_t object_mirror::changes() const
 {
     return m_changes;
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -82,6 +82,8 @@
 
     /// True once the objects were read, also while the store is unreachable.
     bool known() const;
+    /// False while the objects have to be read again.
+    bool upToDate() const;
     /// Counter that increases whenever objects() changes.
     std::uint64_t changes() const;
     /// Current objects by key, including lapsed ones whose removal has not taken effect yet.
--- a/Source/Forward/relay_choice.cxx
+++ b/Source/Forward/relay_choice.cxx
@@ -25,7 +25,9 @@
             candidates.push_back(&daemon);
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const auto *left, const auto *right) { return left->id < right->id; });
+    std::sort(candidates.begin(), candidates.end(), [](const auto *left, const auto *right) {
+        return left->strength != right->strength ? left->strength > right->strength : left->id < right->id;
+    });
     candidates.resize(std::min(candidates.size(), sourcesPerDomain));
     for (const auto *candidate : candidates) {
         if (candidate->id == self.id) {
--- a/Source/Forward/relay_choice.h
+++ b/Source/Forward/relay_choice.h
@@ -25,8 +25,8 @@
 /// Sources that failed, with the time until which they are not tried again.
 using failed_sources = std::map<daemon_id, monotonic_time>;
 
-/// The first daemon of each failure domain follows the store and the others follow that daemon. While it fails they follow
-/// the second, and while that fails too, the store. The load on the store thus grows with the number of failure domains
+/// The strongest daemon of each failure domain, the first of them by id, follows the store and the others follow that daemon.
+/// While it fails they follow the second, and while that fails too, the store. The load on the store thus grows with the number of failure domains
 /// rather than daemons.
 relay_source chooseRelaySource(const std::vector<fleet_daemon> &fleet, const fleet_daemon &self, const failed_sources &failed, monotonic_time now);
 
--- a/Source/Forward/relay_messages.cxx
+++ b/Source/Forward/relay_messages.cxx
@@ -31,6 +31,29 @@
     return update;
 }
 
+std::vector<relayed_daemon> fromFleet(const std::vector<fleet_daemon> &fleet)
+{
+    std::vector<relayed_daemon> relayed;
+    relayed.reserve(fleet.size());
+    for (const auto &daemon : fleet) {
+        relayed.push_back({daemon.id.value, daemon.domain.value, toString(daemon.peers), toString(daemon.queries), daemon.strength});
+    }
+    return relayed;
+}
+
+std::vector<fleet_daemon> toFleet(const std::vector<relayed_daemon> &relayed)
+{
+    const auto address = [](const std::string &text) {
+        return leaf::try_handle_all([&]() -> leaf::result<ip_address> { return parseIpAddress(text); }, [] { return ip_address {}; });
+    };
+    std::vector<fleet_daemon> fleet;
+    fleet.reserve(relayed.size());
+    for (const auto &daemon : relayed) {
+        fleet.push_back({{daemon.id}, {daemon.domain}, address(daemon.peers), address(daemon.queries), daemon.strength});
+    }
+    return fleet;
+}
+
 relayed_objects allOf(const object_mirror &mirror)
 {
     relayed_objects objects;
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -2,6 +2,8 @@
 
 #include "object_mirror.h"
 
+#include <Route/route.h>
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,19 +37,38 @@
     }
 };
 
+/// A daemon of the fleet in a relay update.
+struct relayed_daemon
+{
+    std::string id;
+    std::string domain;
+    std::string peers;
+    std::string queries;
+    double strength = 1;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(id, domain, peers, queries, strength);
+    }
+};
+
 /// Update from a daemon that follows the store to its followers; also sent without changes, as a heartbeat.
 struct relay_update
 {
     /// Whether the sender can reach the store.
     bool storeReached = true;
-    /// Revision of the sender's current configuration; followers read the configuration itself from the store.
+    /// Revision of the configuration that the sender has relayed last. A follower that holds an older one reads it from the
+    /// store.
     std::uint64_t configurationRevision = 0;
+    relayed_objects configuration;
     relayed_objects servers;
     relayed_objects evacuations;
+    /// All daemons of the fleet; empty if they are unchanged.
+    std::vector<relayed_daemon> fleet;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(storeReached, configurationRevision, servers, evacuations);
+        archive(storeReached, configurationRevision, configuration, servers, evacuations, fleet);
     }
 };
 
@@ -57,6 +78,9 @@
 
 mirror_relayed toMirror(relayed_objects objects);
 
+std::vector<relayed_daemon> fromFleet(const std::vector<fleet_daemon> &fleet);
+std::vector<fleet_daemon> toFleet(const std::vector<relayed_daemon> &relayed);
+
 /// All objects of a mirror, for a new follower.
 relayed_objects allOf(const object_mirror &mirror);
 
--- a/Source/Forward/routing_snapshot.h
+++ b/Source/Forward/routing_snapshot.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace daisystile {
@@ -19,6 +20,8 @@
     std::set<failure_domain_name> evacuated;
     /// All daemons of the fleet, including this one.
     std::vector<fleet_daemon> fleet;
+    /// Key that authenticates daemons to one another; empty until it is known.
+    std::string peerKey;
 
     /// Number of daemons that share the fleet's limits; at least 1.
     std::size_t sharingDaemons() const
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -1,5 +1,6 @@
 #include "store_follower.h"
 
+#include "fleet_runner.h"
 #include "mirror_runner.h"
 #include "relay_choice.h"
 #include "relay_link.h"
@@ -13,16 +14,15 @@
 constexpr milliseconds callTimeout {1000};
 constexpr milliseconds watchWait {25000};
 constexpr milliseconds watchTimeout {27000};
-// The daemons of a new deployment start almost simultaneously; the first listing is delayed until they have registered.
-constexpr milliseconds bootstrapListingDelay {700};
 constexpr milliseconds bootstrapRelayDelay {700};
-constexpr milliseconds initialListingInterval {800};
-constexpr unsigned initialListings = 4;
-constexpr milliseconds listingInterval {10000};
 // A starting daemon that has found no other daemon to follow by then follows the store.
 constexpr milliseconds maxSourceSearch {1000};
 constexpr milliseconds maxBootstrapSourceSearch {4000};
 constexpr milliseconds heartbeatInterval {400};
+// A heartbeat that is later than this shows that the process was paused, and its objects may be outdated.
+constexpr milliseconds maxHeartbeatDelay {1000};
+// A configuration is large and goes to every follower, so changes in close succession are relayed together.
+constexpr milliseconds configurationRelayInterval {500};
 constexpr milliseconds failedSourceDelay {5000};
 constexpr milliseconds storeProbeInterval {2000};
 // Each change of the servers causes a call from every daemon, so a larger fleet batches changes over a longer time.
@@ -35,14 +35,6 @@
     return key.substr(key.find('/') + 1);
 }
 
-// Not an error if another daemon has removed the entry or its owner has rewritten it.
-void logUnlessGone(const std::string &key, const remove_result &result)
-{
-    if (std::holds_alternative<write_unknown>(result) || std::holds_alternative<platform_unavailable>(result)) {
-        DAISYSTILE_LOG(WARNING, "fleet") << "Daemon entry was not removed." << field("key", key);
-    }
-}
-
 } // namespace
 
 struct store_follower::implementation
@@ -53,8 +45,7 @@
           publish(std::move(publishView)),
           http(eventLoop),
           store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
-          self {settings.id, settings.domain, settings.peers},
-          registry({}, self),
+          fleet(loop, store, settings, [this] { fleetUpdated(); }),
           configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
           servers(loop,
               store,
@@ -64,7 +55,7 @@
               [this] { serversChanged(); }),
           evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); })
     {
-        view.fleet = registry.daemons(loop.now());
+        view.fleet = fleet.daemons();
     }
 
     void start()
@@ -73,13 +64,13 @@
             each->onHistoryLost([this] { reloadAll(); });
             each->onReachabilityChanged([this] { updateFollowers(); });
         }
-        refreshEntry();
-        loop.after(settings.bootstrap ? bootstrapListingDelay : milliseconds {0}, [this] { listFleet(); });
+        fleet.start();
         loop.after(settings.bootstrap ? maxBootstrapSourceSearch : maxSourceSearch, [this] {
             if (!servers.mirror().known()) {
                 followStore();
             }
         });
+        lastHeartbeat = loop.now();
         sendHeartbeat();
     }
 
@@ -91,6 +82,7 @@
             return;
         }
         DAISYSTILE_LOG(INFO, "relay") << "Following the store." << field("id", settings.id.value);
+        fleet.useOwnListings();
         configuration.follow();
         servers.follow();
         evacuations.follow();
@@ -110,10 +102,10 @@
 
     void chooseSource()
     {
-        const auto chosen = chooseRelaySource(view.fleet, self, failed, loop.now());
+        const auto chosen = chooseRelaySource(fleet.daemons(), fleet.self(), failed, loop.now());
         const auto *daemon = std::get_if<use_daemon>(&chosen);
         const bool mayWait = settings.bootstrap || daemon != nullptr;
-        if (leaving || (registry.peerKey().empty() && mayWait)) {
+        if (leaving || (fleet.peerKey().empty() && mayWait)) {
             return;
         }
         if (daemon == nullptr) {
@@ -160,9 +152,8 @@
         followDaemon();
         servers.takeRelayed(toMirror(std::move(update.servers)));
         evacuations.takeRelayed(toMirror(std::move(update.evacuations)));
-        if (configurationRequest.due(update.configurationRevision, configurationRevision())) {
-            configuration.reload();
-        }
+        takeConfiguration(std::move(update.configuration), update.configurationRevision);
+        fleet.takeRelayed(toFleet(update.fleet));
         sourceReachesStore = update.storeReached;
         if (!sourceReachesStore && !probing) {
             probing = true;
@@ -170,6 +161,22 @@
         }
     }
 
+    // A process that has just started reads the configuration from the store, because its source may have been paused and
+    // may relay an old one. While the store can't be reached, it takes what the source has.
+    void takeConfiguration(relayed_objects relayed, std::uint64_t announcedRevision)
+    {
+        if (!relayed.objects.empty()) {
+            heldConfiguration = toMirror(std::move(relayed));
+        }
+        const bool mayTake = configuration.mirror().known() || configuration.mirror().storeUnreachable();
+        if (heldConfiguration && mayTake) {
+            configuration.takeRelayed(*std::exchange(heldConfiguration, std::nullopt));
+        }
+        if (configurationRequest.due(announcedRevision, configurationRevision())) {
+            configuration.reload();
+        }
+    }
+
     // The store may be unreachable from the source only.
     void probeStore()
     {
@@ -187,7 +194,7 @@
 
     peer_credentials credentials() const
     {
-        return {{settings.id, incarnationId}, registry.peerKey()};
+        return {{settings.id, incarnationId}, fleet.peerKey()};
     }
 
     // Followers.
@@ -212,14 +219,34 @@
     {
         relay_update update;
         update.storeReached = !servers.mirror().storeUnreachable() && !configuration.mirror().storeUnreachable() && !evacuations.mirror().storeUnreachable();
-        update.configurationRevision = configurationRevision();
+        update.configurationRevision = relayedConfiguration;
         return update;
     }
 
-    // Nothing is relayed until all of it has been read.
+    // Nothing is relayed until all of it has been read, and read again after a pause of this process.
     bool canRelay() const
     {
-        return relay && servers.following() && servers.mirror().known() && evacuations.mirror().known() && configuration.mirror().known();
+        const bool read = servers.mirror().known() && evacuations.mirror().known() && configuration.mirror().known();
+        const bool late = loop.now() - lastHeartbeat > heartbeatInterval + maxHeartbeatDelay;
+        return relay && servers.following() && read && !late && !verifying;
+    }
+
+    // An unreachable store ends the verification too: followers are told that it isn't reached.
+    void verifyAfterPause()
+    {
+        const auto now = loop.now();
+        if (now - lastHeartbeat > heartbeatInterval + maxHeartbeatDelay) {
+            DAISYSTILE_LOG(WARNING, "relay") << "The process was paused; reading all objects again."
+                                             << field("paused_ms", std::chrono::duration_cast<milliseconds>(now - lastHeartbeat).count());
+            verifying = true;
+            reloadAll();
+        }
+        lastHeartbeat = now;
+        const auto mirrors = {&configuration, &servers, &evacuations};
+        const auto verified = [](const auto *each) {
+            return each->mirror().upToDate() || each->mirror().storeUnreachable();
+        };
+        verifying = verifying && !std::all_of(mirrors.begin(), mirrors.end(), verified);
     }
 
     std::optional<relay_update> firstUpdate()
@@ -228,8 +255,10 @@
             return std::nullopt;
         }
         auto update = updateHead();
+        update.configuration = allOf(configuration.mirror());
         update.servers = allOf(servers.mirror());
         update.evacuations = allOf(evacuations.mirror());
+        update.fleet = fromFleet(fleet.daemons());
         return update;
     }
 
@@ -238,14 +267,28 @@
         if (!canRelay()) {
             return;
         }
+        relayed_objects changedConfiguration;
+        if (loop.now() - configurationRelayedAt >= configurationRelayInterval) {
+            changedConfiguration = sentConfiguration.changes(configuration.mirror());
+        }
+        if (!changedConfiguration.objects.empty()) {
+            configurationRelayedAt = loop.now();
+            relayedConfiguration = configurationRevision();
+        }
         auto update = updateHead();
+        update.configuration = std::move(changedConfiguration);
         update.servers = sentServers.changes(servers.mirror());
         update.evacuations = sentEvacuations.changes(evacuations.mirror());
+        if (sentFleet != fleet.daemons()) {
+            sentFleet = fleet.daemons();
+            update.fleet = fromFleet(sentFleet);
+        }
         relay->broadcast(update);
     }
 
     void sendHeartbeat()
     {
+        verifyAfterPause();
         updateFollowers();
         loop.after(heartbeatInterval, [this] { sendHeartbeat(); });
     }
@@ -357,71 +400,20 @@
         publishView();
     }
 
-    void refreshEntry()
+    // Deferred, because a relayed list is handled within a callback of the client that chooseSource() may replace.
+    void fleetUpdated()
     {
-        if (leaving) {
-            return;
-        }
-        beat += 1;
-        store.put(registry.entryKey(), registry.entryText(beat), always {}, [](const write_result &result) {
-            if (!std::holds_alternative<object_written>(result)) {
-                DAISYSTILE_LOG(WARNING, "fleet") << "Failed to write this daemon's entry.";
-            }
-        });
-        loop.after(registry.refreshInterval(), [this] { refreshEntry(); });
-    }
-
-    // A stale listing of a fleet that has just started would be empty, so the first two must be current.
-    void listFleet()
-    {
-        listings += 1;
-        const auto freshness = listings <= 2 ? read_freshness::newest : read_freshness::stale_allowed;
-        store.list(fleet_registry::keyPrefix, freshness, [this](const list_result &result) { fleetListed(result); });
-        const auto later = std::max(listingInterval, registry.refreshInterval() / 3);
-        loop.after(listings <= initialListings ? initialListingInterval : later, [this] { listFleet(); });
-    }
-
-    // The first daemon writes the key. If it doesn't appear in the next listings, the others try too, one more per listing.
-    void writePeerKey(const std::vector<fleet_daemon> &fleet)
-    {
-        const auto own = std::find(fleet.begin(), fleet.end(), self) - fleet.begin();
-        if (!registry.peerKey().empty() || own >= static_cast<std::ptrdiff_t>(listings)) {
-            return;
-        }
-        store.put(fleet_registry::peerKeyEntry, fleet_registry::peerKeyText(sha256Hex(randomBytes(32))), if_absent {}, [](const write_result &result) {
-            if (std::holds_alternative<object_written>(result)) {
-                DAISYSTILE_LOG(INFO, "fleet") << "Wrote the peer key.";
-            } else if (!std::holds_alternative<write_conflict>(result)) {
-                DAISYSTILE_LOG(WARNING, "fleet") << "Failed to write the peer key.";
-            }
-        });
-    }
-
-    void fleetListed(const list_result &result)
-    {
-        const auto *list = std::get_if<object_list>(&result);
-        if (list == nullptr) {
-            DAISYSTILE_LOG(WARNING, "fleet") << "Failed to list the daemons." << field("known", view.fleet.size());
-            return;
-        }
-        registry.listed(*list, loop.now());
-        for (const auto &object : registry.removable(loop.now())) {
-            store.remove(object.key, if_version {object.etag}, [key = object.key](const remove_result &removal) { logUnlessGone(key, removal); });
-        }
-        auto fleet = registry.daemons(loop.now());
-        servers.setBatchDelay(std::clamp<milliseconds>(serversBatchDelayPerDaemon * fleet.size(), minServersBatchDelay, maxServersBatchDelay));
-        if (fleet != view.fleet) {
-            DAISYSTILE_LOG(INFO, "fleet") << "Fleet changed." << field("daemons", fleet.size());
-            view.fleet = std::move(fleet);
+        servers.setBatchDelay(std::clamp<milliseconds>(serversBatchDelayPerDaemon * fleet.daemons().size(), minServersBatchDelay, maxServersBatchDelay));
+        if (fleet.daemons() != view.fleet || fleet.peerKey() != view.peerKey) {
+            view.fleet = fleet.daemons();
+            view.peerKey = fleet.peerKey();
             publishView();
         }
-        writePeerKey(view.fleet);
-        if (!relay && !registry.peerKey().empty()) {
+        const bool first = !relay && !fleet.peerKey().empty();
+        if (first) {
             openRelay();
-            loop.after(settings.bootstrap ? bootstrapRelayDelay : milliseconds {0}, [this] { chooseSource(); });
-        } else {
-            chooseSource();
         }
+        loop.after(first && settings.bootstrap ? bootstrapRelayDelay : milliseconds {0}, [this] { chooseSource(); });
     }
 
     void publishView()
@@ -439,8 +431,7 @@
     std::function<void(std::shared_ptr<const routing_snapshot>)> publish;
     http_client http;
     platform_client store;
-    fleet_daemon self;
-    fleet_registry registry;
+    fleet_runner fleet;
     routing_snapshot view;
     std::map<std::string, server_seen> serversSeen;
     mirror_runner configuration;
@@ -451,11 +442,17 @@
     std::optional<fleet_daemon> source;
     std::unique_ptr<relay_client> client;
     std::unique_ptr<relay_server> relay;
+    sent_objects sentConfiguration;
     sent_objects sentServers;
     sent_objects sentEvacuations;
+    std::vector<fleet_daemon> sentFleet;
     revision_request configurationRequest;
-    std::uint64_t beat = 0;
-    unsigned listings = 0;
+    // A relayed configuration that may not be taken yet.
+    std::optional<mirror_relayed> heldConfiguration;
+    monotonic_time configurationRelayedAt;
+    std::uint64_t relayedConfiguration = 0;
+    monotonic_time lastHeartbeat;
+    bool verifying = false;
     bool sourceReachesStore = true;
     bool probing = false;
     bool leaving = false;
@@ -477,7 +474,7 @@
 {
     auto &self = *m_implementation;
     self.leaving = true;
-    self.store.remove(self.registry.entryKey(), always {}, [key = self.registry.entryKey()](const remove_result &result) { logUnlessGone(key, result); });
+    self.fleet.leave();
 }
 
 bool store_follower::ready() const
--- a/Source/Route/server_entry.h
+++ b/Source/Route/server_entry.h
@@ -39,8 +39,12 @@
 {
     daemon_id id;
     failure_domain_name domain;
-    /// Address for connections from other daemons; port 0 if none was registered.
+    /// Address at which other daemons follow this one; port 0 if none was registered.
     ip_address peers;
+    /// Address at which it takes queries from other daemons; port 0 if it takes none.
+    ip_address queries;
+    /// Processor share, in cores.
+    double strength = 1;
 
     bool operator==(const fleet_daemon &) const = default;
 };
--- a/Tests/Forward/fleet_registry_test.cxx
+++ b/Tests/Forward/fleet_registry_test.cxx
@@ -37,7 +37,7 @@
     }
     list.objects.push_back({"daisystile-daemons/bad", "1", "{"});
     fleet.listed(list, monotonic_time {seconds {1}});
-    EXPECT_EQ(fleet.refreshInterval(), milliseconds {55000});
+    EXPECT_EQ(fleet.refreshInterval(1100), milliseconds {55000});
     EXPECT_EQ(fleet.daemons(monotonic_time {seconds {1}}).size(), 1101U);
 }
 
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -42,6 +42,15 @@
     EXPECT_EQ(choose("p3"), relay_source(use_daemon {m_fleet[0]}));
 }
 
+TEST_F(relay_choice_test, prefersTheStrongestDaemon)
+{
+    m_fleet[2].strength = 4;
+    EXPECT_EQ(choose("p3"), relay_source(use_store {}));
+    EXPECT_EQ(choose("p1"), relay_source(use_daemon {m_fleet[2]}));
+    m_failed[{"p3"}] = m_now + seconds {5};
+    EXPECT_EQ(choose("p2"), relay_source(use_daemon {m_fleet[0]}));
+}
+
 // The store rejects the first daemon of a domain for a long time: followers that reach the store must not return to it.
 TEST(source_reachability, isUnusableIfOnlyTheFollowerReachesTheStore)
 {
@@ -84,12 +93,18 @@
 
 TEST(relay_update, roundTripsAndRejectsTruncatedBytes)
 {
-    relay_update update {true, 9, {true, 7, {{"servers/a", "3", "{}"}}, {"servers/b"}}, {}};
+    relay_update update {
+        .configurationRevision = 9, .servers = {true, 7, {{"servers/a", "3", "{}"}}, {"servers/b"}}, .fleet = {{"d1", "port", "1.1.1.1:2", "", 0.5}}};
     const auto bytes = encodeRelayUpdate(update);
     const auto read = decodeRelayUpdate(bytes);
     ASSERT_TRUE(read);
     EXPECT_EQ(read->servers.objects.at(0).key, "servers/a");
     EXPECT_EQ(read->configurationRevision, 9U);
+    const auto fleet = toFleet(read->fleet);
+    ASSERT_EQ(fleet.size(), 1U);
+    EXPECT_EQ(fleet[0].peers.port, 2);
+    EXPECT_EQ(fleet[0].queries.port, 0);
+    EXPECT_EQ(fleet[0].strength, 0.5);
     for (std::size_t length = 0; length < bytes.size(); ++length) {
         EXPECT_FALSE(decodeRelayUpdate(std::string_view(bytes).substr(0, length))) << length;
     }
