--- a/Source/Forward/backend_connection.cxx
+++ b/Source/Forward/backend_connection.cxx
@@ -14,11 +14,12 @@
 
 } // namespace
 
-backend_connection::backend_connection(reactor &loop, const ip_address &address, milliseconds maxIdle, callbacks notify)
+backend_connection::backend_connection(reactor &loop, const ip_address &address, milliseconds maxIdle, buffer_budget &budget, callbacks notify)
     : m_loop(loop),
       m_maxIdle(maxIdle),
       m_notify(std::move(notify)),
       m_reader(answerLimits),
+      m_buffered(budget),
       m_startedAt(loop.now()),
       m_stream(loop,
           address,
@@ -67,16 +68,36 @@
         m_notify.closedWhileIdle(*this);
         return;
     }
-    const auto progress = m_reader.read(m_stream.input());
-    if (progress == read_progress::incomplete) {
+    const auto progress = read();
+    if (progress == read_progress::incomplete && m_buffered.resize(m_reader.message().body.size())) {
         return;
     }
     if (progress != read_progress::complete) {
         m_closing = true;
-        finish(exchange_broken {true, "answer malformed"});
+        finish(exchange_broken {true, progress == read_progress::malformed ? "answer malformed" : "answer too large"});
         return;
     }
-    takeAnswer(m_reader.take());
+    takeAnswer(take());
+}
+
+// The head may be followed by a body that never ends, so the notice is reported as soon as the head is complete.
+read_progress backend_connection::read()
+{
+    const auto progress = m_reader.read(m_stream.input());
+    if (!m_headChecked && m_reader.headComplete()) {
+        m_headChecked = true;
+        if (const auto notice = readServerNotice(m_reader.message())) {
+            m_notify.noticed(*this, *notice);
+        }
+    }
+    return progress;
+}
+
+response_message backend_connection::take()
+{
+    m_headChecked = false;
+    m_buffered.resize(0);
+    return m_reader.take();
 }
 
 void backend_connection::takeAnswer(response_message message)
@@ -109,7 +130,7 @@
         return;
     }
     if (how == stream_end::closed && m_reader.end() == read_progress::complete) {
-        takeAnswer(m_reader.take());
+        takeAnswer(take());
         if (m_busy) {
             finish(exchange_broken {true, "foreign answer"});
         }
--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "buffer_budget.h"
+
 #include <platform/platform.h>
 
 #include <functional>
@@ -37,10 +39,14 @@
         /// The server closed or reset the connection, or sent bytes, while no exchange was running. The connection can't
         /// be used any more.
         std::function<void(backend_connection &)> closedWhileIdle;
+        /// An answer, possibly not the awaited one, states something about further requests. Called as soon as its head has
+        /// been read, before the exchange ends.
+        std::function<void(backend_connection &, const server_notice &)> noticed;
     };
 
-    /// An idle connection expires after the given time, or earlier if the server's keep-alive time is shorter.
-    backend_connection(reactor &loop, const ip_address &address, milliseconds maxIdle, callbacks notify);
+    /// An idle connection expires after the given time, or earlier if the server's keep-alive time is shorter. The answer is
+    /// buffered within the budget, which must outlive the connection.
+    backend_connection(reactor &loop, const ip_address &address, milliseconds maxIdle, buffer_budget &budget, callbacks notify);
 
     /// Sends the request once the connection is open; the exchange may be abandoned before the connection is open. If
     /// `bodyless` is set, the response has no body, whatever its headers say, as in a response to HEAD.
@@ -67,6 +73,8 @@
     void opened();
     void received();
     void ended(stream_end how);
+    read_progress read();
+    response_message take();
     void takeAnswer(response_message message);
     void finish(exchange_result result);
 
@@ -74,10 +82,13 @@
     milliseconds m_maxIdle;
     callbacks m_notify;
     response_reader m_reader;
+    buffer_share m_buffered;
     client_request_id m_request;
     std::string m_pending;
     bool m_busy = false;
     bool m_sent = false;
+    // The head of the current answer has been checked for a notice.
+    bool m_headChecked = false;
     bool m_closing = false;
     bool m_ended = false;
     monotonic_time m_startedAt;
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -1,6 +1,7 @@
 #include "backend_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace daisystile {
@@ -11,23 +12,30 @@
 constexpr milliseconds connectTimeout {1000};
 // The sum of the daemons' shares must stay below a cold server's rate limit while the fleet's size changes.
 constexpr double coldUsableShare = 0.8;
+constexpr std::size_t guaranteedAnswerBytes = 64U << 10U;
+// A fifth of the memory of a small host.
+constexpr std::size_t totalAnswerBytes = 32U << 20U;
+// An entry may disappear and come back while the server process lives on, so what the process has stated is kept this long.
+constexpr seconds unlistedRetention {300};
 
 } // namespace
 
-backend_pool::backend_pool(reactor &loop, const entry_settings &settings, std::function<void(attempt_result)> done)
+backend_pool::backend_pool(reactor &loop, const entry_settings &settings, callbacks notify)
     : m_loop(loop),
       m_settings(settings),
-      m_done(std::move(done)),
+      m_notify(std::move(notify)),
       m_view(std::make_shared<routing_snapshot>()),
+      m_answerBuffers(guaranteedAnswerBytes, totalAnswerBytes),
       m_random(static_cast<std::minstd_rand::result_type>(stableHash(settings.id.value)))
 {
     sweep();
 }
 
-void backend_pool::update(const std::shared_ptr<const routing_snapshot> &view)
+void backend_pool::update(const std::shared_ptr<const routing_snapshot> &view, const coordinator_table &coordinators)
 {
     m_view = view;
     for (auto &[id, server] : m_servers) {
+        server->unlistedSince = server->listed ? m_loop.now() : server->unlistedSince;
         server->barred = true;
         server->listed = false;
     }
@@ -41,7 +49,7 @@
                 }
                 server = std::make_unique<backend>();
             }
-            apply(*server, entry);
+            apply(*server, entry, coordinators.sendersOf(service));
             m_byService[service].push_back(server.get());
         }
     }
@@ -59,7 +67,7 @@
     server.connections.clear();
 }
 
-void backend_pool::apply(backend &server, const server_entry &entry)
+void backend_pool::apply(backend &server, const server_entry &entry, const service_senders &senders)
 {
     const bool changed = !(server.entry == entry);
     server.entry = entry;
@@ -67,14 +75,15 @@
     if (changed) {
         server.coldUntil = m_loop.now() + entry.coldLeft;
     }
-    server.barred = server.misdirected || !m_view->mayServe(entry);
-    const auto &fleet = m_view->fleet;
+    server.barred = server.misdirected || server.availability.leaving() || !m_view->mayServe(entry);
     const auto *terms = m_view->routes ? m_view->routes->terms(entry.service) : nullptr;
-    const auto daemonsInDomain = std::count_if(fleet.begin(), fleet.end(), [&](const auto &daemon) { return daemon.domain == entry.domain; });
-    server.share = connectionShare({.accepted = terms == nullptr ? 1 : terms->connections,
+    const auto sendersInDomain = senders.countByDomain.find(entry.domain);
+    const double usableConnections = (terms == nullptr ? 1 : terms->connections) * senders.limitShare * static_cast<double>(senders.count);
+    server.limitShare = senders.limitShare;
+    server.share = connectionShare({.accepted = static_cast<unsigned>(std::lround(usableConnections)),
         .local = entry.domain == m_settings.domain,
-        .domainDaemons = static_cast<unsigned>(daemonsInDomain),
-        .allDaemons = static_cast<unsigned>(fleet.size())});
+        .domainDaemons = sendersInDomain == senders.countByDomain.end() ? 1 : static_cast<unsigned>(sendersInDomain->second),
+        .allDaemons = static_cast<unsigned>(senders.count)});
 }
 
 void backend_pool::refreshCold(backend &server, monotonic_time now)
@@ -86,7 +95,7 @@
     }
     const auto &bounds = m_settings.bounds;
     const double all = (terms->coldRequestsPerSecond * bounds.coldFactor + bounds.coldSlack) * coldUsableShare;
-    const double share = all / static_cast<double>(m_view->sharingDaemons());
+    const double share = all * server.limitShare;
     // Half of the share may be used at once and half is refilled over a second, so that no second exceeds the share.
     const double passed = std::chrono::duration<double>(now - server.coldRefilled).count();
     server.coldAllowance = std::min(share / 2, server.coldAllowance + passed * share / 2);
@@ -100,7 +109,7 @@
     const bool room = idle != nullptr || server.connections.size() < server.share.most;
     view.local = server.entry.domain == m_settings.domain;
     view.running = server.record.running();
-    view.most = room && !server.barred ? view.running + 1 : 0;
+    view.most = room && !server.barred && server.availability.available(now) ? view.running + 1 : 0;
     view.slots = server.entry.slots;
     view.stalled = server.record.stalled(now);
     view.cold = now < server.coldUntil;
@@ -142,12 +151,18 @@
     return index ? found->second[*index] : nullptr;
 }
 
-bool backend_pool::hasServer(const service_name &service, const std::vector<backend_server_id> &excluded) const
+monotonic_time backend_pool::availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded) const
 {
+    auto earliest = monotonic_time::max();
     const auto found = m_byService.find(service);
-    return found != m_byService.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto *server) {
-        return !server->barred && std::find(excluded.begin(), excluded.end(), server->entry.id) == excluded.end();
-    });
+    if (found == m_byService.end()) {
+        return earliest;
+    }
+    for (const auto *server : found->second) {
+        const bool usable = !server->barred && std::find(excluded.begin(), excluded.end(), server->entry.id) == excluded.end();
+        earliest = usable ? std::min(earliest, server->availability.availableFrom()) : earliest;
+    }
+    return earliest;
 }
 
 attempt_id backend_pool::send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter)
@@ -162,7 +177,10 @@
         notify.closedWhileIdle = [this, id = server.entry.id](backend_connection &which) {
             closedWhileIdle(id, which);
         };
-        server.connections.push_back(std::make_unique<backend_connection>(m_loop, server.entry.address, server.share.idle, std::move(notify)));
+        notify.noticed = [this, id = server.entry.id](backend_connection &which, const server_notice &notice) {
+            noticed(id, which, notice);
+        };
+        server.connections.push_back(std::make_unique<backend_connection>(m_loop, server.entry.address, server.share.idle, m_answerBuffers, std::move(notify)));
         connection = server.connections.back().get();
     }
     if (now < server.coldUntil) {
@@ -201,6 +219,44 @@
     }
 }
 
+// A notice on a connection to a previous process of the server doesn't concern the current one.
+void backend_pool::noticed(const backend_server_id &id, const backend_connection &connection, const server_notice &notice)
+{
+    const auto entry = m_servers.find(id);
+    if (entry == m_servers.end()) {
+        return;
+    }
+    auto &server = *entry->second;
+    if (std::none_of(server.connections.begin(), server.connections.end(), [&](const auto &own) { return own.get() == &connection; })) {
+        return;
+    }
+    logNotice(server, notice);
+    if (notice.leaving) {
+        server.availability.setLeaving();
+        server.barred = true;
+    }
+    if (notice.retryAfter) {
+        server.availability.setRetryAfter(m_loop.now(), *notice.retryAfter);
+    }
+    m_notify.noticed(notice);
+}
+
+void backend_pool::logNotice(backend &server, const server_notice &notice) const
+{
+    const auto line = field("server", server.entry.id.value) + field("service", server.entry.service.value);
+    if (notice.leaving && !server.availability.leaving()) {
+        DAISYSTILE_LOG(INFO, "servers") << "Backend server is leaving." << line << field("entry", server.listed ? "listed" : "removed");
+    }
+    if (notice.retryAfter && server.availability.available(m_loop.now())) {
+        DAISYSTILE_LOG(INFO, "servers") << "Backend server asks for a pause." << line
+                                        << field("retry_after_ms", static_cast<std::uint64_t>(notice.retryAfter->count()));
+    }
+    if (notice.retryAfterMalformed && !server.malformedRetryLogged) {
+        server.malformedRetryLogged = true;
+        DAISYSTILE_LOG(WARNING, "servers") << "Backend server states a retry time that is not a number of seconds." << line;
+    }
+}
+
 // Closes the connection at once: if it opened later, it would still send a request that was meanwhile sent elsewhere.
 void backend_pool::drop(backend &server, backend_connection &connection)
 {
@@ -243,6 +299,8 @@
             counts.usable += server->barred ? 0 : 1;
             counts.cold += !server->barred && now < server->coldUntil ? 1 : 0;
             counts.barred += server->barred ? 1 : 0;
+            counts.leaving += server->availability.leaving() ? 1 : 0;
+            counts.paused += !server->barred && !server->availability.available(now) ? 1 : 0;
         }
     }
     return counts;
@@ -255,12 +313,19 @@
     sweepDetached(now);
     for (auto entry = m_servers.begin(); entry != m_servers.end();) {
         sweepServer(*entry->second, now);
-        const bool gone = !entry->second->listed && entry->second->connections.empty();
-        entry = gone ? m_servers.erase(entry) : std::next(entry);
+        entry = forgettable(*entry->second, now) ? m_servers.erase(entry) : std::next(entry);
     }
     m_loop.after(sweepInterval, [this] { sweep(); });
 }
 
+bool backend_pool::forgettable(const backend &server, monotonic_time now) const
+{
+    if (server.listed || !server.connections.empty()) {
+        return false;
+    }
+    return server.availability.available(now) || now - server.unlistedSince > unlistedRetention;
+}
+
 void backend_pool::sweepDetached(monotonic_time now)
 {
     std::erase_if(m_detached, [](const auto &connection) { return !connection->busy(); });
@@ -285,7 +350,7 @@
     const auto attempt = found->second;
     m_attempts.erase(found);
     m_places.erase(attempt);
-    m_done({attempt, std::move(result)});
+    m_notify.done({attempt, std::move(result)});
 }
 
 void backend_pool::sweepServer(backend &server, monotonic_time now)
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_connection.h"
+#include "coordinator_table.h"
 #include "entry_settings.h"
 #include "routing_snapshot.h"
 
@@ -17,18 +18,25 @@
 {
     server_entry entry;
     replica_stats record;
+    server_availability availability;
     std::vector<std::unique_ptr<backend_connection>> connections;
     connection_share share;
+    /// This daemon's share of the server's limits for the whole fleet.
+    double limitShare = 1;
     monotonic_time coldUntil;
     /// Requests that may be sent now while the server is cold; refilled over time.
     double coldAllowance = 0;
     monotonic_time coldRefilled;
-    /// Gets no more requests: draining, removed, in an evacuated domain, or misdirected.
+    /// Gets no more requests: draining, removed, in an evacuated domain, leaving, or misdirected.
     bool barred = false;
     /// Is in the current catalog.
     bool listed = false;
+    /// When it was last removed from the catalog.
+    monotonic_time unlistedSince;
     /// A server with another id answered at its address.
     bool misdirected = false;
+    /// A malformed retry time has been logged.
+    bool malformedRetryLogged = false;
 };
 
 /// How an attempt on a server ended.
@@ -44,21 +52,33 @@
     /// Among the usable.
     std::size_t cold = 0;
     std::size_t barred = 0;
+    /// Among the barred.
+    std::size_t leaving = 0;
+    /// Among the usable: have asked this daemon for a pause.
+    std::size_t paused = 0;
 };
 
 /// All backend servers and the connections to them. Used on the traffic thread only.
 class backend_pool
 {
 public:
-    backend_pool(reactor &loop, const entry_settings &settings, std::function<void(attempt_result)> done);
+    struct callbacks
+    {
+        std::function<void(attempt_result)> done;
+        /// A server's answer has changed what this daemon may send it.
+        std::function<void(const server_notice &)> noticed;
+    };
+
+    backend_pool(reactor &loop, const entry_settings &settings, callbacks notify);
 
-    void update(const std::shared_ptr<const routing_snapshot> &view);
+    void update(const std::shared_ptr<const routing_snapshot> &view, const coordinator_table &coordinators);
     void setBounds(const fleet_bounds &bounds);
 
     /// The best server of a service that can take a request now and is not excluded; null if there is none.
     backend *choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds typicalLatency);
-    /// True if a server of the service that is not excluded can take a request now or once others have ended.
-    bool hasServer(const service_name &service, const std::vector<backend_server_id> &excluded) const;
+    /// Earliest time at which a server of the service that is not excluded may take a request, apart from its load; max()
+    /// if there is no such server.
+    monotonic_time availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded) const;
 
     /// Sends a request to the server, which must be the one that choose() has just returned.
     attempt_id send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter);
@@ -80,12 +100,15 @@
     };
 
     void detachConnections(backend &server);
-    void apply(backend &server, const server_entry &entry);
+    void apply(backend &server, const server_entry &entry, const service_senders &senders);
     replica_view viewOf(backend &server, monotonic_time now);
     void refreshCold(backend &server, monotonic_time now);
     backend_connection *idleConnection(backend &server, monotonic_time now);
     void exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result);
     void closedWhileIdle(const backend_server_id &server, backend_connection &connection);
+    void noticed(const backend_server_id &server, const backend_connection &connection, const server_notice &notice);
+    void logNotice(backend &server, const server_notice &notice) const;
+    bool forgettable(const backend &server, monotonic_time now) const;
     void drop(backend &server, backend_connection &connection);
     void sweep();
     void sweepServer(backend &server, monotonic_time now);
@@ -94,8 +117,10 @@
 
     reactor &m_loop;
     entry_settings m_settings;
-    std::function<void(attempt_result)> m_done;
+    callbacks m_notify;
     std::shared_ptr<const routing_snapshot> m_view;
+    // Declared before the connections, which return their shares when they are destroyed.
+    buffer_budget m_answerBuffers;
     std::map<backend_server_id, std::unique_ptr<backend>> m_servers;
     std::map<service_name, std::vector<backend *>> m_byService;
     std::map<const backend_connection *, attempt_id> m_attempts;
--- /dev/null
+++ b/Source/Forward/delegation_messages.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <platform/platform.h>
+#include <Process/process.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace daisystile {
+
+/// Identifies a delegated query on the connection between two daemons; chosen by the daemon that delegates.
+using delegation_id = std::uint64_t;
+
+/// Asks the other daemon whether it takes a query. Nothing runs before the query itself is sent.
+struct query_offer
+{
+    delegation_id delegation = 0;
+    /// Version of the configuration by which the query was routed.
+    std::uint64_t configurationVersion = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(delegation, configurationVersion);
+    }
+};
+
+struct offer_reply
+{
+    delegation_id delegation = 0;
+    bool accepted = false;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(delegation, accepted);
+    }
+};
+
+struct delegated_header
+{
+    std::string name;
+    std::string value;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(name, value);
+    }
+};
+
+/// A client's request as received, sent after its offer was accepted.
+struct delegated_query
+{
+    delegation_id delegation = 0;
+    std::uint64_t configurationVersion = 0;
+    std::string method;
+    std::string target;
+    std::vector<delegated_header> headers;
+    std::string body;
+    /// Positions of the shards to query, in the route's list; empty for the whole query.
+    std::vector<std::uint32_t> shards;
+    /// Time that the client still waits.
+    std::int64_t timeLeftMs = 0;
+    /// Time until an incomplete answer is better than a late one.
+    std::int64_t answerWithinMs = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(delegation, configurationVersion, method, target, headers, body, shards, timeLeftMs, answerWithinMs);
+    }
+};
+
+/// The offer or the query is withdrawn.
+struct delegation_cancelled
+{
+    delegation_id delegation = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(delegation);
+    }
+};
+
+/// The merged answer.
+struct delegated_answer
+{
+    delegation_id delegation = 0;
+    /// Positions of the shards that have answered, in the route's list, and their signatures.
+    std::vector<std::uint32_t> shards;
+    std::vector<std::string> signatures;
+    std::uint64_t missingParts = 0;
+    std::string records;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(delegation, shards, signatures, missingParts, records);
+    }
+};
+
+/// The query was refused or has failed, as the status tells.
+struct delegated_failure
+{
+    delegation_id delegation = 0;
+    std::int32_t status = 0;
+    /// Time after which the client may retry; negative if there is none.
+    std::int64_t retryAfterMs = -1;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(delegation, status, retryAfterMs);
+    }
+};
+
+using delegation_message = std::variant<query_offer, offer_reply, delegated_query, delegation_cancelled, delegated_answer, delegated_failure>;
+
+std::string encodeDelegation(const delegation_message &message);
+/// Errors: connection_error{frame_malformed}.
+leaf::result<delegation_message> decodeDelegation(std::string_view bytes);
+
+delegated_query makeDelegatedQuery(delegation_id delegation, routing_version version, const request_message &message);
+request_message toRequestMessage(delegated_query query);
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/delegation_server.cxx
@@ -0,0 +1,194 @@
+#include "delegation_server.h"
+
+namespace daisystile {
+
+namespace {
+
+/// Turns the reply to a query into the message for the daemon that delegated it.
+struct reply_message
+{
+    delegation_id delegation;
+
+    delegation_message operator()(const query_answer &answer) const
+    {
+        delegated_answer message {.delegation = delegation, .shards = {}, .signatures = {}, .missingParts = answer.missingParts, .records = answer.records};
+        for (const auto shard : answer.shards) {
+            message.shards.push_back(static_cast<std::uint32_t>(shard));
+        }
+        for (const auto &signature : answer.signatures) {
+            message.signatures.push_back(signature.value);
+        }
+        return message;
+    }
+
+    delegation_message operator()(const local_reply &reply) const
+    {
+        return delegated_failure {delegation, reply.status, reply.retryAfter ? reply.retryAfter->count() : -1};
+    }
+
+    // Only a request to a single service has such a reply, and those are not delegated.
+    delegation_message operator()(const response_message &) const
+    {
+        constexpr int statusBadGateway = 502;
+        return delegated_failure {delegation, statusBadGateway, -1};
+    }
+};
+
+} // namespace
+
+delegation_server::delegation_server(reactor &loop, forwarder &requests, const entry_settings &settings)
+    : m_loop(loop),
+      m_requests(requests),
+      m_address(settings.queries),
+      m_credentials {{settings.id, {stableHash(randomBytes(8))}}, {}}
+{
+}
+
+void delegation_server::update(const routing_snapshot &view)
+{
+    if (m_address.port == 0 || m_listener || view.peerKey.empty()) {
+        return;
+    }
+    m_credentials.key = view.peerKey;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, m_address, [this](int handle) { accepted(handle); }));
+            return {};
+        },
+        [](const process_error &error) { DAISYSTILE_LOG(ERROR, "delegation") << "Failed to listen for queries of other daemons: " << error << "."; },
+        [] { DAISYSTILE_LOG(ERROR, "delegation") << "Failed to listen for queries of other daemons."; });
+}
+
+void delegation_server::startDraining()
+{
+    m_draining = true;
+}
+
+std::size_t delegation_server::runningQueries() const
+{
+    std::size_t running = 0;
+    for (const auto &[number, entry] : m_links) {
+        running += entry.running.size();
+    }
+    return running;
+}
+
+void delegation_server::accepted(int handle)
+{
+    const auto number = m_next++;
+    peer_link::callbacks notify;
+    notify.established = [](const peer_identity &) {
+    };
+    notify.frame = [this, number](std::string_view frame) {
+        received(number, frame);
+    };
+    notify.closed = [this, number](const connection_error &) {
+        closed(number);
+    };
+    m_links[number].link = std::make_unique<peer_link>(m_loop, handle, m_credentials, std::move(notify));
+}
+
+void delegation_server::closed(link_number number)
+{
+    const auto found = m_links.find(number);
+    if (found == m_links.end()) {
+        return;
+    }
+    for (const auto &[delegation, request] : std::exchange(found->second.running, {})) {
+        m_requests.clientLeft(request);
+    }
+    // Deferred, because the link must outlive its callbacks.
+    m_loop.post([this, number] { m_links.erase(number); });
+}
+
+void delegation_server::received(link_number number, std::string_view frame)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(message, decodeDelegation(frame));
+            std::visit([&](auto &each) { handle(number, std::move(each)); }, message);
+            return {};
+        },
+        [&](const connection_error &error) {
+            DAISYSTILE_LOG(WARNING, "delegation") << "Malformed message: " << error << ".";
+            drop(number);
+        },
+        [&] { drop(number); });
+}
+
+// A daemon with another configuration would answer with other shards than the one that delegates.
+bool delegation_server::takes(std::uint64_t configurationVersion) const
+{
+    const auto &routes = m_requests.view()->routes;
+    return !m_draining && routes && routes->configuration().version.value == configurationVersion;
+}
+
+void delegation_server::handle(link_number number, const query_offer &offer)
+{
+    send(number, offer_reply {offer.delegation, takes(offer.configurationVersion)});
+}
+
+void delegation_server::handle(link_number number, delegated_query query)
+{
+    const auto delegation = query.delegation;
+    const auto version = query.configurationVersion;
+    const milliseconds timeLeft {query.timeLeftMs};
+    const delegated_terms terms {.shards = {query.shards.begin(), query.shards.end()}, .answerWithin = milliseconds {query.answerWithinMs}};
+    auto message = toRequestMessage(std::move(query));
+    auto head = readRequestHead(message);
+    const auto &routes = m_requests.view()->routes;
+    if (!head || !routes || routes->configuration().version.value != version) {
+        // It was accepted under a configuration that has been replaced since.
+        constexpr int statusUnavailable = 503;
+        send(number, delegated_failure {delegation, statusUnavailable, 0});
+        return;
+    }
+    head->timeLeft = timeLeft;
+    const auto request = m_requests.submitDelegated(
+        std::move(message), *head, terms, [this, number, delegation](const client_reply &reply) { answer(number, delegation, reply); });
+    if (request != 0) {
+        m_links.at(number).running.emplace(delegation, request);
+    }
+}
+
+void delegation_server::handle(link_number number, const delegation_cancelled &cancelled)
+{
+    auto &running = m_links.at(number).running;
+    const auto found = running.find(cancelled.delegation);
+    if (found != running.end()) {
+        const auto request = found->second;
+        running.erase(found);
+        m_requests.clientLeft(request);
+    }
+}
+
+template<class Message> void delegation_server::handle(link_number number, const Message &)
+{
+    DAISYSTILE_LOG(WARNING, "delegation") << "Unexpected message." << field("link", number);
+    drop(number);
+}
+
+void delegation_server::answer(link_number number, delegation_id delegation, const client_reply &reply)
+{
+    const auto found = m_links.find(number);
+    if (found != m_links.end()) {
+        found->second.running.erase(delegation);
+        send(number, std::visit(reply_message {delegation}, reply));
+    }
+}
+
+void delegation_server::send(link_number number, const delegation_message &message)
+{
+    const auto found = m_links.find(number);
+    if (found != m_links.end() && !found->second.link->send(encodeDelegation(message))) {
+        drop(number);
+    }
+}
+
+// Deferred, because it may be called from a callback of the link.
+void delegation_server::drop(link_number number)
+{
+    m_loop.post([this, number] { closed(number); });
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Source/Forward/delegation_server.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "delegation_messages.h"
+#include "forwarder.h"
+
+#include <Connection/connection.h>
+
+#include <map>
+#include <memory>
+
+namespace daisystile {
+
+/// Runs queries that other daemons delegate to this one. Used on the traffic thread only.
+class delegation_server
+{
+public:
+    delegation_server(reactor &loop, forwarder &requests, const entry_settings &settings);
+
+    /// Starts to listen once the view has the key that authenticates daemons.
+    void update(const routing_snapshot &view);
+    /// From now on all offers are declined; queries that have begun go on.
+    void startDraining();
+    std::size_t runningQueries() const;
+
+private:
+    using link_number = std::uint64_t;
+
+    struct follower_link
+    {
+        std::unique_ptr<peer_link> link;
+        std::map<delegation_id, request_number> running;
+    };
+
+    void accepted(int handle);
+    void closed(link_number number);
+    void received(link_number number, std::string_view frame);
+    void handle(link_number number, const query_offer &offer);
+    void handle(link_number number, delegated_query query);
+    void handle(link_number number, const delegation_cancelled &cancelled);
+    /// Any other message is one that only this daemon sends.
+    template<class Message> void handle(link_number number, const Message &message);
+    void answer(link_number number, delegation_id delegation, const client_reply &reply);
+    void send(link_number number, const delegation_message &message);
+    void drop(link_number number);
+    bool takes(std::uint64_t configurationVersion) const;
+
+    reactor &m_loop;
+    forwarder &m_requests;
+    ip_address m_address;
+    peer_credentials m_credentials;
+    std::unique_ptr<tcp_listener> m_listener;
+    std::map<link_number, follower_link> m_links;
+    link_number m_next = 1;
+    bool m_draining = false;
+};
+
+} // namespace daisystile
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -1,6 +1,7 @@
 #include "entry_process.h"
 
 #include "client_server.h"
+#include "delegation_server.h"
 #include "drain_plan.h"
 #include "store_follower.h"
 
@@ -25,6 +26,7 @@
           readSettingsAgain(std::move(settingsReader)),
           requests(traffic, settings, registry),
           clients(traffic, requests, registry),
+          delegations(traffic, requests, settings),
           store(control, settings, [this](std::shared_ptr<const routing_snapshot> view) { publish(std::move(view)); }),
           signals(
               control,
@@ -64,7 +66,10 @@
 
     void publish(std::shared_ptr<const routing_snapshot> view)
     {
-        traffic.post([this, view = std::move(view)] { requests.update(view); });
+        traffic.post([this, view = std::move(view)] {
+            requests.update(view);
+            delegations.update(*view);
+        });
     }
 
     leaf::result<entry_process::addresses> listen()
@@ -99,7 +104,10 @@
         draining = true;
         drainingSince = control.now();
         DAISYSTILE_LOG(INFO, "daemon") << "Draining." << field("id", settings.id.value);
-        traffic.post([this] { clients.startDraining(); });
+        traffic.post([this] {
+            clients.startDraining();
+            delegations.startDraining();
+        });
         store.leave();
         checkDrained();
     }
@@ -107,7 +115,9 @@
     void checkDrained()
     {
         traffic.post([this] {
-            const drain_progress progress {std::chrono::duration_cast<milliseconds>(traffic.now() - drainingSince), settings.grace, clients.busyConnections()};
+            const drain_progress progress {std::chrono::duration_cast<milliseconds>(traffic.now() - drainingSince),
+                settings.grace,
+                clients.busyConnections() + delegations.runningQueries()};
             const auto next = drainStep(progress);
             if (next != drain_step::serve) {
                 clients.closeIdle();
@@ -138,6 +148,7 @@
     reactor traffic;
     forwarder requests;
     client_server clients;
+    delegation_server delegations;
     store_follower store;
     termination_signals signals;
     std::unique_ptr<http_server> readiness;
--- a/Source/Forward/forward.h
+++ b/Source/Forward/forward.h
@@ -3,6 +3,7 @@
 /// Public header of the forward library: the plain HTTP front end, its connections to backend servers, and its view of the store.
 
 #include "client_server.h"
+#include "delegation_server.h"
 #include "drain_plan.h"
 #include "entry_process.h"
 #include "entry_settings.h"
--- a/Source/Forward/forward_metrics.h
+++ b/Source/Forward/forward_metrics.h
@@ -19,7 +19,16 @@
     metric_counter retries;
     metric_counter hedges;
     metric_counter denied;
+    /// Answers that state that their server is leaving, that ask for a pause, or whose retry time can't be read.
+    metric_counter leavingNotices;
+    metric_counter retryAfterNotices;
+    metric_counter malformedNotices;
     metric_histogram latency;
+    /// Queries delegated to other daemons, by outcome.
+    metric_counter delegationsAnswered;
+    metric_counter delegationsDeclined;
+    metric_counter delegationsUnanswered;
+    metric_counter delegationsFailed;
     /// Parts of requests that are queued until a service has capacity.
     metric_gauge waiting;
     metric_gauge configurationVersion;
@@ -27,8 +36,12 @@
     metric_gauge daemons;
     metric_gauge usableServers;
     metric_gauge coldServers;
-    /// Servers that are draining, in an evacuated domain, or misdirected.
+    /// Servers that are draining, in an evacuated domain, leaving, or misdirected.
     metric_gauge barredServers;
+    /// Servers that have stated in an answer that they are shutting down; among the barred.
+    metric_gauge leavingServers;
+    /// Servers that have asked this daemon for a pause.
+    metric_gauge pausedServers;
 };
 
 } // namespace daisystile
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -1,7 +1,9 @@
 #include "forwarder.h"
 
+#include "request_answer.h"
+#include "request_terms.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace daisystile {
 
@@ -12,16 +14,12 @@
 constexpr int statusGatewayTimeout = 504;
 constexpr int statusNotFound = 404;
 
-// Allows for the transfer to the client and for scheduling delays on the machine.
-constexpr milliseconds answerMargin {12};
-constexpr milliseconds giveUpMargin {20};
 constexpr milliseconds defaultTimeLeft {10000};
 
-// The sum of the daemons' budgets must stay below the fleet's limit while the fleet's size changes.
-constexpr double usableRatio = 0.9;
-constexpr double usableSlack = 0.8;
-constexpr double hedgeReserveShare = 0.3;
-
+// A query over fewer shards costs less to run than to delegate.
+constexpr std::size_t minDelegatedParts = 4;
+// The daemon to which a part was delegated sends the hedges.
+constexpr milliseconds noHedge {86400000};
 // How long the slower attempt of a hedged pair may continue, so that its connection can be reused.
 constexpr milliseconds hedgeLoserGrace {700};
 // How long a cancelled attempt may continue before its connection is closed.
@@ -38,8 +36,17 @@
 forwarder::forwarder(reactor &loop, const entry_settings &settings, metrics &registry)
     : m_loop(loop),
       m_settings(settings),
-      m_pool(loop, settings, [this](attempt_result result) { attemptEnded(std::move(result)); }),
       m_metrics(registry),
+      m_pool(loop,
+          settings,
+          {.done = [this](attempt_result result) { attemptEnded(std::move(result)); },
+              .noticed =
+                  [this](const server_notice &notice) {
+                      countNotice(notice);
+                  }}),
+      m_coordinators(settings),
+      m_budgets(m_coordinators),
+      m_delegations(loop, settings.id, m_metrics),
       m_random(static_cast<std::minstd_rand::result_type>(stableHash(settings.id.value, 1)))
 {
 }
@@ -47,33 +54,62 @@
 void forwarder::update(const std::shared_ptr<const routing_snapshot> &view)
 {
     m_view = view;
-    m_pool.update(view);
+    m_coordinators.update(*view);
+    m_pool.update(view, m_coordinators);
+    m_delegations.update(*view);
+    prepareDelegations();
     updateCapacity();
     updateGauges();
     wakeAll();
 }
 
+void forwarder::prepareDelegations()
+{
+    m_delegations.prepare(m_coordinators.delegates());
+    if (!m_coordinators.coordinators().includesSelf) {
+        return;
+    }
+    for (const auto &domain : m_coordinators.remoteDomains()) {
+        m_delegations.prepare(m_coordinators.coordinators().byDomain.at(domain));
+    }
+}
+
 void forwarder::updateGauges()
 {
     const auto servers = m_pool.counts();
     m_metrics.usableServers.set(static_cast<double>(servers.usable));
     m_metrics.coldServers.set(static_cast<double>(servers.cold));
     m_metrics.barredServers.set(static_cast<double>(servers.barred));
+    m_metrics.leavingServers.set(static_cast<double>(servers.leaving));
+    m_metrics.pausedServers.set(static_cast<double>(servers.paused));
     m_metrics.daemons.set(static_cast<double>(m_view->fleet.size()));
     if (m_view->routes) {
         m_metrics.configurationVersion.set(static_cast<double>(m_view->routes->configuration().version.value));
     }
 }
 
+void forwarder::countNotice(const server_notice &notice)
+{
+    if (notice.leaving) {
+        m_metrics.leavingNotices.add();
+    }
+    if (notice.retryAfter) {
+        m_metrics.retryAfterNotices.add();
+    }
+    if (notice.retryAfterMalformed) {
+        m_metrics.malformedNotices.add();
+    }
+    updateGauges();
+}
+
 void forwarder::updateCapacity()
 {
-    const auto daemons = static_cast<unsigned>(m_view->sharingDaemons());
     for (const auto &[service, servers] : m_view->servers->byService) {
         unsigned slots = 0;
         for (const auto &server : servers) {
             slots += m_view->mayServe(server) ? server.slots : 0;
         }
-        m_queue.setCapacity(service, {slots, daemons});
+        m_queue.setCapacity(service, {slots, static_cast<unsigned>(m_coordinators.sendersOf(service).count)});
     }
 }
 
@@ -89,18 +125,36 @@
 }
 
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
+{
+    const auto request = prepare(std::move(message), head, std::move(reply));
+    return request ? start(request) : 0;
+}
+
+request_number
+forwarder::submitDelegated(request_message message, const client_request_head &head, const delegated_terms &terms, std::function<void(client_reply)> reply)
+{
+    const auto request = prepare(std::move(message), head, std::move(reply));
+    if (!request) {
+        return 0;
+    }
+    request->peerTerms = terms;
+    request->objective = std::min(request->objective, terms.answerWithin);
+    return start(request);
+}
+
+forwarder::request_pointer forwarder::prepare(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     if (!m_view->routes) {
         DAISYSTILE_LOG(WARNING, "answer") << "No configuration has been read yet." << field("request", head.id.value);
         reply(local_reply {statusUnavailable, milliseconds {500}});
-        return 0;
+        return nullptr;
     }
     const auto *matchedRoute = m_view->routes->match(head.host, message.target);
     if (matchedRoute == nullptr) {
         DAISYSTILE_LOG(WARNING, "answer") << "No route matches the request." << field("request", head.id.value) << field("host", head.host)
                                           << field("version", m_view->routes->configuration().version.value);
         reply(local_reply {statusNotFound, std::nullopt});
-        return 0;
+        return nullptr;
     }
     auto request = std::make_shared<running_request>();
     request->number = m_nextRequest++;
@@ -108,45 +162,105 @@
     request->head = head;
     request->view = m_view;
     request->matchedRoute = matchedRoute;
-    request->received = m_loop.now();
+    // The client counts the time for which its request has waited to be read.
+    request->received = m_loop.readySince();
+    request->deadline = request->received + head.timeLeft.value_or(defaultTimeLeft);
+    request->objective = matchedRoute->objective;
     request->reply = std::move(reply);
+    return request;
+}
+
+request_number forwarder::start(const request_pointer &request)
+{
     m_requests.emplace(request->number, request);
-    begin(request);
+    const auto &matchedRoute = *request->matchedRoute;
+    const auto *split = std::get_if<split_target>(&matchedRoute.target);
+    request->parts = partsOf(*request, split == nullptr ? 0 : m_roundRobins[matchedRoute.name].next(split->services));
+    request->state = beginForward(limitsOf(*request, latencyOf(matchedRoute).typical()));
+    if (!delegate(request)) {
+        runHere(request);
+    }
     return request->state.ended ? 0 : request->number;
 }
 
-void forwarder::begin(const request_pointer &request)
+bool forwarder::delegate(const request_pointer &request)
 {
-    const auto &matchedRoute = *request->matchedRoute;
-    forward_limits terms;
-    terms.retryPolicy = matchedRoute.retryPolicy;
-    terms.maxAttempts = matchedRoute.maxAttempts;
-    if (const auto *shards = std::get_if<shards_target>(&matchedRoute.target)) {
-        for (const auto &service : shards->shards) {
-            request->parts.push_back({.service = service});
+    const auto &delegates = m_coordinators.delegates();
+    if (request->peerTerms || delegates.empty() || request->parts.size() < minDelegatedParts) {
+        return false;
+    }
+    request->delegation = m_delegations.start(delegates, *request, {}, [this, request](const daemon_id &delegate, delegation_outcome outcome) {
+        delegationEnded(request, delegate, std::move(outcome));
+    });
+    if (request->delegation == 0) {
+        return false;
+    }
+    schedule(request);
+    return true;
+}
+
+void forwarder::delegateParts(const request_pointer &request)
+{
+    // What was delegated in parts is not delegated again.
+    if (isPartOfQuery(*request)) {
+        return;
+    }
+    for (const auto &group : m_coordinators.remoteParts(request->matchedRoute->name)) {
+        const auto &delegates = m_coordinators.coordinators().byDomain.at(group.domain);
+        const auto done = [this, request, parts = group.parts](const daemon_id &, delegation_outcome outcome) {
+            partsEnded(request, parts, std::move(outcome));
+        };
+        const auto delegation = m_delegations.start(delegates, *request, group.parts, done);
+        if (delegation == 0) {
+            continue;
         }
-        terms.parts = request->parts.size();
-        const double least = std::ceil(shards->minShare * static_cast<double>(terms.parts) - 1e-9);
-        terms.minParts = std::max<std::size_t>(1, static_cast<std::size_t>(least));
-        terms.retryPolicy = retry_policy::idempotent;
-    } else if (const auto *split = std::get_if<split_target>(&matchedRoute.target)) {
-        request->parts.push_back({.service = split->services[m_roundRobins[matchedRoute.name].next(split->services)].service});
-    } else {
-        request->parts.push_back({.service = std::get<single_target>(matchedRoute.target).service});
-    }
-    const auto left = request->head.timeLeft.value_or(defaultTimeLeft);
-    request->deadline = request->received + left;
-    terms.timeoutAt = request->received + std::min(left - giveUpMargin, matchedRoute.timeout);
-    terms.partialAnswerAt = std::min(request->received + matchedRoute.objective - answerMargin, terms.timeoutAt);
-    const auto usual = std::chrono::duration_cast<milliseconds>(latencyOf(matchedRoute).typical());
-    terms.latestStart = std::max(request->received, terms.partialAnswerAt - usual);
-    request->state = beginForward(terms);
-    if (!admit(request)) {
+        request->partDelegations.insert(delegation);
+        for (const auto part : group.parts) {
+            request->parts[part].delegation = delegation;
+        }
+    }
+}
+
+void forwarder::partsEnded(const request_pointer &request, const std::vector<part_index> &parts, delegation_outcome outcome)
+{
+    const bool declined = std::holds_alternative<delegation_declined>(outcome);
+    auto *reply = std::get_if<client_reply>(&outcome);
+    const auto *failure = reply == nullptr ? nullptr : std::get_if<local_reply>(reply);
+    const bool notRun = declined || (failure != nullptr && failure->status == statusUnavailable);
+    if (reply != nullptr && std::holds_alternative<query_answer>(*reply)) {
+        acceptDelegated(*request, parts, std::move(std::get<query_answer>(*reply)));
+    }
+    for (const auto index : parts) {
+        auto &part = request->parts[index];
+        request->partDelegations.erase(std::exchange(part.delegation, 0));
+        const bool answered = !part.signature.value.empty();
+        part.exhausted = !notRun && !answered;
+        // Servers may have rejected the part, so a further attempt is extra load.
+        part.arrivals += declined ? 0 : 1;
+        step(request, attempt_ended {index, answered ? attempt_end::answered : notRun ? attempt_end::not_run : attempt_end::failed});
+    }
+}
+
+void forwarder::delegationEnded(const request_pointer &request, const daemon_id &delegate, delegation_outcome outcome)
+{
+    request->delegation = 0;
+    if (std::holds_alternative<delegation_declined>(outcome)) {
+        runHere(request);
         return;
     }
-    for (const auto &each : request->parts) {
-        budgetFor(each.service).addRequest(request->received);
+    auto *reply = std::get_if<client_reply>(&outcome);
+    const bool answered = reply != nullptr && std::holds_alternative<query_answer>(*reply);
+    m_metrics.latency.observe(std::chrono::duration_cast<microseconds>(m_loop.now() - request->received));
+    logDelegatedEnd(*request, delegate, answered ? "answered" : reply == nullptr ? "lost" : "failed", m_loop.now());
+    finish(request, reply == nullptr ? client_reply(local_reply {statusBadGateway, std::nullopt}) : std::move(*reply));
+}
+
+void forwarder::runHere(const request_pointer &request)
+{
+    if (!admit(request)) {
+        return;
     }
+    delegateParts(request);
     step(request, forward_begun {});
 }
 
@@ -156,11 +270,13 @@
     for (const auto &part : request->parts) {
         terms.services.push_back(part.service);
     }
-    terms.minServices = request->state.terms.minParts;
+    // The daemon that delegates parts has use for any of them.
+    terms.minServices = isPartOfQuery(*request) ? 1 : request->state.terms.minParts;
     terms.urgency = request->matchedRoute->urgency;
     terms.draw = std::uniform_real_distribution<>()(m_random);
-    terms.maxWait = std::chrono::duration_cast<milliseconds>(request->state.terms.latestStart - request->received);
-    const auto forecast = m_queue.forecastAdmission(terms, request->received);
+    const auto now = m_loop.now();
+    terms.maxWait = timeLeft(now, request->state.terms.latestStart);
+    const auto forecast = m_queue.forecastAdmission(terms, now);
     request->forecastWait = forecast.wait;
     if (!forecast.inTime) {
         fail(request, forward_failure::not_run);
@@ -211,12 +327,20 @@
 forward_event forwarder::startAttempt(const request_pointer &request, const start_attempt &action)
 {
     auto &part = request->parts[action.part];
+    if (part.delegation != 0) {
+        return attempt_started {action.part, action.purpose, noHedge};
+    }
+    if (part.exhausted) {
+        return attempt_denied {action.part, action.purpose};
+    }
     auto &latencyStats = latencyOf(*request->matchedRoute);
     const auto now = m_loop.now();
     const auto left = std::chrono::duration_cast<milliseconds>(std::min(request->deadline, request->received + request->matchedRoute->timeout) - now);
     const bool hedge = action.purpose == attempt_purpose::hedge;
-    // Queueing helps only if there is an untried server that may become free.
-    if (!hedge && (left.count() <= 0 || !m_pool.hasServer(part.service, part.tried))) {
+    // Queueing helps only if an untried server may take the part in time.
+    const auto availableFrom = m_pool.availableFrom(part.service, part.tried);
+    if (!hedge && (left.count() <= 0 || availableFrom > std::max(now, request->state.terms.latestStart))) {
+        addForecastWait(*request, availableFrom, now);
         return attempt_denied {action.part, action.purpose};
     }
     const bool room = left.count() > 0 && m_queue.hasRoom(part.service, action.purpose, now);
@@ -228,11 +352,14 @@
         m_metrics.denied.add();
         return attempt_denied {action.part, action.purpose};
     }
+    if (part.arrivals == 0 && part.tried.empty()) {
+        budgetFor(part.service).addRequest(now);
+    }
     const bool bodyless = request->message.method == "HEAD";
     auto bytes = serverRequest(request->message, left, server->entry.id);
     const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, latencyStats.hedgeDelay());
     m_attempts.emplace(id, running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id});
-    m_queue.started(part.service, id, now, request->matchedRoute->objective);
+    m_queue.started(part.service, id, now, request->objective);
     part.waitingSince.reset();
     request->attemptsMade += 1;
     request->attempts.insert(id);
@@ -245,6 +372,14 @@
     return attempt_started {action.part, action.purpose, latencyStats.hedgeDelay()};
 }
 
+// All servers have asked for a pause, so a client that is refused must not return before one of them accepts requests.
+void forwarder::addForecastWait(running_request &request, monotonic_time availableFrom, monotonic_time now)
+{
+    if (availableFrom != monotonic_time::max()) {
+        request.forecastWait = std::max(request.forecastWait, std::chrono::ceil<milliseconds>(availableFrom - now));
+    }
+}
+
 forward_event forwarder::waitForServer(running_request &request, const start_attempt &action)
 {
     if (action.purpose != attempt_purpose::hedge) {
@@ -287,21 +422,15 @@
         finish(request, std::move(*request->answer));
         return;
     }
-    query_answer reply;
-    std::vector<std::string_view> bodies;
-    for (const auto &part : request->parts) {
-        if (!part.signature.value.empty()) {
-            reply.signatures.push_back(part.signature);
-            bodies.emplace_back(part.body);
-        }
-    }
-    reply.missingParts = request->parts.size() - reply.signatures.size();
-    reply.records = greatestRecords(bodies, shards->topRecords);
-    finish(request, std::move(reply));
+    finish(request, mergedAnswer(*request, *shards));
 }
 
 void forwarder::fail(const request_pointer &request, forward_failure failure)
 {
+    if (request->delegation != 0) {
+        failDelegated(request);
+        return;
+    }
     const bool relayed = request->answer.has_value();
     const char *outcome = relayed               ? "server_failure"
         : failure == forward_failure::not_run   ? "not_run"
@@ -316,7 +445,8 @@
     }
     if (failure == forward_failure::not_run) {
         m_metrics.refused.add();
-        finish(request, local_reply {statusUnavailable, retryAfter(*request)});
+        const double draw = std::uniform_real_distribution<>()(m_random);
+        finish(request, local_reply {statusUnavailable, clientRetryAfter(timeLeft(m_loop.now(), request->deadline), request->forecastWait, draw)});
         return;
     }
     const bool late = failure == forward_failure::timed_out;
@@ -324,16 +454,12 @@
     finish(request, local_reply {late ? statusGatewayTimeout : statusBadGateway, std::nullopt});
 }
 
-// Not before the forecast time of free capacity, and randomized, so that clients that were refused together don't retry
-// together. Clients wait at most a third of their remaining time.
-milliseconds forwarder::retryAfter(const running_request &request)
+// The other daemon has not answered by the timeout, and it may have run the query.
+void forwarder::failDelegated(const request_pointer &request)
 {
-    constexpr milliseconds shortest {50};
-    constexpr int partOfTimeLeft = 8;
-    const auto left = timeLeft(m_loop.now(), request.deadline);
-    const auto earliest = std::min(std::max(left / partOfTimeLeft, request.forecastWait), left / 4);
-    std::uniform_int_distribution<milliseconds::rep> spread(earliest.count(), std::max(left / 3, earliest).count());
-    return std::max(shortest, milliseconds {spread(m_random)});
+    logDelegatedEnd(*request, m_delegations.delegateOf(request->delegation), "timed_out", m_loop.now());
+    m_metrics.timedOut.add();
+    finish(request, local_reply {statusGatewayTimeout, std::nullopt});
 }
 
 void forwarder::finish(const request_pointer &request, client_reply reply)
@@ -346,6 +472,10 @@
 {
     request.state.ended = true;
     m_loop.cancelTimer(request.timer);
+    m_delegations.cancel(std::exchange(request.delegation, 0));
+    for (const auto delegation : std::exchange(request.partDelegations, {})) {
+        m_delegations.cancel(delegation);
+    }
     abandonAttempts(request, grace);
     if (request.waited) {
         m_queue.removeRequest(request.number);
@@ -401,24 +531,6 @@
     }
 }
 
-void forwarder::accept(running_request &request, part_index index, exchange_answer &exchange)
-{
-    if (std::holds_alternative<shards_target>(request.matchedRoute->target)) {
-        auto &part = request.parts[index];
-        if (exchange.answer.verdict == answer_verdict::success && part.signature.value.empty()) {
-            part.signature = exchange.answer.signature;
-            part.body = std::move(exchange.message.body);
-        }
-        return;
-    }
-    const bool relayable = exchange.answer.verdict == answer_verdict::success || exchange.answer.verdict == answer_verdict::failure;
-    // These statuses would tell the client that the request has not run.
-    const bool impliesNotRun = exchange.message.status == statusUnavailable || exchange.message.status == 429 || exchange.message.status == 408;
-    if (relayable && !(impliesNotRun && exchange.answer.verdict == answer_verdict::failure)) {
-        request.answer = std::move(exchange.message);
-    }
-}
-
 void forwarder::attemptEnded(attempt_result result)
 {
     const auto found = m_attempts.find(result.attempt);
@@ -439,7 +551,7 @@
         auto *exchange = std::get_if<exchange_answer>(&result.exchange);
         auto &part = request->parts[attempt.part];
         if (exchange != nullptr) {
-            accept(*request, attempt.part, *exchange);
+            acceptAnswer(*request, attempt.part, *exchange);
         } else if (end == attempt_end::not_run && part.arrivals > 0) {
             part.arrivals -= 1;
         }
@@ -513,15 +625,7 @@
 
 retry_budget &forwarder::budgetFor(const service_name &service)
 {
-    const auto &bounds = m_settings.bounds;
-    const double share = bounds.retrySlack * usableSlack / static_cast<double>(m_view->sharingDaemons());
-    const retry_budget_limits terms {
-        .window = bounds.retryWindow, .ratio = bounds.retryRatio * usableRatio, .slack = share, .hedgeReserve = share * hedgeReserveShare};
-    const auto [found, isNew] = m_budgets.try_emplace(service, terms);
-    if (!isNew) {
-        found->second.setTerms(terms);
-    }
-    return found->second;
+    return m_budgets.of(service, m_settings.bounds);
 }
 
 } // namespace daisystile
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "backend_pool.h"
+#include "coordinator_table.h"
+#include "delegation_client.h"
 #include "entry_settings.h"
 #include "forward_metrics.h"
+#include "retry_budgets.h"
 #include "routing_snapshot.h"
 #include "running_request.h"
 
@@ -26,6 +29,9 @@
 
     /// Calls the callback once, possibly before returning, unless the client leaves first. Returns 0 if it was already called.
     request_number submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
+    /// The same for a query that another daemon has delegated to this one.
+    request_number
+    submitDelegated(request_message message, const client_request_head &head, const delegated_terms &terms, std::function<void(client_reply)> reply);
     /// Cancels a request whose client has disconnected.
     void clientLeft(request_number request);
 
@@ -40,26 +46,38 @@
 
     using request_pointer = std::shared_ptr<running_request>;
 
-    void begin(const request_pointer &request);
+    /// Null after the request was answered because there is no route for it.
+    request_pointer prepare(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
+    request_number start(const request_pointer &request);
+    /// Delegates a query to a coordinator of the own failure domain if this daemon is none and one is available.
+    bool delegate(const request_pointer &request);
+    /// Delegates the parts without a backend server in the own failure domain to coordinators of other domains.
+    void delegateParts(const request_pointer &request);
+    void partsEnded(const request_pointer &request, const std::vector<part_index> &parts, delegation_outcome outcome);
+    void delegationEnded(const request_pointer &request, const daemon_id &delegate, delegation_outcome outcome);
+    void runHere(const request_pointer &request);
     /// False if the request was refused because it could not be answered in time.
     bool admit(const request_pointer &request);
     void step(const request_pointer &request, const forward_event &event);
     void perform(const request_pointer &request, const forward_action &action, std::deque<forward_event> &events);
     forward_event startAttempt(const request_pointer &request, const start_attempt &action);
+    static void addForecastWait(running_request &request, monotonic_time availableFrom, monotonic_time now);
     forward_event waitForServer(running_request &request, const start_attempt &action);
     void updateCapacity();
+    void prepareDelegations();
     void updateGauges();
+    void countNotice(const server_notice &notice);
     bool allowed(const running_request &request, const start_attempt &action);
     void schedule(const request_pointer &request);
     void answer(const request_pointer &request);
     void fail(const request_pointer &request, forward_failure failure);
+    void failDelegated(const request_pointer &request);
     void finish(const request_pointer &request, client_reply reply);
     /// Ends a request without a reply; its attempts may continue for the grace time.
     void release(running_request &request, milliseconds grace);
     void abandonAttempts(running_request &request, milliseconds grace);
     void attemptEnded(attempt_result result);
     attempt_end evaluateAttempt(const running_attempt &attempt, attempt_id id, exchange_result &exchange);
-    void accept(running_request &request, part_index part, exchange_answer &exchange);
     /// Starts queued parts of the service as far as it has capacity.
     void wake(const service_name &service);
     void wakeAll();
@@ -68,13 +86,15 @@
     void scheduleWake();
     route_latency &latencyOf(const route &matchedRoute);
     retry_budget &budgetFor(const service_name &service);
-    milliseconds retryAfter(const running_request &request);
 
     reactor &m_loop;
     entry_settings m_settings;
     std::shared_ptr<const routing_snapshot> m_view = std::make_shared<routing_snapshot>();
-    backend_pool m_pool;
     forward_metrics m_metrics;
+    backend_pool m_pool;
+    coordinator_table m_coordinators;
+    retry_budgets m_budgets;
+    delegation_client m_delegations;
     std::unordered_map<request_number, request_pointer> m_requests;
     std::unordered_map<attempt_id, running_attempt> m_attempts;
     work_queue m_queue;
@@ -83,7 +103,6 @@
     bool m_wakeScheduled = false;
     std::map<route_name, route_latency> m_latencies;
     std::map<route_name, weighted_round_robin> m_roundRobins;
-    std::map<service_name, retry_budget> m_budgets;
     request_number m_nextRequest = 1;
     std::minstd_rand m_random;
 };
--- a/Source/Forward/running_request.cxx
+++ b/Source/Forward/running_request.cxx
@@ -5,13 +5,12 @@
 void logRequestEnd(const running_request &request, const char *outcome, monotonic_time now)
 {
     const auto waited = std::chrono::duration_cast<milliseconds>(now - request.received);
-    const bool late = waited > request.matchedRoute->objective;
+    const bool late = waited > request.objective;
     const auto line = field("request", request.head.id.value) + field("route", request.matchedRoute->name.value) + field("outcome", outcome)
         + field("parts", std::to_string(request.state.answered) + "/" + std::to_string(request.state.terms.parts)) + field("lost", request.state.lost)
         + field("attempts", request.attemptsMade) + field("waited_ms", static_cast<std::uint64_t>(waited.count()))
         + field("foreseen_wait_ms", static_cast<std::uint64_t>(request.forecastWait.count()))
-        + field("objective_ms", static_cast<std::uint64_t>(request.matchedRoute->objective.count()))
-        + field("version", request.view->routes->configuration().version.value);
+        + field("objective_ms", static_cast<std::uint64_t>(request.objective.count())) + field("version", request.view->routes->configuration().version.value);
     const bool good = request.state.answered == request.state.terms.parts && !late;
     if (good) {
         DAISYSTILE_LOG(INFO, "answer") << "Request ended." << line;
@@ -20,6 +19,20 @@
     }
 }
 
+void logDelegatedEnd(const running_request &request, const daemon_id &delegate, const char *outcome, monotonic_time now)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - request.received);
+    const auto line = field("request", request.head.id.value) + field("route", request.matchedRoute->name.value) + field("outcome", outcome)
+        + field("delegate", delegate.value) + field("waited_ms", static_cast<std::uint64_t>(waited.count()))
+        + field("objective_ms", static_cast<std::uint64_t>(request.matchedRoute->objective.count()))
+        + field("version", request.view->routes->configuration().version.value);
+    if (waited <= request.matchedRoute->objective) {
+        DAISYSTILE_LOG(INFO, "answer") << "Delegated request ended." << line;
+    } else {
+        DAISYSTILE_LOG(WARNING, "answer") << "Delegated request ended." << line;
+    }
+}
+
 void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now)
 {
     const auto *broken = std::get_if<exchange_broken>(&exchange);
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -30,6 +30,8 @@
 struct request_part
 {
     service_name service;
+    /// Position in the route's list of shards.
+    std::size_t shard = 0;
     std::vector<backend_server_id> tried;
     /// Attempts that have reached, or may have reached, a server.
     unsigned arrivals = 0;
@@ -37,6 +39,19 @@
     std::optional<monotonic_time> waitingSince;
     answer_signature signature;
     std::string body;
+    /// Set while a daemon of another failure domain runs the part; 0 otherwise.
+    std::uint64_t delegation = 0;
+    /// Gets no further attempt, because another daemon has used the attempts that were allowed.
+    bool exhausted = false;
+};
+
+/// What another daemon has delegated to this one.
+struct delegated_terms
+{
+    /// Positions of the shards to query, in the route's list; empty for the whole query.
+    std::vector<std::size_t> shards;
+    /// Time until an incomplete answer is better than a late one.
+    milliseconds answerWithin {0};
 };
 
 /// A client's request from its arrival to its reply.
@@ -49,6 +64,8 @@
     const route *matchedRoute = nullptr;
     monotonic_time received;
     monotonic_time deadline;
+    /// Time within which an answer is of full use, counted from its arrival here.
+    milliseconds objective {0};
     forward_state state;
     std::vector<request_part> parts;
     /// The answer to a request to one service.
@@ -61,6 +78,14 @@
     /// Queueing time forecast at admission.
     milliseconds forecastWait {0};
     unsigned attemptsMade = 0;
+    /// Set while another daemon runs the query; 0 otherwise.
+    std::uint64_t delegation = 0;
+    /// Delegations of parts.
+    std::set<std::uint64_t> partDelegations;
+    /// Merged records of delegated parts that were answered.
+    std::vector<std::string> delegatedRecords;
+    /// Set if the client is connected to another daemon, which has delegated the query or parts of it to this one.
+    std::optional<delegated_terms> peerTerms;
 };
 
 /// An attempt to run one part on a backend server.
@@ -77,6 +102,8 @@
 
 /// Logs one line per request: its outcome and the inputs of the decision, with the configuration version.
 void logRequestEnd(const running_request &request, const char *outcome, monotonic_time now);
+/// The same for a query that another daemon has run.
+void logDelegatedEnd(const running_request &request, const daemon_id &delegate, const char *outcome, monotonic_time now);
 void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now);
 
 } // namespace daisystile
--- a/Source/Route/forward_decision.cxx
+++ b/Source/Route/forward_decision.cxx
@@ -102,12 +102,15 @@
         const bool hasMinParts = m_state.answered >= terms.minParts;
         const bool settled = m_state.answered + m_state.lost == terms.parts;
         const bool cannotSucceed = terms.parts - m_state.lost < terms.minParts;
-        if (hasMinParts && (settled || m_now >= terms.partialAnswerAt)) {
+        const bool timedOut = m_now >= terms.timeoutAt;
+        const bool sufficient = hasMinParts && (settled || m_now >= terms.partialAnswerAt);
+        const bool anyAtEnd = terms.acceptsAny && m_state.answered > 0 && (settled || timedOut);
+        if (sufficient || anyAtEnd) {
             end(answer_request {});
-        } else if (settled || cannotSucceed) {
-            end(fail_request {noAttemptRan() ? forward_failure::not_run : forward_failure::servers_failed});
-        } else if (m_now >= terms.timeoutAt) {
-            end(fail_request {noAttemptRan() && noAttemptRunning() ? forward_failure::not_run : forward_failure::timed_out});
+        } else if (settled || (cannotSucceed && !terms.acceptsAny)) {
+            fail(forward_failure::servers_failed);
+        } else if (timedOut) {
+            fail(forward_failure::timed_out);
         }
     }
 
@@ -157,6 +160,12 @@
         return std::all_of(m_state.parts.begin(), m_state.parts.end(), [](const auto &part) { return part.running == 0; });
     }
 
+    // Only a request of which no attempt ran or is running has certainly not run.
+    void fail(forward_failure otherwise)
+    {
+        end(fail_request {noAttemptRan() && noAttemptRunning() ? forward_failure::not_run : otherwise});
+    }
+
     void end(const forward_action &action)
     {
         m_state.ended = true;
--- a/Source/Route/forward_decision.h
+++ b/Source/Route/forward_decision.h
@@ -34,6 +34,8 @@
     std::size_t parts = 1;
     /// Minimum number of parts in an answer.
     std::size_t minParts = 1;
+    /// Whether an answer with fewer parts is of use once no more can come; another daemon merges it with other parts.
+    bool acceptsAny = false;
     /// Maximum number of servers that a part may run on.
     unsigned maxAttempts = 1;
     /// From this time on, an answer with at least minParts parts is sent at once.
--- a/Tests/Forward/backend_connection_test.cxx
+++ b/Tests/Forward/backend_connection_test.cxx
@@ -45,6 +45,7 @@
         return std::make_unique<backend_connection>(m_loop,
             m_listener->address(),
             seconds {60},
+            m_budget,
             backend_connection::callbacks {.done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); },
                 .closedWhileIdle =
                     [this](backend_connection &) {
@@ -53,6 +54,7 @@
     }
 
     reactor m_loop;
+    buffer_budget m_budget {1024, 10000};
     std::unique_ptr<tcp_listener> m_listener;
     std::unique_ptr<tcp_stream> m_stream;
     std::string m_received;
@@ -103,6 +105,7 @@
     backend_connection refused(m_loop,
         gone,
         seconds {60},
+        m_budget,
         {.done = [this](backend_connection &, exchange_result result) { m_results.push_back(std::move(result)); },
             .closedWhileIdle =
                 [](backend_connection &) {
@@ -126,3 +129,33 @@
     EXPECT_EQ(m_lapses, 1);
     EXPECT_EQ(m_results.size(), 1U);
 }
+
+// An answer that grows without end must end its exchange and free its memory.
+TEST_F(backend_connection_test, breaksOffAnAnswerBeyondTheBudget)
+{
+    m_answer = "HTTP/1.1 200 OK\r\nServer-Stamp: b\r\nRequest-Id: 7\r\n\r\n" + std::string(20000, 'x');
+    const auto connection = connect();
+    connection->begin({"7"}, "request", false);
+    runFor(milliseconds {50});
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_EQ(std::get<exchange_broken>(m_results[0]).reason, "answer too large");
+    EXPECT_FALSE(connection->usable(m_loop.now()));
+    connection->close();
+    EXPECT_LE(m_budget.usedBytes(), 10000U);
+}
+
+TEST(buffer_budget, guaranteesEachAnswerAMinimumAndLimitsTheSum)
+{
+    buffer_budget budget(100, 1000);
+    {
+        buffer_share endless(budget);
+        EXPECT_TRUE(endless.resize(1100));
+        EXPECT_FALSE(endless.resize(1101));
+        buffer_share small(budget);
+        EXPECT_TRUE(small.resize(100));
+        EXPECT_FALSE(small.resize(101));
+        EXPECT_TRUE(endless.resize(600));
+        EXPECT_TRUE(small.resize(600));
+    }
+    EXPECT_EQ(budget.usedBytes(), 0U);
+}
--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -1,6 +1,7 @@
 #include "child_process.h"
 #include "test_client.h"
 
+#include <open_listener.h>
 #include <StandIns/plain_backend.h>
 
 #include <ace/INET_Addr.h>
@@ -46,6 +47,7 @@
     void TearDown() override
     {
         m_daemon.reset();
+        m_delegate.reset();
         m_store.reset();
         std::filesystem::remove_all(m_folder);
     }
@@ -124,6 +126,56 @@
         ASSERT_TRUE(waitFor([this] { return readinessStatus() == 200; }));
     }
 
+    // Starts a second daemon, a stronger one in the same failure domain, so that the first delegates its queries to it.
+    void startWithDelegate()
+    {
+        writeSettings("d2", 1.0);
+        m_delegate = launch("d2");
+        writeSettings("d1", 0.1);
+        m_daemon = launch("d1");
+        ASSERT_TRUE(waitFor([this] { return readinessStatus() == 200; }));
+        ASSERT_TRUE(waitFor([this, i = 0]() mutable {
+            sendRequest("GET", "/find/", "warm" + std::to_string(i++));
+            return delegationCount("answered") > 0;
+        }));
+    }
+
+    void writeSettings(const std::string &id, double strength)
+    {
+        std::ofstream((m_folder / (id + ".toml")).string())
+            << "id = \"" << id << "\"\nfailure_domain = \"port\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \""
+            << toString(open_listener(0).listenAddress()) << "\"\nqueries = \"" << toString(open_listener(0).listenAddress()) << "\"\nstrength = " << strength
+            << "\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\n";
+    }
+
+    std::unique_ptr<child_process> launch(const std::string &id)
+    {
+        auto daemon = std::make_unique<child_process>("daisystiled",
+            std::vector<std::string> {"--front-door", "plain", "--config", (m_folder / (id + ".toml")).string()},
+            (m_folder / (id + ".err")).string());
+        EXPECT_TRUE(daemon->waitReady());
+        return daemon;
+    }
+
+    // Delegations of the first daemon that ended this way.
+    int delegationCount(const std::string &outcome)
+    {
+        const auto result = m_client.call({.address = m_daemon->address("readiness"), .path = "/metrics"});
+        const auto *reply = std::get_if<http_reply>(&result);
+        const auto key = "daisystile_delegations_total{outcome=\"" + outcome + "\"} ";
+        const auto at = reply == nullptr ? std::string::npos : reply->body.find(key);
+        return at == std::string::npos ? 0 : std::atoi(reply->body.c_str() + at + key.size());
+    }
+
+    void expectWholeAnswer(const std::string &id)
+    {
+        auto found = sendRequest("GET", "/find/", id);
+        EXPECT_EQ(found.status, 200) << id;
+        EXPECT_EQ(found.headers["missing-parts"], "0") << id;
+        EXPECT_EQ(found.body, std::string(16, 'd') + std::string(16, 'c') + std::string(16, 'b')) << id;
+        EXPECT_EQ(runCount(id), shardCount) << id;
+    }
+
     bool waitFor(const std::function<bool()> &condition, seconds maxWait = seconds {10})
     {
         const auto end = std::chrono::steady_clock::now() + maxWait;
@@ -204,6 +256,7 @@
     test_client m_client;
     std::unique_ptr<child_process> m_store;
     std::unique_ptr<child_process> m_daemon;
+    std::unique_ptr<child_process> m_delegate;
     std::vector<std::unique_ptr<plain_backend>> m_servers;
     std::vector<std::string> m_serviceOfServer;
 };
@@ -459,3 +512,102 @@
     EXPECT_GT(received, answerBytes);
     EXPECT_EQ(m_daemon->waitExit(seconds {7}), 0);
 }
+
+TEST_F(entry_promises, delegatesQueriesToTheStrongestDaemonOfTheDomain)
+{
+    startWithDelegate();
+    const auto before = delegationCount("answered");
+    for (int i = 0; i < 10; ++i) {
+        expectWholeAnswer("q" + std::to_string(i));
+    }
+    EXPECT_EQ(delegationCount("answered"), before + 10);
+    EXPECT_EQ(sendRequest("GET", "/read/", "r1").body, "written") << "requests to one service are not delegated";
+    EXPECT_EQ(delegationCount("answered"), before + 10);
+}
+
+// A daemon that is stopped accepts no offer, so the query runs on the daemon that received it, in time and only once.
+TEST_F(entry_promises, runsQueriesItselfWhileTheDelegateIsPaused)
+{
+    startWithDelegate();
+    m_delegate->signal(SIGSTOP);
+    for (int i = 0; i < 5; ++i) {
+        const auto started = std::chrono::steady_clock::now();
+        expectWholeAnswer("q" + std::to_string(i));
+        EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds {200}) << "the objective";
+    }
+    EXPECT_GE(delegationCount("unanswered"), 1);
+    m_delegate->signal(SIGCONT);
+    EXPECT_TRUE(waitFor([this, before = delegationCount("answered"), i = 0]() mutable {
+        sendRequest("GET", "/find/", "later" + std::to_string(i++));
+        return delegationCount("answered") > before;
+    }));
+}
+
+TEST_F(entry_promises, losesNoQueryWhenTheDelegateStopsOrIsKilled)
+{
+    startWithDelegate();
+    m_delegate->signal(SIGTERM);
+    for (int i = 0; i < 20; ++i) {
+        expectWholeAnswer("t" + std::to_string(i));
+    }
+    EXPECT_TRUE(waitFor([this] { return !m_delegate->running(); }));
+    m_delegate = launch("d2");
+    EXPECT_TRUE(waitFor(
+        [this, before = delegationCount("answered"), i = 0]() mutable {
+            sendRequest("GET", "/find/", "again" + std::to_string(i++));
+            return delegationCount("answered") > before;
+        },
+        seconds {20}));
+    m_delegate.reset();
+    for (int i = 0; i < 5; ++i) {
+        expectWholeAnswer("k" + std::to_string(i));
+    }
+}
+
+TEST_F(entry_promises, sendsNothingMoreToAServerThatSaysItIsLeaving)
+{
+    startDaemon();
+    m_servers[8]->setExtraHeaders("Server-Leaving: 1\r\n");
+    for (int i = 0; i < 40; ++i) {
+        EXPECT_EQ(sendRequest("GET", "/read/", "r" + std::to_string(i)).status, 200);
+    }
+    EXPECT_LE(m_servers[8]->runs().size(), 1U);
+}
+
+// Every server of the service asks for a pause: the daemon refuses at once, says when to return and asks none of them again.
+TEST_F(entry_promises, refusesWhileEveryServerAsksForAPause)
+{
+    startDaemon();
+    setResponseMode("logbook", backend_response_mode::not_executed);
+    m_servers[8]->setExtraHeaders("Retry-After: 1.5\r\n");
+    m_servers[9]->setExtraHeaders("Retry-After: 1.5\r\n");
+    EXPECT_EQ(sendRequest("POST", "/note/", "n0").status, 503);
+    setResponseMode("logbook", backend_response_mode::normal);
+    const auto started = std::chrono::steady_clock::now();
+    const auto refused = sendRequest("POST", "/note/", "n1");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_GE(std::atof(refused.headers.at("retry-after").c_str()), 0.25);
+    EXPECT_LT(std::chrono::steady_clock::now() - started, milliseconds {100});
+    EXPECT_EQ(runCount("n1"), 0);
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable { return sendRequest("POST", "/note/", "m" + std::to_string(i++)).status == 200; }));
+    EXPECT_GE(std::chrono::steady_clock::now() - started, milliseconds {1000});
+}
+
+// Servers of one shard send bytes without end, in each way that a response can go on; the daemon stays small and serves.
+TEST_F(entry_promises, servesOnWhileServersSendWithoutEnd)
+{
+    startDaemon();
+    for (const auto mode : {backend_response_mode::endless_head,
+             backend_response_mode::endless_interim_responses,
+             backend_response_mode::endless_body,
+             backend_response_mode::endless_chunk_extension}) {
+        setResponseMode("shard-1", mode);
+        for (int i = 0; i < 3; ++i) {
+            auto found = sendRequest("GET", "/find/", "e" + std::to_string(static_cast<int>(mode)) + "-" + std::to_string(i));
+            EXPECT_EQ(found.status, 200);
+            EXPECT_EQ(found.headers["missing-parts"], "1");
+        }
+    }
+    setResponseMode("shard-1", backend_response_mode::normal);
+    EXPECT_TRUE(waitFor([this, i = 0]() mutable { return sendRequest("GET", "/find/", "n" + std::to_string(i++)).headers["missing-parts"] == "0"; }));
+}
--- a/Tests/Route/forward_decision_test.cxx
+++ b/Tests/Route/forward_decision_test.cxx
@@ -164,3 +164,35 @@
     EXPECT_TRUE(end(0, attempt_end::failed).empty());
     EXPECT_TRUE(only<answer_request>(end(0, attempt_end::answered)));
 }
+
+// Two shards were refused by all their servers while the others still ran: 503 would have told the client that nothing ran.
+TEST_F(forward_decision, doesNotReportNotRunWhileOtherPartsAreRunning)
+{
+    begin(4, 4, retry_policy::idempotent);
+    for (int i = 0; i < 2; ++i) {
+        ASSERT_TRUE(only<start_attempt>(end(0, attempt_end::not_run)));
+        on(attempt_started {0, attempt_purpose::retry, milliseconds {30}});
+    }
+    const auto failed = end(0, attempt_end::not_run);
+    ASSERT_TRUE(only<fail_request>(failed));
+    EXPECT_EQ(std::get<fail_request>(failed[0]).failure, forward_failure::servers_failed);
+}
+
+// Parts for another daemon: a lost part must not cost the others.
+TEST_F(forward_decision, answersWithAnyPartsOnceNoMoreCanCome)
+{
+    begin(3, 3, retry_policy::idempotent, 1);
+    m_state.terms.acceptsAny = true;
+    EXPECT_TRUE(end(0, attempt_end::failed).empty());
+    EXPECT_TRUE(end(1, attempt_end::answered).empty());
+    EXPECT_TRUE(tickAt(milliseconds {100}).empty()) << "too few parts for an early answer";
+    EXPECT_TRUE(only<answer_request>(tickAt(milliseconds {1000})));
+}
+
+TEST_F(forward_decision, failsWithoutAnyPart)
+{
+    begin(2, 2, retry_policy::idempotent, 1);
+    m_state.terms.acceptsAny = true;
+    EXPECT_TRUE(end(0, attempt_end::failed).empty());
+    EXPECT_TRUE(only<fail_request>(end(1, attempt_end::failed)));
+}
--- a/Tests/Soak/entry_soak.cxx
+++ b/Tests/Soak/entry_soak.cxx
@@ -155,7 +155,7 @@
         putObject("servers/" + server.process->id(),
             {{"service", server.service},
                 {"address", toString(m_addresses[index])},
-                {"zone", index % 2 == 0 ? "port" : "medina"},
+                {"zone", server.service == shardName(shardCount - 1) || index % 2 != 0 ? "medina" : "port"},
                 {"version", "v1"},
                 {"capacity", 4},
                 {"state", server.draining ? "draining" : "ready"},
@@ -214,7 +214,8 @@
         daemon.settingsFile = (m_folder / ("daemon-" + std::to_string(index) + ".toml")).string();
         std::ofstream(daemon.settingsFile) << "id = \"d" << index << "\"\nfailure_domain = \"" << (index % 2 == 0 ? "port" : "medina")
                                            << "\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:"
-                                           << open_listener(0).listenAddress().port << "\"\nstore = \"" << toString(store) << "\"\ngrace_ms = 6000\n";
+                                           << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
+                                           << "\"\nstrength = " << (index < 2 ? 1.0 : 0.2) << "\nstore = \"" << toString(store) << "\"\ngrace_ms = 6000\n";
         m_daemons.push_back(std::move(daemon));
     }
 
