Forward: Delegate no parts of a query whose configuration was replaced

A query whose offer is declined runs here, and took the groups of parts of the newest configuration: positions that the query doesn't have were written to. Change: a route of another configuration than the current one has no groups. Links between daemons also close when data isn't acknowledged for 3 s, so that a host that vanished is found again.

--- a/Source/Connection/peer_link.cxx
+++ b/Source/Connection/peer_link.cxx
@@ -13,6 +13,8 @@
 static constexpr std::size_t maximalQueuedBytes = 16U << 20U;
 static constexpr std::size_t readBytes = 64U << 10U;
 static constexpr milliseconds handshakeTimeout {2000};
+// A host that disappears without closing the connection is detected by data that it doesn't acknowledge.
+static constexpr milliseconds unacknowledgedTimeout {3000};
 
 struct peer_link::implementation : std::enable_shared_from_this<implementation>
 {
@@ -34,6 +36,8 @@
         stream.enable(ACE_NONBLOCK);
         int on = 1;
         stream.set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        int timeout = static_cast<int>(unacknowledgedTimeout.count());
+        stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
         appendFrame(outgoing, encodeChallenge(challenge));
         watch(true);
         handshakeTimer = loop.after(handshakeTimeout, [this] { fail(connection_failure::peer_unreachable, "handshake timed out"); });
--- a/Source/Forward/coordinator_table.cxx
+++ b/Source/Forward/coordinator_table.cxx
@@ -131,11 +131,11 @@
     return m_delegates;
 }
 
-const std::vector<remote_parts> &coordinator_table::remoteParts(const route_name &route) const
+const std::vector<remote_parts> &coordinator_table::remoteParts(const route_table &routes, const route_name &route) const
 {
     static const std::vector<remote_parts> none;
     const auto found = m_setOfRoute.find(route);
-    return found == m_setOfRoute.end() ? none : m_remoteParts[found->second];
+    return m_routes.get() != &routes || found == m_setOfRoute.end() ? none : m_remoteParts[found->second];
 }
 
 std::set<failure_domain_name> coordinator_table::remoteDomains() const
--- a/Source/Forward/coordinator_table.h
+++ b/Source/Forward/coordinator_table.h
@@ -29,8 +29,9 @@
     const query_coordinators &coordinators() const;
     /// Coordinators of this daemon's failure domain to which it delegates its queries; empty if it runs them itself.
     const std::vector<fleet_daemon> &delegates() const;
-    /// The parts of a route's queries that run in other failure domains.
-    const std::vector<remote_parts> &remoteParts(const route_name &route) const;
+    /// The parts of a route's queries that run in other failure domains; none for a route of another configuration than the
+    /// current one, whose parts may be others.
+    const std::vector<remote_parts> &remoteParts(const route_table &routes, const route_name &route) const;
     /// The failure domains in which parts of any query run, other than this daemon's.
     std::set<failure_domain_name> remoteDomains() const;
     const service_senders &sendersOf(const service_name &service) const;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -205,7 +205,7 @@
     if (isPartOfQuery(*request)) {
         return;
     }
-    for (const auto &group : m_coordinators.remoteParts(request->matchedRoute->name)) {
+    for (const auto &group : m_coordinators.remoteParts(*request->view->routes, request->matchedRoute->name)) {
         const auto &delegates = m_coordinators.coordinators().byDomain.at(group.domain);
         const auto done = [this, request, parts = group.parts](const daemon_id &, delegation_outcome outcome) {
             partsEnded(request, parts, std::move(outcome));
