Forward: Name the delegating side's connections and functions after what they do

From reading the diff as a newcomer: follower_link was taken over from the relay and named the wrong side, prepare() stood for two things, delegate() for a verb and a daemon. Names and comments only. The capacity page's generator says what the page says.

--- a/Source/Forward/delegation_client.cxx
+++ b/Source/Forward/delegation_client.cxx
@@ -61,7 +61,7 @@
     m_credentials.key = view.peerKey;
 }
 
-void delegation_client::prepare(const std::vector<fleet_daemon> &delegates)
+void delegation_client::openLinks(const std::vector<fleet_daemon> &delegates)
 {
     if (m_credentials.key.empty()) {
         return;
@@ -145,7 +145,7 @@
     const std::vector<part_index> &parts,
     delegation_callback done)
 {
-    prepare(delegates);
+    openLinks(delegates);
     auto *target = usableDelegate(delegates);
     if (target == nullptr) {
         return 0;
--- a/Source/Forward/delegation_client.h
+++ b/Source/Forward/delegation_client.h
@@ -40,7 +40,7 @@
 
     void update(const routing_snapshot &view);
     /// Opens connections to the first of these delegates, so that queries needn't wait for them.
-    void prepare(const std::vector<fleet_daemon> &delegates);
+    void openLinks(const std::vector<fleet_daemon> &delegates);
 
     /// Offers a query, or the given parts of it, to the first of the delegates that is connected and in good health. It is sent
     /// with the time that is then left. Returns 0 and calls nothing if there is none; otherwise calls back once, later, unless
--- a/Source/Forward/delegation_messages.h
+++ b/Source/Forward/delegation_messages.h
@@ -11,7 +11,7 @@
 
 namespace daisystile {
 
-/// Identifies a delegated query on the connection between two daemons; chosen by the daemon that delegates.
+/// Identifies a delegated query on the connection between two daemons; assigned by the daemon that delegates.
 using delegation_id = std::uint64_t;
 
 /// Asks the other daemon whether it takes a query. Nothing runs before the query itself is sent.
--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -117,7 +117,7 @@
 }
 
 // A daemon with another configuration would answer with other shards than the one that delegates.
-bool delegation_server::takes(std::uint64_t configurationVersion) const
+bool delegation_server::mayTake(std::uint64_t configurationVersion) const
 {
     const auto &routes = m_requests.view()->routes;
     return !m_draining && routes && routes->configuration().version.value == configurationVersion;
@@ -125,7 +125,7 @@
 
 void delegation_server::handle(link_number number, const query_offer &offer)
 {
-    send(number, offer_reply {offer.delegation, takes(offer.configurationVersion)});
+    send(number, offer_reply {offer.delegation, mayTake(offer.configurationVersion)});
 }
 
 void delegation_server::handle(link_number number, delegated_query query)
--- a/Source/Forward/delegation_server.h
+++ b/Source/Forward/delegation_server.h
@@ -25,7 +25,8 @@
 private:
     using link_number = std::uint64_t;
 
-    struct follower_link
+    /// The connection of a daemon that delegates, and its queries that run here.
+    struct delegating_daemon
     {
         std::unique_ptr<peer_link> link;
         std::map<delegation_id, request_number> running;
@@ -42,14 +43,15 @@
     void answer(link_number number, delegation_id delegation, const client_reply &reply);
     void send(link_number number, const delegation_message &message);
     void drop(link_number number);
-    bool takes(std::uint64_t configurationVersion) const;
+    /// Whether a query that was routed by this version of the configuration may run here now.
+    bool mayTake(std::uint64_t configurationVersion) const;
 
     reactor &m_loop;
     forwarder &m_requests;
     ip_address m_address;
     peer_credentials m_credentials;
     std::unique_ptr<tcp_listener> m_listener;
-    std::map<link_number, follower_link> m_links;
+    std::map<link_number, delegating_daemon> m_links;
     link_number m_next = 1;
     bool m_draining = false;
 };
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -57,20 +57,20 @@
     m_coordinators.update(*view);
     m_pool.update(view, m_coordinators);
     m_delegations.update(*view);
-    prepareDelegations();
+    openDelegateLinks();
     updateCapacity();
     updateGauges();
     wakeAll();
 }
 
-void forwarder::prepareDelegations()
+void forwarder::openDelegateLinks()
 {
-    m_delegations.prepare(m_coordinators.delegates());
+    m_delegations.openLinks(m_coordinators.delegates());
     if (!m_coordinators.coordinators().includesSelf) {
         return;
     }
     for (const auto &domain : m_coordinators.remoteDomains()) {
-        m_delegations.prepare(m_coordinators.coordinators().byDomain.at(domain));
+        m_delegations.openLinks(m_coordinators.coordinators().byDomain.at(domain));
     }
 }
 
@@ -126,14 +126,14 @@
 
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
-    const auto request = prepare(std::move(message), head, std::move(reply));
+    const auto request = makeRequest(std::move(message), head, std::move(reply));
     return request ? start(request) : 0;
 }
 
 request_number
 forwarder::submitDelegated(request_message message, const client_request_head &head, const delegated_terms &terms, std::function<void(client_reply)> reply)
 {
-    const auto request = prepare(std::move(message), head, std::move(reply));
+    const auto request = makeRequest(std::move(message), head, std::move(reply));
     if (!request) {
         return 0;
     }
@@ -142,7 +142,7 @@
     return start(request);
 }
 
-forwarder::request_pointer forwarder::prepare(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
+forwarder::request_pointer forwarder::makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     if (!m_view->routes) {
         DAISYSTILE_LOG(WARNING, "answer") << "No configuration has been read yet." << field("request", head.id.value);
@@ -177,13 +177,13 @@
     const auto *split = std::get_if<split_target>(&matchedRoute.target);
     request->parts = partsOf(*request, split == nullptr ? 0 : m_roundRobins[matchedRoute.name].next(split->services));
     request->state = beginForward(limitsOf(*request, latencyOf(matchedRoute).typical()));
-    if (!delegate(request)) {
+    if (!delegateQuery(request)) {
         runHere(request);
     }
     return request->state.ended ? 0 : request->number;
 }
 
-bool forwarder::delegate(const request_pointer &request)
+bool forwarder::delegateQuery(const request_pointer &request)
 {
     const auto &delegates = m_coordinators.delegates();
     if (request->peerTerms || delegates.empty() || request->parts.size() < minDelegatedParts) {
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -47,10 +47,10 @@
     using request_pointer = std::shared_ptr<running_request>;
 
     /// Null after the request was answered because there is no route for it.
-    request_pointer prepare(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
+    request_pointer makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
     request_number start(const request_pointer &request);
     /// Delegates a query to a coordinator of the own failure domain if this daemon is none and one is available.
-    bool delegate(const request_pointer &request);
+    bool delegateQuery(const request_pointer &request);
     /// Delegates the parts without a backend server in the own failure domain to coordinators of other domains.
     void delegateParts(const request_pointer &request);
     void partsEnded(const request_pointer &request, const std::vector<part_index> &parts, delegation_outcome outcome);
@@ -64,7 +64,7 @@
     static void addForecastWait(running_request &request, monotonic_time availableFrom, monotonic_time now);
     forward_event waitForServer(running_request &request, const start_attempt &action);
     void updateCapacity();
-    void prepareDelegations();
+    void openDelegateLinks();
     void updateGauges();
     void countNotice(const server_notice &notice);
     bool allowed(const running_request &request, const start_attempt &action);
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -219,7 +219,7 @@
     {
         relay_update update;
         update.storeReached = !servers.mirror().storeUnreachable() && !configuration.mirror().storeUnreachable() && !evacuations.mirror().storeUnreachable();
-        update.configurationRevision = relayedConfiguration;
+        update.configurationRevision = relayedConfigurationRevision;
         return update;
     }
 
@@ -273,7 +273,7 @@
         }
         if (!changedConfiguration.objects.empty()) {
             configurationRelayedAt = loop.now();
-            relayedConfiguration = configurationRevision();
+            relayedConfigurationRevision = configurationRevision();
         }
         auto update = updateHead();
         update.configuration = std::move(changedConfiguration);
@@ -450,7 +450,7 @@
     // A relayed configuration that may not be taken yet.
     std::optional<mirror_relayed> heldConfiguration;
     monotonic_time configurationRelayedAt;
-    std::uint64_t relayedConfiguration = 0;
+    std::uint64_t relayedConfigurationRevision = 0;
     monotonic_time lastHeartbeat;
     bool verifying = false;
     bool sourceReachesStore = true;
--- a/Source/Route/query_coordinators.h
+++ b/Source/Route/query_coordinators.h
@@ -19,7 +19,7 @@
 };
 
 /// In each failure domain the strongest daemons run the queries, so that few daemons hold connections to a backend server and
-/// each sees much of it. Only daemons with an address for queries are chosen.
+/// each sees much of it. Only daemons with an address for queries become coordinators.
 query_coordinators chooseCoordinators(const std::vector<fleet_daemon> &fleet, const fleet_daemon &self);
 
 /// Parts of a query that run in another failure domain.
--- a/Utilities/bench.d/capacity_page.py
+++ b/Utilities/bench.d/capacity_page.py
@@ -73,8 +73,8 @@
 `Utilities/bench capacity --record` measures the points below, fits straight lines (least squares), carries them to that size and writes this
 page; raw figures and the machine's load at the time are in `docs/measurements/capacity.json`. The lines reach far beyond their points:
 what they say is where to look, not what will be.
-The plain HTTP front end on the users' platform sends directly and follows the store by relays; its slopes over 30, 100 and 300 daemons
-stand in [measurements/sweep.md](measurements/sweep.md).
+The plain HTTP front end on the users' platform runs queries on few coordinators and follows the store by relays; slopes of the form
+before that, over 30, 100 and 300 daemons, stand in [measurements/sweep.md](measurements/sweep.md).
 
 ## Measured
 
