--- /dev/null
+++ b/Tests/Promises/plain_fleet.cxx
@@ -0,0 +1,266 @@
+#include "plain_fleet.h"
+
+#include <open_listener.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+namespace daisystile {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::array<const char *, plain_fleet::domainCount> domainNames {"medina", "port", "sakiet"};
+constexpr int topRecords = 3;
+constexpr int connectionsPerServer = 200;
+
+std::string shardName(int shard)
+{
+    return "shard-" + std::to_string(shard);
+}
+
+json routeOf(const std::string &prefix, const json &target)
+{
+    json entry {{"name", "r" + prefix},
+        {"hostname", plain_fleet::host},
+        {"path_prefix", prefix},
+        {"route_type", "idempotent"},
+        {"timeout_ms", 1500},
+        {"target_latency_ms", 200},
+        {"priority", 1},
+        {"max_attempts", 2},
+        {"top_k", topRecords},
+        {"min_part_share", 0.75}};
+    entry.update(target);
+    return entry;
+}
+
+} // namespace
+
+plain_fleet::plain_fleet(const layout &size)
+    : m_size(size),
+      m_folder(
+          std::filesystem::temp_directory_path() / ("fleet-" + std::to_string(getpid()) + "-" + testing::UnitTest::GetInstance()->current_test_info()->name()))
+{
+    std::filesystem::create_directories(m_folder);
+}
+
+// The logs of a failed test are kept.
+plain_fleet::~plain_fleet()
+{
+    drainOutput();
+    m_daemons.clear();
+    if (testing::Test::HasFailure()) {
+        std::ofstream(m_folder / "daemons.log") << m_logs;
+        std::cout << "logs in " << m_folder.string() << std::endl;
+    } else {
+        std::filesystem::remove_all(m_folder);
+    }
+}
+
+bool plain_fleet::start()
+{
+    m_store = std::make_unique<child_process>("platform-standin", std::vector<std::string> {}, (m_folder / "store.err").string());
+    if (!m_store->waitReady()) {
+        return false;
+    }
+    for (int i = 0; i < m_size.logbookServers; ++i) {
+        addServer("logbook", static_cast<std::size_t>(i));
+    }
+    for (int shard = 0; shard < m_size.shards; ++shard) {
+        for (int i = 0; i < m_size.serversPerShard; ++i) {
+            addServer(shardName(shard), static_cast<std::size_t>(i));
+        }
+    }
+    writeConfiguration();
+    m_daemons.resize(static_cast<std::size_t>(m_size.daemons));
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        const auto file = (m_folder / ("daemon-" + std::to_string(i) + ".toml")).string();
+        std::ofstream(file) << "id = \"d" << i << "\"\nfailure_domain = \"" << domainNames[i % domainCount]
+                            << "\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:"
+                            << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
+                            << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\n";
+        m_settings.push_back(file);
+        if (!startDaemon(i)) {
+            return false;
+        }
+    }
+    return m_control.waitUntil([this] {
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            if (!daemonReady(i)) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+bool plain_fleet::startDaemon(std::size_t index)
+{
+    m_daemons[index] = std::make_unique<child_process>("daisystiled",
+        std::vector<std::string> {"--front-door", "plain", "--config", m_settings[index]},
+        (m_folder / ("daemon-" + std::to_string(index) + ".err")).string());
+    return m_daemons[index]->waitReady();
+}
+
+void plain_fleet::killDaemon(std::size_t index)
+{
+    m_daemons[index]->signal(SIGKILL);
+    m_daemons[index]->waitExit(seconds {5});
+}
+
+bool plain_fleet::daemonReady(std::size_t index)
+{
+    return statusOf(m_control.call({.address = readinessAddress(index), .path = "/v1/readyz", .timeout = seconds {1}})) == 200;
+}
+
+ip_address plain_fleet::clientsAddress(std::size_t index) const
+{
+    return m_daemons[index]->address("clients");
+}
+
+ip_address plain_fleet::readinessAddress(std::size_t index) const
+{
+    return m_daemons[index]->address("readiness");
+}
+
+std::size_t plain_fleet::daemonCount() const
+{
+    return m_daemons.size();
+}
+
+void plain_fleet::drainOutput()
+{
+    for (const auto &daemon : m_daemons) {
+        if (daemon) {
+            m_logs += daemon->readOutput();
+        }
+    }
+}
+
+const std::string &plain_fleet::logs() const
+{
+    return m_logs;
+}
+
+std::vector<plain_fleet::server> &plain_fleet::servers()
+{
+    return m_servers;
+}
+
+std::unique_ptr<plain_backend> plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain)
+{
+    const auto id = service + "-" + std::to_string(m_nextServer++);
+    auto process = std::make_unique<plain_backend>(id, std::string(16, service.back()));
+    process->setFatalPath(m_fatalPath);
+    process->setDelay(m_delay);
+    putObject("servers/" + id,
+        {{"service", service},
+            {"address", toString(process->address())},
+            {"zone", domain.value},
+            {"version", "v1"},
+            {"capacity", 4},
+            {"state", "ready"},
+            {"warmup_left_ms", 0},
+            {"sequence", 1},
+            {"born", m_nextServer}});
+    return process;
+}
+
+void plain_fleet::addServer(const std::string &service, std::size_t place)
+{
+    const failure_domain_name domain {domainNames[place % domainCount]};
+    m_servers.push_back({service, domain, makeServer(service, domain)});
+}
+
+void plain_fleet::replaceServer(std::size_t index)
+{
+    auto &entry = m_servers[index];
+    m_control.call({.method = "DELETE", .address = m_store->address("control"), .path = "/control/objects/servers/" + entry.process->id()});
+    m_endedServers.push_back(std::move(entry.process));
+    entry.process = makeServer(entry.service, entry.domain);
+}
+
+void plain_fleet::setFatalPath(const std::string &prefix)
+{
+    m_fatalPath = prefix;
+    for (const auto &entry : m_servers) {
+        entry.process->setFatalPath(prefix);
+    }
+}
+
+void plain_fleet::setDelay(milliseconds delay)
+{
+    m_delay = delay;
+    for (const auto &entry : m_servers) {
+        entry.process->setDelay(delay);
+    }
+}
+
+void plain_fleet::setExtraHeaders(std::size_t index, const std::string &lines)
+{
+    m_servers[index].process->setExtraHeaders(lines);
+}
+
+std::vector<monotonic_time> plain_fleet::fatalArrivals() const
+{
+    std::vector<monotonic_time> all;
+    const auto add = [&all](const plain_backend &process) {
+        const auto some = process.fatalArrivals();
+        all.insert(all.end(), some.begin(), some.end());
+    };
+    for (const auto &entry : m_servers) {
+        add(*entry.process);
+    }
+    for (const auto &process : m_endedServers) {
+        add(*process);
+    }
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+std::size_t plain_fleet::endedServers() const
+{
+    const auto ended = std::count_if(m_servers.begin(), m_servers.end(), [](const auto &entry) { return entry.process->ended(); });
+    return m_endedServers.size() + static_cast<std::size_t>(ended);
+}
+
+void plain_fleet::setStoreDown(bool down)
+{
+    m_control.send("POST", m_store->address("control"), "/control/faults", {{"down", down ? "unavailable" : "none"}});
+}
+
+test_client &plain_fleet::control()
+{
+    return m_control;
+}
+
+void plain_fleet::writeConfiguration()
+{
+    json shards = json::array();
+    json services = json::array({{{"name", "logbook"}, {"max_connections", connectionsPerServer}}});
+    json routes = json::array({routeOf("/read/", {{"service", "logbook"}})});
+    for (int shard = 0; shard < m_size.shards; ++shard) {
+        shards.push_back(shardName(shard));
+        services.push_back({{"name", shards.back()}, {"max_connections", connectionsPerServer}});
+    }
+    if (m_size.shards > 0) {
+        routes.push_back(routeOf("/find/", {{"fanout_services", shards}}));
+    }
+    putObject("config/main",
+        {{"version", 1},
+            {"routes", routes},
+            {"services", services},
+            {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}});
+}
+
+void plain_fleet::putObject(const std::string &key, const json &value)
+{
+    m_control.send("PUT", m_store->address("control"), "/control/objects/" + key, value);
+}
+
+} // namespace daisystile
--- /dev/null
+++ b/Tests/Promises/plain_fleet.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "child_process.h"
+#include "test_client.h"
+
+#include <StandIns/plain_backend.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace daisystile {
+
+/// Daemons with the plain HTTP front end in three failure domains as processes, the platform stand-in, and backend servers of the
+/// service "logbook" and of the shards "shard-N". Route "/read/" leads to the service, "/find/" to all shards.
+class plain_fleet
+{
+public:
+    static constexpr const char *host = "search.example";
+    static constexpr int domainCount = 3;
+
+    struct layout
+    {
+        int daemons = 6;
+        int logbookServers = 0;
+        int shards = 0;
+        int serversPerShard = 3;
+    };
+
+    struct server
+    {
+        std::string service;
+        failure_domain_name domain;
+        std::unique_ptr<plain_backend> process;
+    };
+
+    explicit plain_fleet(const layout &size);
+    ~plain_fleet();
+    plain_fleet(const plain_fleet &) = delete;
+    plain_fleet &operator=(const plain_fleet &) = delete;
+
+    /// False if a program could not be started or a daemon does not become ready.
+    bool start();
+    bool startDaemon(std::size_t index);
+    void killDaemon(std::size_t index);
+    bool daemonReady(std::size_t index);
+    ip_address clientsAddress(std::size_t index) const;
+    ip_address readinessAddress(std::size_t index) const;
+    std::size_t daemonCount() const;
+    /// Reads the output of the daemons, so that their pipes don't fill up; keeps it for logs().
+    void drainOutput();
+    const std::string &logs() const;
+
+    std::vector<server> &servers();
+    /// Starts another process in the place of one that has ended, with a new id, and removes the entry of the old one.
+    void replaceServer(std::size_t index);
+    void setFatalPath(const std::string &prefix);
+    void setDelay(milliseconds delay);
+    void setExtraHeaders(std::size_t index, const std::string &lines);
+    /// When requests with the fatal path arrived at any server, in order of time.
+    std::vector<monotonic_time> fatalArrivals() const;
+    /// Server processes that have ended.
+    std::size_t endedServers() const;
+    /// Turns the store off or on.
+    void setStoreDown(bool down);
+    test_client &control();
+
+private:
+    void addServer(const std::string &service, std::size_t place);
+    std::unique_ptr<plain_backend> makeServer(const std::string &service, const failure_domain_name &domain);
+    void writeConfiguration();
+    void putObject(const std::string &key, const nlohmann::json &value);
+
+    layout m_size;
+    std::filesystem::path m_folder;
+    test_client m_control;
+    std::unique_ptr<child_process> m_store;
+    std::vector<std::string> m_settings;
+    std::vector<std::unique_ptr<child_process>> m_daemons;
+    std::vector<server> m_servers;
+    // Processes that have ended; their records are still read.
+    std::vector<std::unique_ptr<plain_backend>> m_endedServers;
+    std::string m_fatalPath;
+    milliseconds m_delay {2};
+    std::string m_logs;
+    int m_nextServer = 0;
+};
+
+} // namespace daisystile
--- a/Tests/StandIns/plain_backend.cxx
+++ b/Tests/StandIns/plain_backend.cxx
@@ -35,6 +35,7 @@
       m_records(std::move(records))
 {
     m_listener = tcp_listener::listen(m_loop, {"127.0.0.1", 0}, [this](int handle) { addConnection(handle); }).value();
+    m_address = m_listener->address();
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
@@ -51,7 +52,7 @@
 
 ip_address plain_backend::address() const
 {
-    return m_listener->address();
+    return m_address;
 }
 
 void plain_backend::setResponseMode(backend_response_mode mode)
@@ -76,6 +77,45 @@
     return m_extraHeaders;
 }
 
+void plain_backend::setFatalPath(std::string prefix)
+{
+    const std::lock_guard guard(m_mutex);
+    m_fatalPath = std::move(prefix);
+}
+
+void plain_backend::crash()
+{
+    m_loop.post([this] { end(); });
+}
+
+bool plain_backend::ended() const
+{
+    return m_ended;
+}
+
+std::vector<monotonic_time> plain_backend::fatalArrivals() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_fatalArrivals;
+}
+
+bool plain_backend::isFatal(const request_message &message)
+{
+    const std::lock_guard guard(m_mutex);
+    const bool fatal = !m_fatalPath.empty() && message.target.starts_with(m_fatalPath);
+    if (fatal) {
+        m_fatalArrivals.push_back(m_loop.now());
+    }
+    return fatal;
+}
+
+void plain_backend::end()
+{
+    m_ended = true;
+    m_listener.reset();
+    m_connections.clear();
+}
+
 std::map<std::string, int> plain_backend::runs() const
 {
     const std::lock_guard guard(m_mutex);
@@ -106,6 +146,10 @@
         from.stream.write("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n" + extraHeaders() + "\r\n");
         return;
     }
+    if (isFatal(message)) {
+        crash();
+        return;
+    }
     {
         const std::lock_guard guard(m_mutex);
         const auto *id = message.header("Request-Id");
--- a/Tests/StandIns/plain_backend.h
+++ b/Tests/StandIns/plain_backend.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace daisystile {
 
@@ -51,6 +52,14 @@
     void setDelay(milliseconds delay);
     /// Header lines, each ending in CRLF, that are added to every response.
     void setExtraHeaders(std::string lines);
+    /// The process ends as soon as it begins to run a request whose path starts like this: it drops all connections and
+    /// refuses new ones. Empty for none.
+    void setFatalPath(std::string prefix);
+    /// Ends the process at once, as a crash does.
+    void crash();
+    bool ended() const;
+    /// When each request with the fatal path arrived.
+    std::vector<monotonic_time> fatalArrivals() const;
     /// How often each request was run, by request id.
     std::map<std::string, int> runs() const;
     /// The latest request that was run, as received.
@@ -61,6 +70,8 @@
 
     void addConnection(int handle);
     void serve(connection &from, request_message message);
+    bool isFatal(const request_message &message);
+    void end();
     void sendResponse(connection &from, const request_message &message);
     void sendEndlessly(int key, const std::string &bytes);
     std::string extraHeaders() const;
@@ -77,6 +88,10 @@
     std::map<std::string, int> m_runs;
     request_message m_latest;
     std::string m_extraHeaders;
+    std::string m_fatalPath;
+    std::vector<monotonic_time> m_fatalArrivals;
+    ip_address m_address;
+    std::atomic<bool> m_ended {false};
     std::thread m_thread;
 };
 
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -390,6 +390,11 @@
         notifyWatches();
         return jsonResponse(json::object());
     }
+    if (request.method == "DELETE") {
+        m_store.remove(key, {});
+        notifyWatches();
+        return jsonResponse(json::object());
+    }
     const auto *object = m_store.find(key);
     if (object == nullptr) {
         return problemResponse(404, "no such object");
