Tests: Children inherit no descriptors of the test

A daemon that the test started after its backend servers held their listening sockets open, so a server that had ended still seemed to accept connections.

--- a/Tests/Promises/child_process.cxx
+++ b/Tests/Promises/child_process.cxx
@@ -36,6 +36,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    // An inherited listening socket would keep an address open whose owner has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     sigset_t none;
