Forward: Tell a server that ended under a request from a lost connection

The logs said "connection closed" and nothing that repeats of a request have in common, so they couldn't tell a request that ends servers from servers that drop connections, or from a cut. Now a connection that is lost under a request is followed by a new one to the same address: a refusal means that the process ended.

--- a/Source/Forward/backend_connection.cxx
+++ b/Source/Forward/backend_connection.cxx
@@ -136,7 +136,7 @@
         }
         return;
     }
-    finish(exchange_broken {true, how == stream_end::reset ? "connection reset" : "connection closed"});
+    finish(exchange_broken {.mayHaveRun = true, .reason = how == stream_end::reset ? "connection reset" : "connection closed", .connectionLost = true});
 }
 
 void backend_connection::finish(exchange_result result)
--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -24,6 +24,10 @@
     /// False if no byte of the request can have reached the server.
     bool mayHaveRun = true;
     std::string_view reason;
+    /// The server closed or reset the connection.
+    bool connectionLost = false;
+    /// The server's process ended meanwhile.
+    bool serverEnded = false;
 };
 
 using exchange_result = std::variant<exchange_answer, exchange_broken>;
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -205,10 +205,46 @@
 void backend_pool::exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result)
 {
     const auto entry = m_servers.find(server);
+    const bool check = entry != m_servers.end() && mayHaveEnded(*entry->second, connection, result);
     if (entry != m_servers.end() && !connection.usable(m_loop.now())) {
         drop(*entry->second, connection);
     }
-    endAttempt(connection, std::move(result));
+    if (check) {
+        checkEnd(entry->second->entry.address, removeAttempt(connection), std::get<exchange_broken>(result));
+    } else {
+        endAttempt(connection, std::move(result));
+    }
+}
+
+// A server that is leaving ends in any case, and what another process of the server has done says nothing about this one.
+bool backend_pool::mayHaveEnded(const backend &server, const backend_connection &connection, const exchange_result &result)
+{
+    const auto *broken = std::get_if<exchange_broken>(&result);
+    return broken != nullptr && broken->connectionLost && server.listed && !server.barred && owns(server, connection);
+}
+
+bool backend_pool::owns(const backend &server, const backend_connection &connection)
+{
+    return std::any_of(server.connections.begin(), server.connections.end(), [&](const auto &own) { return own.get() == &connection; });
+}
+
+void backend_pool::checkEnd(const ip_address &address, attempt_id attempt, exchange_broken result)
+{
+    auto &entry = m_endChecks[address];
+    entry.waiting.emplace_back(attempt, result);
+    if (!entry.check) {
+        entry.check = std::make_unique<server_end_check>(m_loop, address, [this, address](bool ended) { endChecked(address, ended); });
+    }
+}
+
+void backend_pool::endChecked(const ip_address &address, bool ended)
+{
+    // Kept until the end, because its callback is running.
+    const auto finished = m_endChecks.extract(address);
+    for (auto &[attempt, result] : finished.mapped().waiting) {
+        result.serverEnded = ended;
+        m_notify.done({attempt, result});
+    }
 }
 
 void backend_pool::closedWhileIdle(const backend_server_id &server, backend_connection &connection)
@@ -227,7 +263,7 @@
         return;
     }
     auto &server = *entry->second;
-    if (std::none_of(server.connections.begin(), server.connections.end(), [&](const auto &own) { return own.get() == &connection; })) {
+    if (!owns(server, connection)) {
         return;
     }
     logNotice(server, notice);
@@ -342,15 +378,22 @@
 }
 
 void backend_pool::endAttempt(const backend_connection &connection, exchange_result result)
+{
+    if (const auto attempt = removeAttempt(connection); attempt != 0) {
+        m_notify.done({attempt, std::move(result)});
+    }
+}
+
+attempt_id backend_pool::removeAttempt(const backend_connection &connection)
 {
     const auto found = m_attempts.find(&connection);
     if (found == m_attempts.end()) {
-        return;
+        return 0;
     }
     const auto attempt = found->second;
     m_attempts.erase(found);
     m_places.erase(attempt);
-    m_notify.done({attempt, std::move(result)});
+    return attempt;
 }
 
 void backend_pool::sweepServer(backend &server, monotonic_time now)
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -4,6 +4,7 @@
 #include "coordinator_table.h"
 #include "entry_settings.h"
 #include "routing_snapshot.h"
+#include "server_end_check.h"
 
 #include <functional>
 #include <map>
@@ -99,12 +100,26 @@
         backend_connection *connection;
     };
 
+    /// A running check of a server's end and the attempts whose results wait for it.
+    struct end_check
+    {
+        std::unique_ptr<server_end_check> check;
+        std::vector<std::pair<attempt_id, exchange_broken>> waiting;
+    };
+
     void detachConnections(backend &server);
     void apply(backend &server, const server_entry &entry, const service_senders &senders);
     replica_view viewOf(backend &server, monotonic_time now);
     void refreshCold(backend &server, monotonic_time now);
     backend_connection *idleConnection(backend &server, monotonic_time now);
     void exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result);
+    /// Whether the loss of a connection may mean that the server's process has ended, and not as planned.
+    static bool mayHaveEnded(const backend &server, const backend_connection &connection, const exchange_result &result);
+    /// Whether it is a connection to the server's current process.
+    static bool owns(const backend &server, const backend_connection &connection);
+    /// Holds the attempt's result until it is known whether the server's process has ended.
+    void checkEnd(const ip_address &address, attempt_id attempt, exchange_broken result);
+    void endChecked(const ip_address &address, bool ended);
     void closedWhileIdle(const backend_server_id &server, backend_connection &connection);
     void noticed(const backend_server_id &server, const backend_connection &connection, const server_notice &notice);
     void logNotice(backend &server, const server_notice &notice) const;
@@ -114,6 +129,8 @@
     void sweepServer(backend &server, monotonic_time now);
     void sweepDetached(monotonic_time now);
     void endAttempt(const backend_connection &connection, exchange_result result);
+    /// 0 if no attempt runs on the connection.
+    attempt_id removeAttempt(const backend_connection &connection);
 
     reactor &m_loop;
     entry_settings m_settings;
@@ -129,6 +146,7 @@
     std::vector<std::unique_ptr<backend_connection>> m_detached;
     // Destroyed on the next sweep, because they may be closed from within their own callbacks.
     std::vector<std::unique_ptr<backend_connection>> m_retired;
+    std::map<ip_address, end_check> m_endChecks;
     attempt_id m_nextAttempt = 1;
     std::minstd_rand m_random;
 };
--- a/Source/Forward/forward.h
+++ b/Source/Forward/forward.h
@@ -11,4 +11,5 @@
 #include "forwarder.h"
 #include "object_mirror.h"
 #include "routing_snapshot.h"
+#include "server_end_check.h"
 #include "store_follower.h"
--- a/Source/Forward/forward_metrics.cxx
+++ b/Source/Forward/forward_metrics.cxx
@@ -41,6 +41,7 @@
       leavingNotices(notice(registry, "leaving")),
       retryAfterNotices(notice(registry, "retry_after")),
       malformedNotices(notice(registry, "malformed")),
+      serverEnds(registry.counter("daisystile_server_ends_total", "Attempts under which the backend server's process ended")),
       latency(registry.histogram("daisystile_request_seconds", "Time from a request's last byte to its answer")),
       delegationsAnswered(delegation(registry, "answered")),
       delegationsDeclined(delegation(registry, "declined")),
--- a/Source/Forward/forward_metrics.h
+++ b/Source/Forward/forward_metrics.h
@@ -23,6 +23,8 @@
     metric_counter leavingNotices;
     metric_counter retryAfterNotices;
     metric_counter malformedNotices;
+    /// Backend servers whose process ended while it ran an attempt, for each such attempt.
+    metric_counter serverEnds;
     metric_histogram latency;
     /// Queries delegated to other daemons, by outcome.
     metric_counter delegationsAnswered;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -160,6 +160,7 @@
     request->number = m_nextRequest++;
     request->message = std::move(message);
     request->head = head;
+    request->digest = digestOf(normalizedHost(head.host), request->message.method, request->message.target, request->message.body);
     request->view = m_view;
     request->matchedRoute = matchedRoute;
     // The client counts the time for which its request has waited to be read.
@@ -358,7 +359,7 @@
     const bool bodyless = request->message.method == "HEAD";
     auto bytes = serverRequest(request->message, left, server->entry.id);
     const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, latencyStats.hedgeDelay());
-    m_attempts.emplace(id, running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id});
+    m_attempts.emplace(id, running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id, request->digest});
     m_queue.started(part.service, id, now, request->objective);
     part.waitingSince.reset();
     request->attemptsMade += 1;
@@ -540,6 +541,11 @@
     const auto attempt = found->second;
     m_attempts.erase(found);
     m_queue.ended(attempt.service, result.attempt, m_loop.now());
+    const auto *broken = std::get_if<exchange_broken>(&result.exchange);
+    if (broken != nullptr && broken->serverEnded) {
+        m_metrics.serverEnds.add();
+        logServerEnd(attempt, m_loop.now());
+    }
     const auto end = evaluateAttempt(attempt, result.attempt, result.exchange);
     if (end != attempt_end::answered) {
         logAttemptFailure(attempt, end, result.exchange, m_requests.contains(attempt.request), m_loop.now());
--- a/Source/Forward/running_request.cxx
+++ b/Source/Forward/running_request.cxx
@@ -33,6 +33,14 @@
     }
 }
 
+void logServerEnd(const running_attempt &attempt, monotonic_time now)
+{
+    const auto took = std::chrono::duration_cast<milliseconds>(now - attempt.sent);
+    DAISYSTILE_LOG(WARNING, "guard") << "Backend server ended under a request." << field("request", attempt.clientId.value)
+                                     << field("content", toString(attempt.digest)) << field("service", attempt.service.value)
+                                     << field("server", attempt.server.value) << field("took_ms", static_cast<std::uint64_t>(took.count()));
+}
+
 void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now)
 {
     const auto *broken = std::get_if<exchange_broken>(&exchange);
@@ -42,7 +50,7 @@
                                        << field("service", attempt.service.value) << field("server", attempt.server.value) << field("reason", reason)
                                        << field("took_ms", static_cast<std::uint64_t>(took.count()))
                                        << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run")
-                                       << field("awaited", awaited ? "yes" : "no");
+                                       << field("awaited", awaited ? "yes" : "no") << field("content", toString(attempt.digest));
 }
 
 } // namespace daisystile
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -60,6 +60,7 @@
     request_number number = 0;
     request_message message;
     client_request_head head;
+    request_digest digest;
     std::shared_ptr<const routing_snapshot> view;
     const route *matchedRoute = nullptr;
     monotonic_time received;
@@ -98,12 +99,14 @@
     service_name service;
     monotonic_time sent;
     client_request_id clientId;
+    request_digest digest;
 };
 
 /// Logs one line per request: its outcome and the inputs of the decision, with the configuration version.
 void logRequestEnd(const running_request &request, const char *outcome, monotonic_time now);
 /// The same for a query that another daemon has run.
 void logDelegatedEnd(const running_request &request, const daemon_id &delegate, const char *outcome, monotonic_time now);
+void logServerEnd(const running_attempt &attempt, monotonic_time now);
 void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now);
 
 } // namespace daisystile
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -8,6 +8,7 @@
 #include "record_merge.h"
 #include "replica_choice.h"
 #include "replica_stats.h"
+#include "request_digest.h"
 #include "retry_after.h"
 #include "retry_budget.h"
 #include "route_latency.h"
--- a/Tests/Forward/backend_pool_test.cxx
+++ b/Tests/Forward/backend_pool_test.cxx
@@ -150,3 +150,15 @@
     ASSERT_EQ(m_results.size(), 1U);
     EXPECT_TRUE(std::holds_alternative<exchange_broken>(m_results[0].exchange));
 }
+
+TEST_F(backend_pool_test, serverThatEndsUnderARequestIsToldFromOneThatClosesTheConnection)
+{
+    m_first.setResponseMode(backend_response_mode::close_without_response);
+    sendToFirst();
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_FALSE(std::get<exchange_broken>(m_results[0].exchange).serverEnded);
+    m_first.setFatalPath("/");
+    sendToFirst();
+    ASSERT_EQ(m_results.size(), 2U);
+    EXPECT_TRUE(std::get<exchange_broken>(m_results[1].exchange).serverEnded);
+}
--- /dev/null
+++ b/Tests/Forward/server_end_check_test.cxx
@@ -0,0 +1,50 @@
+#include <Forward/forward.h>
+#include <open_listener.h>
+
+#include <optional>
+
+using namespace daisystile;
+
+namespace {
+
+std::optional<bool> checkEnd(const ip_address &address)
+{
+    reactor loop;
+    std::optional<bool> result;
+    server_end_check check(loop, address, [&](bool ended) {
+        result = ended;
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+} // namespace
+
+TEST(server_end_check, processThatListensHasNotEnded)
+{
+    const open_listener listener(4);
+    EXPECT_EQ(checkEnd(listener.listenAddress()), false);
+}
+
+TEST(server_end_check, addressThatRefusesConnectionsBelongsToAProcessThatHasEnded)
+{
+    const auto address = open_listener(4).listenAddress();
+    EXPECT_EQ(checkEnd(address), true);
+}
+
+// A cut link must not look like the end of a server.
+TEST(server_end_check, addressThatDoesNotAnswerSaysNothing)
+{
+    const open_listener full(0);
+    // The listener's queue holds few connections that nobody accepts; further ones get no answer.
+    std::vector<int> filling;
+    for (int i = 0; i < 4; ++i) {
+        filling.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(filling.back(), reinterpret_cast<const sockaddr *>(&full.address), sizeof full.address);
+    }
+    EXPECT_EQ(checkEnd(full.listenAddress()), false);
+    for (const int handle : filling) {
+        close(handle);
+    }
+}
