Forward: Stop requests that end the servers that run them, on all daemons

Cause: no place in the plain front end remembered a request once it was answered, so each arrival, each retry and each shard began with nothing known. The class: a retry decided by what the attempt costs the caller, not by what it costs the servers.

Change: crash_suspects (pure) makes a request suspect of each service at which a server ended under it. From then on it is tried on one server at a time, one shard first, no hedge; a server that survives it clears it; the third server that ends one after the other quarantines it for 5 minutes, doubled with each further one, and callers get 503 at once with the true time. Servers that end at the same time count once, so a wave of losses blames nobody. suspect_board shares the records: each daemon writes one object of its own in the store, and the relay passes it on; merging takes the larger of two counters, so order and repetition make no difference.

Why it works: an innocent request is cleared by the first server that runs it; a guilty one can't be. The knowledge outlives the daemon.

--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -33,6 +33,8 @@
               [this] { startDraining(); },
               [this] { reload(); })
     {
+        requests.onSuspectsChanged(
+            [this](std::vector<suspect_record> records) { control.post([this, records = std::move(records)] { store.shareSuspects(records); }); });
     }
 
     // Also detects changes of the settings file that are not followed by SIGHUP.
--- a/Source/Forward/forward.h
+++ b/Source/Forward/forward.h
@@ -13,3 +13,5 @@
 #include "routing_snapshot.h"
 #include "server_end_check.h"
 #include "store_follower.h"
+#include "suspect_board.h"
+#include "suspect_guard.h"
--- a/Source/Forward/forward_metrics.h
+++ b/Source/Forward/forward_metrics.h
@@ -25,6 +25,11 @@
     metric_counter malformedNotices;
     /// Backend servers whose process ended while it ran an attempt, for each such attempt.
     metric_counter serverEnds;
+    /// Attempts that decided whether a suspected request ends servers, requests refused in quarantine, and requests that are in
+    /// quarantine now.
+    metric_counter trials;
+    metric_counter quarantineRefusals;
+    metric_gauge quarantined;
     metric_histogram latency;
     /// Queries delegated to other daemons, by outcome.
     metric_counter delegationsAnswered;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -47,6 +47,13 @@
       m_coordinators(settings),
       m_budgets(m_coordinators),
       m_delegations(loop, settings.id, m_metrics),
+      m_guard(loop,
+          m_metrics,
+          {.resume = [this](const suspect_guard::held_part &part) { resumeHeld(part); },
+              .share =
+                  [this](std::vector<suspect_record> records) {
+                      m_shareSuspects(std::move(records));
+                  }}),
       m_random(static_cast<std::minstd_rand::result_type>(stableHash(settings.id.value, 1)))
 {
 }
@@ -57,6 +64,7 @@
     m_coordinators.update(*view);
     m_pool.update(view, m_coordinators);
     m_delegations.update(*view);
+    m_guard.learn(*view->suspects, m_settings.id);
     openDelegateLinks();
     updateCapacity();
     updateGauges();
@@ -113,6 +121,11 @@
     }
 }
 
+void forwarder::onSuspectsChanged(std::function<void(std::vector<suspect_record>)> share)
+{
+    m_shareSuspects = std::move(share);
+}
+
 const std::shared_ptr<const routing_snapshot> &forwarder::view() const
 {
     return m_view;
@@ -178,12 +191,31 @@
     const auto *split = std::get_if<split_target>(&matchedRoute.target);
     request->parts = partsOf(*request, split == nullptr ? 0 : m_roundRobins[matchedRoute.name].next(split->services));
     request->state = beginForward(limitsOf(*request, latencyOf(matchedRoute).typical()));
-    if (!delegateQuery(request)) {
+    if (const auto left = m_guard.refusal(*request)) {
+        refuseQuarantined(request, *left);
+    } else if (!delegateQuery(request)) {
         runHere(request);
     }
     return request->state.ended ? 0 : request->number;
 }
 
+// The client is told the truth about when the request may run again.
+void forwarder::refuseQuarantined(const request_pointer &request, milliseconds left)
+{
+    logRequestEnd(*request, "quarantined", m_loop.now());
+    m_metrics.quarantineRefusals.add();
+    m_metrics.refused.add();
+    finish(request, local_reply {statusUnavailable, left});
+}
+
+void forwarder::resumeHeld(const suspect_guard::held_part &part)
+{
+    if (const auto found = m_requests.find(part.request); found != m_requests.end()) {
+        const auto request = found->second;
+        step(request, capacity_available {part.part});
+    }
+}
+
 bool forwarder::delegateQuery(const request_pointer &request)
 {
     const auto &delegates = m_coordinators.delegates();
@@ -202,8 +234,8 @@
 
 void forwarder::delegateParts(const request_pointer &request)
 {
-    // What was delegated in parts is not delegated again.
-    if (isPartOfQuery(*request)) {
+    // What was delegated in parts is not delegated again. A suspected request is tried on one server first.
+    if (isPartOfQuery(*request) || m_guard.suspected(*request)) {
         return;
     }
     for (const auto &group : m_coordinators.remoteParts(*request->view->routes, request->matchedRoute->name)) {
@@ -334,6 +366,16 @@
     if (part.exhausted) {
         return attempt_denied {action.part, action.purpose};
     }
+    const auto permission = m_guard.permission(request->digest, part.service);
+    if (permission != run_permission::run) {
+        if (permission == run_permission::quarantined || action.purpose == attempt_purpose::hedge) {
+            return attempt_denied {action.part, action.purpose};
+        }
+        if (permission == run_permission::wait) {
+            m_guard.hold(request->digest, {request->number, action.part});
+            return no_server_available {action.part, action.purpose};
+        }
+    }
     auto &latencyStats = latencyOf(*request->matchedRoute);
     const auto now = m_loop.now();
     const auto left = std::chrono::duration_cast<milliseconds>(std::min(request->deadline, request->received + request->matchedRoute->timeout) - now);
@@ -359,7 +401,11 @@
     const bool bodyless = request->message.method == "HEAD";
     auto bytes = serverRequest(request->message, left, server->entry.id);
     const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, latencyStats.hedgeDelay());
-    m_attempts.emplace(id, running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id, request->digest});
+    m_attempts.emplace(id,
+        running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id, request->digest});
+    if (permission == run_permission::trial) {
+        m_guard.trialStarted(request->digest, id);
+    }
     m_queue.started(part.service, id, now, request->objective);
     part.waitingSince.reset();
     request->attemptsMade += 1;
@@ -541,15 +587,13 @@
     const auto attempt = found->second;
     m_attempts.erase(found);
     m_queue.ended(attempt.service, result.attempt, m_loop.now());
-    const auto *broken = std::get_if<exchange_broken>(&result.exchange);
-    if (broken != nullptr && broken->serverEnded) {
-        m_metrics.serverEnds.add();
-        logServerEnd(attempt, m_loop.now());
-    }
+    m_guard.attemptEnded(attempt, result.attempt, result.exchange);
     const auto end = evaluateAttempt(attempt, result.attempt, result.exchange);
     if (end != attempt_end::answered) {
         logAttemptFailure(attempt, end, result.exchange, m_requests.contains(attempt.request), m_loop.now());
     }
+    // Before a part that has lost its server is tried again, so that the next trial is run by a server of another shard.
+    m_guard.resume(attempt.digest);
     const auto entry = m_requests.find(attempt.request);
     if (entry != m_requests.end()) {
         const auto request = entry->second;
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -8,6 +8,7 @@
 #include "retry_budgets.h"
 #include "routing_snapshot.h"
 #include "running_request.h"
+#include "suspect_guard.h"
 
 #include <deque>
 #include <functional>
@@ -26,6 +27,8 @@
     void update(const std::shared_ptr<const routing_snapshot> &view);
     const std::shared_ptr<const routing_snapshot> &view() const;
     void setBounds(const fleet_bounds &bounds);
+    /// Called with what this daemon has to tell the others about suspected requests, whenever that changes.
+    void onSuspectsChanged(std::function<void(std::vector<suspect_record>)> share);
 
     /// Calls the callback once, possibly before returning, unless the client leaves first. Returns 0 if it was already called.
     request_number submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
@@ -49,6 +52,9 @@
     /// Null after the request was answered because there is no route for it.
     request_pointer makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
     request_number start(const request_pointer &request);
+    /// Refuses a request that is quarantined for the time left.
+    void refuseQuarantined(const request_pointer &request, milliseconds left);
+    void resumeHeld(const suspect_guard::held_part &part);
     /// Delegates a query to a coordinator of the own failure domain if this daemon is none and one is available.
     bool delegateQuery(const request_pointer &request);
     /// Delegates the parts without a backend server in the own failure domain to coordinators of other domains.
@@ -95,6 +101,9 @@
     coordinator_table m_coordinators;
     retry_budgets m_budgets;
     delegation_client m_delegations;
+    std::function<void(std::vector<suspect_record>)> m_shareSuspects = [](const auto &) {
+    };
+    suspect_guard m_guard;
     std::unordered_map<request_number, request_pointer> m_requests;
     std::unordered_map<attempt_id, running_attempt> m_attempts;
     work_queue m_queue;
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -63,12 +63,13 @@
     relayed_objects configuration;
     relayed_objects servers;
     relayed_objects evacuations;
+    relayed_objects suspects;
     /// All daemons of the fleet; empty if they are unchanged.
     std::vector<relayed_daemon> fleet;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(storeReached, configurationRevision, configuration, servers, evacuations, fleet);
+        archive(storeReached, configurationRevision, configuration, servers, evacuations, suspects, fleet);
     }
 };
 
--- a/Source/Forward/routing_snapshot.h
+++ b/Source/Forward/routing_snapshot.h
@@ -10,6 +10,15 @@
 
 namespace daisystile {
 
+/// What one daemon has shared of the requests that it suspects of ending backend servers.
+struct shared_suspects
+{
+    daemon_id daemon;
+    /// Differs for each change.
+    std::string version;
+    std::vector<suspect_record> records;
+};
+
 /// Immutable state that the control thread publishes to the traffic thread.
 struct routing_snapshot
 {
@@ -20,6 +29,8 @@
     std::set<failure_domain_name> evacuated;
     /// All daemons of the fleet, including this one.
     std::vector<fleet_daemon> fleet;
+    /// What the daemons, including this one, have shared of suspected requests.
+    std::shared_ptr<const std::vector<shared_suspects>> suspects = std::make_shared<std::vector<shared_suspects>>();
     /// Key that authenticates daemons to one another; empty until it is known.
     std::string peerKey;
 
--- a/Source/Forward/running_request.cxx
+++ b/Source/Forward/running_request.cxx
@@ -33,12 +33,13 @@
     }
 }
 
-void logServerEnd(const running_attempt &attempt, monotonic_time now)
+void logServerEnd(const running_attempt &attempt, std::uint64_t serversEnded, monotonic_time now)
 {
     const auto took = std::chrono::duration_cast<milliseconds>(now - attempt.sent);
     DAISYSTILE_LOG(WARNING, "guard") << "Backend server ended under a request." << field("request", attempt.clientId.value)
                                      << field("content", toString(attempt.digest)) << field("service", attempt.service.value)
-                                     << field("server", attempt.server.value) << field("took_ms", static_cast<std::uint64_t>(took.count()));
+                                     << field("server", attempt.server.value) << field("took_ms", static_cast<std::uint64_t>(took.count()))
+                                     << field("servers_ended", serversEnded);
 }
 
 void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now)
@@ -49,8 +50,8 @@
     DAISYSTILE_LOG(WARNING, "attempt") << "Attempt failed." << field("request", attempt.clientId.value) << field("part", attempt.part)
                                        << field("service", attempt.service.value) << field("server", attempt.server.value) << field("reason", reason)
                                        << field("took_ms", static_cast<std::uint64_t>(took.count()))
-                                       << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run")
-                                       << field("awaited", awaited ? "yes" : "no") << field("content", toString(attempt.digest));
+                                       << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run") << field("awaited", awaited ? "yes" : "no")
+                                       << field("content", toString(attempt.digest));
 }
 
 } // namespace daisystile
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -106,7 +106,8 @@
 void logRequestEnd(const running_request &request, const char *outcome, monotonic_time now);
 /// The same for a query that another daemon has run.
 void logDelegatedEnd(const running_request &request, const daemon_id &delegate, const char *outcome, monotonic_time now);
-void logServerEnd(const running_attempt &attempt, monotonic_time now);
+/// Logs that a server ended under an attempt, and how many did one after the other under its request.
+void logServerEnd(const running_attempt &attempt, std::uint64_t serversEnded, monotonic_time now);
 void logAttemptFailure(const running_attempt &attempt, attempt_end end, const exchange_result &exchange, bool awaited, monotonic_time now);
 
 } // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -4,6 +4,7 @@
 #include "mirror_runner.h"
 #include "relay_choice.h"
 #include "relay_link.h"
+#include "suspect_board.h"
 
 #include <algorithm>
 
@@ -53,7 +54,8 @@
               {settings.staleCheck, read_freshness::stale_allowed},
               {.batchDelay = minServersBatchDelay, .lapseGrace = settings.lapseGrace},
               [this] { serversChanged(); }),
-          evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); })
+          evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); }),
+          suspects(loop, store, settings, [this] { suspectsChanged(); })
     {
         view.fleet = fleet.daemons();
     }
@@ -86,6 +88,7 @@
         configuration.follow();
         servers.follow();
         evacuations.follow();
+        suspects.objects().follow();
     }
 
     void followDaemon()
@@ -98,6 +101,7 @@
         configuration.stopFollowing();
         servers.stopFollowing();
         evacuations.stopFollowing();
+        suspects.objects().stopFollowing();
     }
 
     void chooseSource()
@@ -152,6 +156,7 @@
         followDaemon();
         servers.takeRelayed(toMirror(std::move(update.servers)));
         evacuations.takeRelayed(toMirror(std::move(update.evacuations)));
+        suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
         takeConfiguration(std::move(update.configuration), update.configurationRevision);
         fleet.takeRelayed(toFleet(update.fleet));
         sourceReachesStore = update.storeReached;
@@ -258,6 +263,7 @@
         update.configuration = allOf(configuration.mirror());
         update.servers = allOf(servers.mirror());
         update.evacuations = allOf(evacuations.mirror());
+        update.suspects = allOf(suspects.objects().mirror());
         update.fleet = fromFleet(fleet.daemons());
         return update;
     }
@@ -279,6 +285,7 @@
         update.configuration = std::move(changedConfiguration);
         update.servers = sentServers.changes(servers.mirror());
         update.evacuations = sentEvacuations.changes(evacuations.mirror());
+        update.suspects = sentSuspects.changes(suspects.objects().mirror());
         if (sentFleet != fleet.daemons()) {
             sentFleet = fleet.daemons();
             update.fleet = fromFleet(sentFleet);
@@ -295,7 +302,7 @@
 
     void reloadAll()
     {
-        for (auto *each : {&configuration, &servers, &evacuations}) {
+        for (auto *each : {&configuration, &servers, &evacuations, &suspects.objects()}) {
             if (each->following()) {
                 each->reload();
             }
@@ -400,10 +407,17 @@
         publishView();
     }
 
+    void suspectsChanged()
+    {
+        view.suspects = suspects.shared();
+        publishView();
+    }
+
     // Deferred, because a relayed list is handled within a callback of the client that chooseSource() may replace.
     void fleetUpdated()
     {
         servers.setBatchDelay(std::clamp<milliseconds>(serversBatchDelayPerDaemon * fleet.daemons().size(), minServersBatchDelay, maxServersBatchDelay));
+        suspects.setFleet(fleet.daemons());
         if (fleet.daemons() != view.fleet || fleet.peerKey() != view.peerKey) {
             view.fleet = fleet.daemons();
             view.peerKey = fleet.peerKey();
@@ -437,6 +451,7 @@
     mirror_runner configuration;
     mirror_runner servers;
     mirror_runner evacuations;
+    suspect_board suspects;
     incarnation incarnationId {stableHash(randomBytes(8))};
     failed_sources failed;
     std::optional<fleet_daemon> source;
@@ -445,6 +460,7 @@
     sent_objects sentConfiguration;
     sent_objects sentServers;
     sent_objects sentEvacuations;
+    sent_objects sentSuspects;
     std::vector<fleet_daemon> sentFleet;
     revision_request configurationRequest;
     // A relayed configuration that may not be taken yet.
@@ -470,6 +486,11 @@
     m_implementation->start();
 }
 
+void store_follower::shareSuspects(std::vector<suspect_record> records)
+{
+    m_implementation->suspects.share(std::move(records));
+}
+
 void store_follower::leave()
 {
     auto &self = *m_implementation;
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -20,6 +20,8 @@
     store_follower &operator=(const store_follower &) = delete;
 
     void start();
+    /// Replaces what this daemon tells the others about suspected requests.
+    void shareSuspects(std::vector<suspect_record> records);
     /// Removes this daemon's entry from the store, if the store is reachable.
     void leave();
     bool ready() const;
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -2,6 +2,7 @@
 
 /// Public header of the route library: routes, backend servers, and side-effect-free decisions on where and when a request is sent.
 
+#include "crash_suspects.h"
 #include "delegate_health.h"
 #include "forward_decision.h"
 #include "query_coordinators.h"
--- a/Tests/Promises/crash_promises_test.cxx
+++ b/Tests/Promises/crash_promises_test.cxx
@@ -30,6 +30,10 @@
     milliseconds took {0};
     bool complete = false;
     bool hasRetryAfter = false;
+    std::size_t daemon = 0;
+    bool ended = false;
+    /// Its daemon was killed while it ran.
+    bool killed = false;
 };
 
 /// Sends one certain request again and again through another daemon each time, beside other requests.
@@ -49,11 +53,12 @@
 
     void send(std::size_t daemon, const std::string &path, bool fatal)
     {
-        m_outcomes.push_back({.sent = now(), .fatal = fatal});
+        m_outcomes.push_back({.sent = now(), .fatal = fatal, .daemon = daemon});
         auto &entry = m_outcomes.back();
         http_call call {.address = m_fleet->clientsAddress(daemon), .path = path, .timeout = seconds {3}};
         call.headers = {{"Host", plain_fleet::host}, {"Request-Id", "q" + std::to_string(m_outcomes.size())}, {"Deadline-Ms", "1400"}};
         m_fleet->control().start(std::move(call), [this, &entry](const http_result &result) {
+            entry.ended = true;
             entry.status = statusOf(result);
             entry.took = std::chrono::duration_cast<milliseconds>(now() - entry.sent);
             if (const auto *reply = std::get_if<http_reply>(&result)) {
@@ -80,6 +85,15 @@
         return m_turn;
     }
 
+    void killDaemon(std::size_t index)
+    {
+        m_stopped.insert(index);
+        m_fleet->killDaemon(index);
+        for (auto &each : m_outcomes) {
+            each.killed = each.daemon == index && !each.ended;
+        }
+    }
+
     void replaceEndedServers()
     {
         for (std::size_t i = 0; i < m_fleet->servers().size(); ++i) {
@@ -146,7 +160,10 @@
         std::size_t later = 0;
         std::size_t laterServed = 0;
         for (const auto &each : m_outcomes) {
-            if (!each.fatal) {
+            if (!each.fatal && !each.killed) {
+                if (each.sent >= from && !each.complete) {
+                    ADD_FAILURE() << "not served: daemon " << each.daemon << " status " << each.status << " after " << each.took.count() << " ms";
+                }
                 all += 1;
                 served += each.complete ? 1 : 0;
                 later += each.sent >= from ? 1 : 0;
@@ -212,8 +229,7 @@
         static constexpr std::size_t victim = 1;
         if (phase == 0 && passed > seconds {6}) {
             phase = 1;
-            m_stopped.insert(victim);
-            m_fleet->killDaemon(victim);
+            killDaemon(victim);
         } else if (phase == 1 && passed > seconds {8}) {
             phase = 2;
             ASSERT_TRUE(m_fleet->startDaemon(victim));
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 
@@ -49,12 +50,12 @@
     std::filesystem::create_directories(m_folder);
 }
 
-// The logs of a failed test are kept.
+// The logs of a failed test are kept; KEEP_LOGS keeps all.
 plain_fleet::~plain_fleet()
 {
     drainOutput();
     m_daemons.clear();
-    if (testing::Test::HasFailure()) {
+    if (testing::Test::HasFailure() || std::getenv("KEEP_LOGS") != nullptr) {
         std::ofstream(m_folder / "daemons.log") << m_logs;
         std::cout << "logs in " << m_folder.string() << std::endl;
     } else {
