--- a/Tests/StandIns/plain_backend.cxx
+++ b/Tests/StandIns/plain_backend.cxx
@@ -99,6 +99,12 @@
     return m_fatalArrivals;
 }
 
+std::vector<monotonic_time> plain_backend::runTimes() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_runTimes;
+}
+
 bool plain_backend::isFatal(const request_message &message)
 {
     const std::lock_guard guard(m_mutex);
@@ -154,6 +160,7 @@
         const std::lock_guard guard(m_mutex);
         const auto *id = message.header("Request-Id");
         m_runs[id == nullptr ? "" : *id] += 1;
+        m_runTimes.push_back(m_loop.now());
         m_latest = message;
     }
     m_loop.after(milliseconds {m_delayMs.load()}, [this, key = from.key, message = std::move(message)] {
--- a/Tests/StandIns/plain_backend.h
+++ b/Tests/StandIns/plain_backend.h
@@ -60,6 +60,8 @@
     bool ended() const;
     /// When each request with the fatal path arrived.
     std::vector<monotonic_time> fatalArrivals() const;
+    /// When each request arrived that it ran.
+    std::vector<monotonic_time> runTimes() const;
     /// How often each request was run, by request id.
     std::map<std::string, int> runs() const;
     /// The latest request that was run, as received.
@@ -90,6 +92,7 @@
     std::string m_extraHeaders;
     std::string m_fatalPath;
     std::vector<monotonic_time> m_fatalArrivals;
+    std::vector<monotonic_time> m_runTimes;
     ip_address m_address;
     std::atomic<bool> m_ended {false};
     std::thread m_thread;
