Route, Forward: Keep the limit that a backend server names, all daemons together

What callers saw: nothing yet; servers in need got up to twelve times what they had said they take (134 requests in 4 s where 11 are allowed).

The class: a bound on what all daemons do together of which each sees only its own part.

Change: server_limit (pure). The limit decides how many daemons of the server's failure domain send (3 and one more for each request a second; of a shard those that run queries), rendezvous hashing which, and each keeps an equal share of 0.8 of it, with nothing saved up beyond half a second or one request. All others send single requests, at an interval that grows with their number, to notice the end. Hedges, retries and delegated parts count like any other request, where they are sent. A value that is no number changes nothing and is logged once; a new process begins without a limit; a refusal without the header doesn't end it. What no server may take waits, most urgent first, or is refused with the time at which a server may take it.

--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -34,6 +34,7 @@
 void backend_pool::update(const std::shared_ptr<const routing_snapshot> &view, const coordinator_table &coordinators)
 {
     m_view = view;
+    m_coordinators = &coordinators;
     for (auto &[id, server] : m_servers) {
         server->unlistedSince = server->listed ? m_loop.now() : server->unlistedSince;
         server->barred = true;
@@ -71,6 +72,9 @@
 {
     const bool changed = !(server.entry == entry);
     server.entry = entry;
+    if (server.limit.limited()) {
+        server.limit.setPosition(m_coordinators->positionAt(entry));
+    }
     server.listed = true;
     if (changed) {
         server.coldUntil = m_loop.now() + entry.coldLeft;
@@ -109,7 +113,7 @@
     const bool room = idle != nullptr || server.connections.size() < server.share.most;
     view.local = server.entry.domain == m_settings.domain;
     view.running = server.record.running();
-    view.most = room && !server.barred && server.availability.available(now) ? view.running + 1 : 0;
+    view.most = room && !server.barred && server.availability.available(now) && server.limit.allows(now) ? view.running + 1 : 0;
     view.slots = server.entry.slots;
     view.stalled = server.record.stalled(now);
     view.cold = now < server.coldUntil;
@@ -146,13 +150,13 @@
         }
         candidates.push_back(candidate);
     }
-    const double draw = std::uniform_real_distribution<>()(m_random);
-    const auto index = chooseReplica(candidates, typicalLatency, {}, draw);
+    const auto index = chooseReplica(candidates, typicalLatency, {}, draw());
     return index ? found->second[*index] : nullptr;
 }
 
 monotonic_time backend_pool::availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded) const
 {
+    const auto now = m_loop.now();
     auto earliest = monotonic_time::max();
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
@@ -160,7 +164,7 @@
     }
     for (const auto *server : found->second) {
         const bool usable = !server->barred && std::find(excluded.begin(), excluded.end(), server->entry.id) == excluded.end();
-        earliest = usable ? std::min(earliest, server->availability.availableFrom()) : earliest;
+        earliest = usable ? std::min(earliest, std::max(server->availability.availableFrom(), server->limit.availableFrom(now))) : earliest;
     }
     return earliest;
 }
@@ -186,6 +190,7 @@
     if (now < server.coldUntil) {
         server.coldAllowance -= 1;
     }
+    server.limit.sent(now, draw());
     const auto attempt = m_nextAttempt++;
     server.record.started(attempt, now, suspectAfter);
     m_attempts[connection] = attempt;
@@ -205,6 +210,10 @@
 void backend_pool::exchangeDone(const backend_server_id &server, backend_connection &connection, exchange_result result)
 {
     const auto entry = m_servers.find(server);
+    const auto *answered = std::get_if<exchange_answer>(&result);
+    if (answered != nullptr && entry != m_servers.end() && owns(*entry->second, connection)) {
+        takeLimit(*entry->second, answered->answer);
+    }
     const bool check = entry != m_servers.end() && mayHaveEnded(*entry->second, connection, result);
     if (entry != m_servers.end() && !connection.usable(m_loop.now())) {
         drop(*entry->second, connection);
@@ -277,6 +286,43 @@
     m_notify.noticed(notice);
 }
 
+// A refusal need not repeat the limit, and what another server states at this address doesn't concern this one.
+void backend_pool::takeLimit(backend &server, const server_answer &answer)
+{
+    const bool says = answer.verdict == answer_verdict::success || answer.verdict == answer_verdict::failure || answer.requestsPerSecond.has_value();
+    const bool wasLimited = server.limit.limited();
+    if (answer.limitMalformed) {
+        logLimitChange(server, limit_change::malformed);
+        return;
+    }
+    if (!says || answer.verdict == answer_verdict::wrong_server || (!wasLimited && !answer.requestsPerSecond)) {
+        return;
+    }
+    if (!wasLimited) {
+        server.limit.setPosition(m_coordinators->positionAt(server.entry));
+    }
+    server.limit.stated(answer.requestsPerSecond, m_loop.now(), draw());
+    if (wasLimited != server.limit.limited()) {
+        logLimitChange(server, wasLimited ? limit_change::ended : limit_change::began);
+    }
+}
+
+void backend_pool::logLimitChange(backend &server, limit_change change) const
+{
+    const auto line = field("server", server.entry.id.value) + field("service", server.entry.service.value);
+    if (change == limit_change::malformed) {
+        if (!std::exchange(server.malformedLimitLogged, true)) {
+            DAISYSTILE_LOG(WARNING, "servers") << "Backend server states a limit that is not a number of requests per second." << line;
+        }
+    } else if (change == limit_change::ended) {
+        DAISYSTILE_LOG(INFO, "servers") << "Backend server no longer limits requests." << line;
+    } else {
+        DAISYSTILE_LOG(INFO, "servers") << "Backend server limits requests." << line << field("per_second", std::to_string(server.limit.perSecond()))
+                                        << field("this_daemon_per_second", std::to_string(server.limit.ownShare()));
+    }
+    m_notify.limitChanged(change);
+}
+
 void backend_pool::logNotice(backend &server, const server_notice &notice) const
 {
     const auto line = field("server", server.entry.id.value) + field("service", server.entry.service.value);
@@ -336,12 +382,18 @@
             counts.cold += !server->barred && now < server->coldUntil ? 1 : 0;
             counts.barred += server->barred ? 1 : 0;
             counts.leaving += server->availability.leaving() ? 1 : 0;
+            counts.limited += !server->barred && server->limit.limited() ? 1 : 0;
             counts.paused += !server->barred && !server->availability.available(now) ? 1 : 0;
         }
     }
     return counts;
 }
 
+double backend_pool::draw()
+{
+    return std::uniform_real_distribution<>()(m_random);
+}
+
 void backend_pool::sweep()
 {
     m_retired.clear();
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -20,6 +20,7 @@
     server_entry entry;
     replica_stats record;
     server_availability availability;
+    server_limit limit;
     std::vector<std::unique_ptr<backend_connection>> connections;
     connection_share share;
     /// This daemon's share of the server's limits for the whole fleet.
@@ -36,8 +37,9 @@
     monotonic_time unlistedSince;
     /// A server with another id answered at its address.
     bool misdirected = false;
-    /// A malformed retry time has been logged.
+    /// A malformed retry time, or a malformed limit, has been logged.
     bool malformedRetryLogged = false;
+    bool malformedLimitLogged = false;
 };
 
 /// How an attempt on a server ended.
@@ -47,6 +49,12 @@
     exchange_result exchange;
 };
 
+enum class limit_change {
+    began,
+    ended,
+    malformed,
+};
+
 struct server_counts
 {
     std::size_t usable = 0;
@@ -57,6 +65,8 @@
     std::size_t leaving = 0;
     /// Among the usable: have asked this daemon for a pause.
     std::size_t paused = 0;
+    /// Among the usable: limit the requests of all daemons.
+    std::size_t limited = 0;
 };
 
 /// All backend servers and the connections to them. Used on the traffic thread only.
@@ -68,10 +78,13 @@
         std::function<void(attempt_result)> done;
         /// A server's answer has changed what this daemon may send it.
         std::function<void(const server_notice &)> noticed;
+        /// A server has begun or ceased to limit requests, or has stated a limit that can't be read.
+        std::function<void(limit_change)> limitChanged;
     };
 
     backend_pool(reactor &loop, const entry_settings &settings, callbacks notify);
 
+    /// The coordinators must outlive the pool's use.
     void update(const std::shared_ptr<const routing_snapshot> &view, const coordinator_table &coordinators);
     void setBounds(const fleet_bounds &bounds);
 
@@ -122,12 +135,16 @@
     void endChecked(const ip_address &address, bool ended);
     void closedWhileIdle(const backend_server_id &server, backend_connection &connection);
     void noticed(const backend_server_id &server, const backend_connection &connection, const server_notice &notice);
+    /// Takes what an answer states about the requests of all daemons.
+    void takeLimit(backend &server, const server_answer &answer);
+    void logLimitChange(backend &server, limit_change change) const;
     void logNotice(backend &server, const server_notice &notice) const;
     bool forgettable(const backend &server, monotonic_time now) const;
     void drop(backend &server, backend_connection &connection);
     void sweep();
     void sweepServer(backend &server, monotonic_time now);
     void sweepDetached(monotonic_time now);
+    double draw();
     void endAttempt(const backend_connection &connection, exchange_result result);
     /// 0 if no attempt runs on the connection.
     attempt_id removeAttempt(const backend_connection &connection);
@@ -136,6 +153,7 @@
     entry_settings m_settings;
     callbacks m_notify;
     std::shared_ptr<const routing_snapshot> m_view;
+    const coordinator_table *m_coordinators = nullptr;
     // Declared before the connections, which return their shares when they are destroyed.
     buffer_budget m_answerBuffers;
     std::map<backend_server_id, std::unique_ptr<backend>> m_servers;
--- a/Source/Forward/coordinator_table.cxx
+++ b/Source/Forward/coordinator_table.cxx
@@ -38,6 +38,7 @@
     for (const auto &daemon : view.fleet) {
         m_all.countByDomain[daemon.domain] += 1;
     }
+    m_fleet = view.fleet;
     m_coordinators = chooseCoordinators(view.fleet, m_self);
     m_delegates.clear();
     if (!m_coordinators.includesSelf) {
@@ -155,4 +156,42 @@
     return found == m_senders.end() ? m_all : found->second;
 }
 
+std::vector<daemon_id> coordinator_table::candidatesFor(const server_entry &server) const
+{
+    std::vector<daemon_id> candidates;
+    const auto coordinators = m_coordinators.byDomain.find(server.domain);
+    if (m_senders.contains(server.service) && coordinators != m_coordinators.byDomain.end()) {
+        for (const auto &daemon : coordinators->second) {
+            candidates.push_back(daemon.id);
+        }
+        return candidates;
+    }
+    const bool local = std::any_of(m_fleet.begin(), m_fleet.end(), [&](const auto &daemon) { return daemon.domain == server.domain; });
+    for (const auto &daemon : m_fleet) {
+        if (!local || daemon.domain == server.domain) {
+            candidates.push_back(daemon.id);
+        }
+    }
+    return candidates;
+}
+
+// Rendezvous hashing, so that a change of the fleet moves few ranks.
+sender_position coordinator_table::positionAt(const server_entry &server) const
+{
+    const auto score = [&server](const daemon_id &daemon) {
+        return std::pair(stableHash(daemon.value + "/" + server.id.value), daemon);
+    };
+    const auto candidates = candidatesFor(server);
+    if (candidates.empty()) {
+        return {};
+    }
+    sender_position position {.rank = std::nullopt, .candidates = candidates.size(), .allDaemons = std::max<std::size_t>(m_fleet.size(), 1)};
+    if (std::find(candidates.begin(), candidates.end(), m_self.id) != candidates.end()) {
+        const auto own = score(m_self.id);
+        const auto before = std::count_if(candidates.begin(), candidates.end(), [&](const auto &daemon) { return score(daemon) > own; });
+        position.rank = static_cast<std::size_t>(before);
+    }
+    return position;
+}
+
 } // namespace daisystile
--- a/Source/Forward/coordinator_table.h
+++ b/Source/Forward/coordinator_table.h
@@ -35,6 +35,9 @@
     /// The failure domains in which parts of any query run, other than this daemon's.
     std::set<failure_domain_name> remoteDomains() const;
     const service_senders &sendersOf(const service_name &service) const;
+    /// This daemon's position among those that send requests to a server while it limits them: the daemons of the server's
+    /// failure domain, of a shard those that run queries; all daemons if there are none.
+    sender_position positionAt(const server_entry &server) const;
 
 private:
     using shard_set = std::vector<service_name>;
@@ -42,9 +45,11 @@
     void groupRoutes(const routing_snapshot &view);
     std::vector<remote_parts> remotePartsOf(const shard_set &shards, const routing_snapshot &view);
     std::size_t coordinatorCount() const;
+    std::vector<daemon_id> candidatesFor(const server_entry &server) const;
     service_senders sendersIn(const std::set<failure_domain_name> &domains) const;
 
     fleet_daemon m_self;
+    std::vector<fleet_daemon> m_fleet;
     std::shared_ptr<const route_table> m_routes;
     query_coordinators m_coordinators;
     std::vector<fleet_daemon> m_delegates;
--- a/Source/Forward/forward_metrics.cxx
+++ b/Source/Forward/forward_metrics.cxx
@@ -40,6 +40,7 @@
       denied(registry.counter("daisystile_attempts_denied_total", "Attempts denied by the retry budget")),
       leavingNotices(notice(registry, "leaving")),
       retryAfterNotices(notice(registry, "retry_after")),
+      limitNotices(notice(registry, "limit")),
       malformedNotices(notice(registry, "malformed")),
       serverEnds(registry.counter("daisystile_server_ends_total", "Attempts under which the backend server's process ended")),
       trials(registry.counter("daisystile_request_trials_total", "Attempts that decided whether a suspected request ends servers")),
@@ -57,7 +58,8 @@
       coldServers(servers(registry, "cold")),
       barredServers(servers(registry, "barred")),
       leavingServers(servers(registry, "leaving")),
-      pausedServers(servers(registry, "paused"))
+      pausedServers(servers(registry, "paused")),
+      limitedServers(servers(registry, "limited"))
 {
 }
 
--- a/Source/Forward/forward_metrics.h
+++ b/Source/Forward/forward_metrics.h
@@ -19,9 +19,11 @@
     metric_counter retries;
     metric_counter hedges;
     metric_counter denied;
-    /// Answers that state that their server is leaving, that ask for a pause, or whose retry time can't be read.
+    /// Answers that state that their server is leaving, that ask for a pause, that begin to limit the requests of all daemons, or
+    /// that state something of this that can't be read.
     metric_counter leavingNotices;
     metric_counter retryAfterNotices;
+    metric_counter limitNotices;
     metric_counter malformedNotices;
     /// Backend servers whose process ended while it ran an attempt, for each such attempt.
     metric_counter serverEnds;
@@ -49,6 +51,8 @@
     metric_gauge leavingServers;
     /// Servers that have asked this daemon for a pause.
     metric_gauge pausedServers;
+    /// Servers that limit the requests of all daemons together.
+    metric_gauge limitedServers;
 };
 
 } // namespace daisystile
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -40,9 +40,10 @@
       m_pool(loop,
           settings,
           {.done = [this](attempt_result result) { attemptEnded(std::move(result)); },
-              .noticed =
-                  [this](const server_notice &notice) {
-                      countNotice(notice);
+              .noticed = [this](const server_notice &notice) { countNotice(notice); },
+              .limitChanged =
+                  [this](limit_change change) {
+                      countLimitChange(change);
                   }}),
       m_coordinators(settings),
       m_budgets(m_coordinators),
@@ -90,6 +91,7 @@
     m_metrics.barredServers.set(static_cast<double>(servers.barred));
     m_metrics.leavingServers.set(static_cast<double>(servers.leaving));
     m_metrics.pausedServers.set(static_cast<double>(servers.paused));
+    m_metrics.limitedServers.set(static_cast<double>(servers.limited));
     m_metrics.daemons.set(static_cast<double>(m_view->fleet.size()));
     if (m_view->routes) {
         m_metrics.configurationVersion.set(static_cast<double>(m_view->routes->configuration().version.value));
@@ -110,6 +112,16 @@
     updateGauges();
 }
 
+void forwarder::countLimitChange(limit_change change)
+{
+    if (change == limit_change::malformed) {
+        m_metrics.malformedNotices.add();
+    } else if (change == limit_change::began) {
+        m_metrics.limitNotices.add();
+    }
+    updateGauges();
+}
+
 void forwarder::updateCapacity()
 {
     for (const auto &[service, servers] : m_view->servers->byService) {
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -73,6 +73,7 @@
     void openDelegateLinks();
     void updateGauges();
     void countNotice(const server_notice &notice);
+    void countLimitChange(limit_change change);
     bool allowed(const running_request &request, const start_attempt &action);
     void schedule(const request_pointer &request);
     void answer(const request_pointer &request);
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -16,4 +16,5 @@
 #include "routing.h"
 #include "server_availability.h"
 #include "server_entry.h"
+#include "server_limit.h"
 #include "work_queue.h"
--- a/Tests/Forward/backend_pool_test.cxx
+++ b/Tests/Forward/backend_pool_test.cxx
@@ -16,9 +16,10 @@
         m_pool = std::make_unique<backend_pool>(m_loop,
             m_settings,
             backend_pool::callbacks {.done = [this](attempt_result result) { ended(std::move(result)); },
-                .noticed =
-                    [this](const server_notice &) {
-                        m_notices += 1;
+                .noticed = [this](const server_notice &) { m_notices += 1; },
+                .limitChanged =
+                    [this](limit_change change) {
+                        m_limitChanges.push_back(change);
                     }});
         list({entryOf(m_first), entryOf(m_second)});
     }
@@ -34,9 +35,9 @@
         catalog->byService[m_service] = std::move(entries);
         auto view = std::make_shared<routing_snapshot>();
         view->servers = std::move(catalog);
-        coordinator_table coordinators(m_settings);
-        coordinators.update(*view);
-        m_pool->update(view, coordinators);
+        m_coordinators = std::make_unique<coordinator_table>(m_settings);
+        m_coordinators->update(*view);
+        m_pool->update(view, *m_coordinators);
     }
 
     void ended(attempt_result result)
@@ -74,9 +75,11 @@
     service_name m_service {"shard"};
     plain_backend m_first {"first", "records"};
     plain_backend m_second {"second", "records"};
+    std::unique_ptr<coordinator_table> m_coordinators;
     std::unique_ptr<backend_pool> m_pool;
     std::vector<attempt_result> m_results;
     int m_notices = 0;
+    std::vector<limit_change> m_limitChanges;
     int m_sent = 0;
 };
 
@@ -162,3 +165,50 @@
     ASSERT_EQ(m_results.size(), 2U);
     EXPECT_TRUE(std::get<exchange_broken>(m_results[1].exchange).serverEnded);
 }
+
+TEST_F(backend_pool_test, keepsToALimitForAsLongAsTheServerStatesIt)
+{
+    m_first.setExtraHeaders("Server-Limit: 4\r\n");
+    sendToFirst();
+    EXPECT_FALSE(firstTakesRequests());
+    EXPECT_EQ(m_pool->counts().limited, 1U);
+    const auto now = m_loop.now();
+    EXPECT_GT(m_pool->availableFrom(m_service, {{m_second.id()}}), now);
+    EXPECT_LT(m_pool->availableFrom(m_service, {{m_second.id()}}), now + milliseconds {500});
+    EXPECT_LE(m_pool->availableFrom(m_service, {}), m_loop.now()) << "the other server limits nothing";
+    runUntil([this] { return firstTakesRequests(); });
+    m_first.setExtraHeaders("");
+    sendToFirst();
+    EXPECT_TRUE(firstTakesRequests());
+    EXPECT_EQ(m_limitChanges, (std::vector {limit_change::began, limit_change::ended}));
+}
+
+TEST_F(backend_pool_test, refusalWithoutALimitDoesNotEndIt)
+{
+    m_first.setExtraHeaders("Server-Limit: 20\r\n");
+    sendToFirst();
+    runUntil([this] { return firstTakesRequests(); });
+    m_first.setExtraHeaders("");
+    m_first.setResponseMode(backend_response_mode::not_executed);
+    sendToFirst();
+    EXPECT_EQ(m_pool->counts().limited, 1U);
+}
+
+TEST_F(backend_pool_test, newProcessOfALimitedServerBeginsWithoutALimit)
+{
+    m_first.setExtraHeaders("Server-Limit: 0.1\r\n");
+    sendToFirst();
+    EXPECT_FALSE(firstTakesRequests());
+    list({entryOf(m_first, 2), entryOf(m_second)});
+    EXPECT_TRUE(firstTakesRequests());
+}
+
+TEST_F(backend_pool_test, limitThatIsNoNumberIsIgnored)
+{
+    for (const auto *value : {"many", "-1", "nan", "inf", "", "1 2", "1e999"}) {
+        m_first.setExtraHeaders(std::string("Server-Limit: ") + value + "\r\n");
+        sendToFirst();
+        EXPECT_TRUE(firstTakesRequests()) << value;
+    }
+    EXPECT_EQ(m_limitChanges.size(), 7U);
+}
