Forward, Tool: Quarantines of the plain front end can be listed and lifted

What operators lacked: a request that is refused for minutes, and no way to see or end it but the logs.

Change: the readiness address answers /v1/admin/quarantine as the operators' API of the owner path does, so `daisystile quarantine list` and `lift` work with it. A lift needs the token whose digest is operator_token_sha256 of the settings; it clears the request in the shared records, so it holds on all daemons. Without the setting nothing can be lifted.

--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -3,6 +3,7 @@
 #include "client_server.h"
 #include "delegation_server.h"
 #include "drain_plan.h"
+#include "quarantine_api.h"
 #include "store_follower.h"
 
 #include <thread>
@@ -27,6 +28,7 @@
           requests(traffic, settings, registry),
           clients(traffic, requests, registry),
           delegations(traffic, requests, settings),
+          quarantine(control, traffic, requests, settings.operatorTokenDigest),
           store(control, settings, [this](std::shared_ptr<const routing_snapshot> view) { publish(std::move(view)); }),
           signals(
               control,
@@ -81,10 +83,19 @@
         }
         BOOST_LEAF_CHECK(clients.listen(settings.clients));
         BOOST_LEAF_ASSIGN(readiness,
-            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) { respond(probe(request)); }));
+            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) { answer(request, respond); }));
         return entry_process::addresses {clients.address(), readiness->address()};
     }
 
+    void answer(const http_request &request, const http_responder &respond)
+    {
+        if (request.path.starts_with(quarantine_api::path)) {
+            quarantine.handle(request, respond);
+        } else {
+            respond(probe(request));
+        }
+    }
+
     http_response probe(const http_request &request)
     {
         if (request.path == "/metrics") {
@@ -151,6 +162,7 @@
     forwarder requests;
     client_server clients;
     delegation_server delegations;
+    quarantine_api quarantine;
     store_follower store;
     termination_signals signals;
     std::unique_ptr<http_server> readiness;
--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -38,6 +38,7 @@
     reader.integer("stale_check_ms", settings.staleCheck, graceRangeMs);
     reader.integer("fresh_check_ms", settings.freshCheck, graceRangeMs);
     reader.integer("reach_check_ms", settings.reachCheck, graceRangeMs);
+    reader.text("operator_token_sha256", settings.operatorTokenDigest, presence::optional);
     reader.table("bounds", [&](table_reader &bounds) { readBounds(bounds, settings.bounds); });
 }
 
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -49,6 +49,8 @@
     milliseconds freshCheck {2500};
     /// Interval of small calls that detect whether the store is reachable; daemons that follow this one rely on the result.
     milliseconds reachCheck {500};
+    /// SHA-256 of the token with which operators lift quarantines, in hexadecimal; empty if nobody may.
+    std::string operatorTokenDigest;
     fleet_bounds bounds;
 
     bool operator==(const entry_settings &) const = default;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -134,6 +134,16 @@
     }
 }
 
+std::vector<std::pair<suspect_record, milliseconds>> forwarder::quarantined() const
+{
+    return m_guard.quarantined();
+}
+
+bool forwarder::liftQuarantine(const request_digest &request)
+{
+    return m_guard.lift(request);
+}
+
 void forwarder::onSuspectsChanged(std::function<void(std::vector<suspect_record>)> share)
 {
     m_shareSuspects = std::move(share);
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -27,6 +27,10 @@
     void update(const std::shared_ptr<const routing_snapshot> &view);
     const std::shared_ptr<const routing_snapshot> &view() const;
     void setBounds(const fleet_bounds &bounds);
+    /// Requests in quarantine, with its remaining time.
+    std::vector<std::pair<suspect_record, milliseconds>> quarantined() const;
+    /// An operator lifts the quarantine of a request, on all daemons. False if it isn't known.
+    bool liftQuarantine(const request_digest &request);
     /// Called with what this daemon has to tell the others about suspected requests, whenever that changes.
     void onSuspectsChanged(std::function<void(std::vector<suspect_record>)> share);
 
--- a/Tests/Promises/crash_promises_test.cxx
+++ b/Tests/Promises/crash_promises_test.cxx
@@ -261,6 +261,35 @@
     checkInnocent(lastWave + seconds {1});
 }
 
+TEST_F(crash_promises, operatorsSeeQuarantinesAndLiftThemOnAllDaemons)
+{
+    startFleet({.daemons = 3, .logbookServers = 9});
+    run(seconds {3}, "/read/", fatalPrefix);
+    auto &client = m_fleet->control();
+    const auto list = [&](std::size_t daemon) {
+        return client.get(m_fleet->readinessAddress(daemon), "/v1/admin/quarantine");
+    };
+    for (std::size_t daemon = 0; daemon < m_fleet->daemonCount(); ++daemon) {
+        ASSERT_EQ(list(daemon).size(), 1U) << daemon;
+        EXPECT_EQ(list(daemon)[0]["service"], "logbook");
+    }
+    http_call lift {
+        .method = "DELETE", .address = m_fleet->readinessAddress(0), .path = "/v1/admin/quarantine/logbook/" + list(0)[0]["fingerprint"].get<std::string>()};
+    EXPECT_EQ(statusOf(client.call(lift)), 403);
+    lift.headers = {{"Authorization", std::string("Bearer ") + plain_fleet::operatorToken}};
+    EXPECT_EQ(statusOf(client.call(lift)), 202);
+    EXPECT_TRUE(client.waitUntil(
+        [&] {
+            for (std::size_t daemon = 0; daemon < m_fleet->daemonCount(); ++daemon) {
+                if (!list(daemon).empty()) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        spreadTime));
+}
+
 // Each daemon learns by itself while the store is away. The servers that have ended stay listed.
 TEST_F(crash_promises, requestThatEndsServersIsStoppedByEachDaemonWhileTheStoreIsAway)
 {
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -84,7 +84,8 @@
         std::ofstream(file) << "id = \"d" << i << "\"\nfailure_domain = \"" << domainNames[i % domainCount]
                             << "\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:"
                             << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
-                            << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\n";
+                            << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\noperator_token_sha256 = \""
+                            << sha256Hex(operatorToken) << "\"\n";
         m_settings.push_back(file);
         if (!startDaemon(i)) {
             return false;
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -19,6 +19,7 @@
 public:
     static constexpr const char *host = "search.example";
     static constexpr int domainCount = 3;
+    static constexpr const char *operatorToken = "operator-token";
 
     struct layout
     {
