Route, Tests: Findings of the linter in the new code

clang-tidy named a vector that grows in a loop without room reserved, and a connect() whose result was not looked at (in a test; now checked). No change of behaviour.

--- a/Source/Route/crash_suspects.cxx
+++ b/Source/Route/crash_suspects.cxx
@@ -215,6 +215,7 @@
     keepLatest(first, maxSharedFirst);
     repeated.insert(repeated.end(), first.begin(), first.end());
     std::vector<suspect_record> records;
+    records.reserve(repeated.size());
     for (const auto *entry : repeated) {
         records.push_back(entry->record);
     }
--- a/Tests/Forward/server_end_check_test.cxx
+++ b/Tests/Forward/server_end_check_test.cxx
@@ -1,6 +1,7 @@
 #include <Forward/forward.h>
 #include <open_listener.h>
 
+#include <cerrno>
 #include <optional>
 
 using namespace daisystile;
@@ -41,7 +42,8 @@
     std::vector<int> filling;
     for (int i = 0; i < 4; ++i) {
         filling.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(filling.back(), reinterpret_cast<const sockaddr *>(&full.address), sizeof full.address);
+        const bool connected = connect(filling.back(), reinterpret_cast<const sockaddr *>(&full.address), sizeof full.address) == 0;
+        EXPECT_TRUE(connected || errno == EINPROGRESS);
     }
     EXPECT_EQ(checkEnd(full.listenAddress()), false);
     for (const int handle : filling) {
