--- a/Tests/StandIns/plain_backend.cxx
+++ b/Tests/StandIns/plain_backend.cxx
@@ -99,6 +99,11 @@
     return m_fatalArrivals;
 }
 
+int plain_backend::arrivals() const
+{
+    return m_arrivals;
+}
+
 std::vector<monotonic_time> plain_backend::runTimes() const
 {
     const std::lock_guard guard(m_mutex);
@@ -143,6 +148,7 @@
 
 void plain_backend::serve(connection &from, request_message message)
 {
+    m_arrivals += 1;
     const auto mode = m_responseMode.load();
     if (mode == backend_response_mode::not_executed) {
         from.stream.write("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n" + extraHeaders() + "\r\n");
--- a/Tests/StandIns/plain_backend.h
+++ b/Tests/StandIns/plain_backend.h
@@ -60,6 +60,8 @@
     bool ended() const;
     /// When each request with the fatal path arrived.
     std::vector<monotonic_time> fatalArrivals() const;
+    /// Number of requests that it got, whether or not it ran them.
+    int arrivals() const;
     /// When each request arrived that it ran.
     std::vector<monotonic_time> runTimes() const;
     /// How often each request was run, by request id.
@@ -86,6 +88,7 @@
     std::atomic<backend_response_mode> m_responseMode {backend_response_mode::normal};
     std::atomic<int> m_delayMs {0};
     std::atomic<int> m_lastStamp {0};
+    std::atomic<int> m_arrivals {0};
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_runs;
     request_message m_latest;
