--- a/Tests/Promises/crash_promises_test.cxx
+++ b/Tests/Promises/crash_promises_test.cxx
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 using namespace daisystile;
@@ -124,7 +125,7 @@
             }
             if (!fatal.empty() && now() >= nextFatal) {
                 nextFatal += repeatInterval;
-                send(nextDaemon(), fatal, true);
+                send(m_fatalDaemon.value_or(nextDaemon()), fatal, true);
             }
             if (each) {
                 each(std::chrono::duration_cast<milliseconds>(now() - begin));
@@ -212,6 +213,8 @@
     std::set<std::size_t> m_stopped;
     std::map<std::size_t, monotonic_time> m_replaceAt;
     std::size_t m_turn = 0;
+    /// The daemon that gets all fatal requests, if it is always the same.
+    std::optional<std::size_t> m_fatalDaemon;
 };
 
 } // namespace
@@ -309,3 +312,16 @@
     EXPECT_LE(m_fleet->fatalArrivals().size(), crashesUntilKnown * m_fleet->daemonCount());
     checkInnocent(knownAt());
 }
+
+// The daemons of one failure domain delegate all parts to the other two, where the servers are.
+TEST_F(crash_promises, requestThatEndsServersIsStoppedWhereQueriesAreDelegated)
+{
+    startFleet({.daemons = 12, .shards = 4, .serversPerShard = 6, .serverDomains = 2});
+    constexpr std::size_t daemonWithoutServers = 2;
+    m_fatalDaemon = daemonWithoutServers;
+    run(seconds {20}, "/find/", fatalQueryPrefix);
+    checkStopped();
+    const auto metrics = m_fleet->control().call({.address = m_fleet->readinessAddress(daemonWithoutServers), .path = "/metrics"});
+    ASSERT_EQ(statusOf(metrics), 200);
+    EXPECT_EQ(std::get<http_reply>(metrics).body.find("daisystile_delegations_total{outcome=\"answered\"} 0"), std::string::npos);
+}
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -175,7 +175,7 @@
 
 void plain_fleet::addServer(const std::string &service, std::size_t place)
 {
-    const failure_domain_name domain {domainNames[place % domainCount]};
+    const failure_domain_name domain {domainNames[place % static_cast<std::size_t>(m_size.serverDomains)]};
     m_servers.push_back({service, domain, makeServer(service, domain)});
 }
 
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -27,6 +27,8 @@
         int logbookServers = 0;
         int shards = 0;
         int serversPerShard = 3;
+        /// The number of failure domains that have servers.
+        int serverDomains = domainCount;
     };
 
     struct server
