Platform: Hand on the store's values as they stand, and read none that nests deeply

Daemons that started beside it never became ready.

Cause: each reply of the store was parsed, and every value in it copied and formatted again, before anybody had asked for it. The JSON library parses and frees without recursion, but copies, compares and formats with one call a level (a trial of a few lines: parsing 200,000 levels works, copying or formatting ends with signal 11). The same where an answer of a backend server is read, and where an operator's JSON or TOML is converted.

Change: a reply is split into the texts of its objects without recursion; of an object only name and revision are parsed, the value goes to its reader as it stands. Readers take 64 levels at most (parseForeignJson). TOML keys have 33 parts at most, as each is a table. The stand-in for the store hands values on as they were written; before, no test could put such a text into a reply.

--- a/Source/Connection/backend_protocol.cxx
+++ b/Source/Connection/backend_protocol.cxx
@@ -112,8 +112,9 @@
 
 attempt_failure readUnavailableReason(const std::string &body)
 {
-    const auto problem = nlohmann::json::parse(body, nullptr, false);
-    const auto title = problem.is_object() ? problem.value("title", nlohmann::json()) : nlohmann::json();
+    const auto problem = parseForeignJson(body);
+    const auto found = problem.is_object() ? problem.find("title") : problem.end();
+    const auto title = problem.is_object() && found != problem.end() && found->is_string() ? found->get<std::string>() : std::string();
     if (title == "draining") {
         return attempt_failure::draining;
     }
--- a/Source/Forward/suspect_board.cxx
+++ b/Source/Forward/suspect_board.cxx
@@ -63,7 +63,7 @@
 
 std::optional<std::vector<suspect_record>> parseSuspects(const std::string &text)
 {
-    const auto value = json::parse(text, nullptr, false);
+    const auto value = parseForeignJson(text);
     const auto list = value.is_object() ? value.find("suspects") : value.end();
     if (!value.is_object() || list == value.end() || !list->is_array()) {
         return std::nullopt;
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Public header of the process library: event loop, networking, HTTP, logging, metrics and basic types.
+/// Public header of the process library: event loop, networking, HTTP, JSON text, logging, metrics and basic types.
 
 #include "clock.h"
 #include "hash.h"
@@ -9,6 +9,7 @@
 #include "http_server.h"
 #include "ids.h"
 #include "ip_address.h"
+#include "json_text.h"
 #include "latency_histogram.h"
 #include "log.h"
 #include "metrics.h"
--- a/Source/Request/callers_json.cxx
+++ b/Source/Request/callers_json.cxx
@@ -8,7 +8,6 @@
 
 using nlohmann::json;
 
-static constexpr int maxNesting = 64;
 static constexpr milliseconds maxTimeout {600'000};
 static constexpr seconds coverageRetryAfter {1};
 
@@ -80,33 +79,9 @@
         .retryAfter = refusal.retryAfter};
 }
 
-// The parser keeps its stack on the heap, so deep nesting only costs memory. The limit rejects it because no valid
-// query needs it.
-static bool nestsTooDeep(std::string_view body)
-{
-    int depth = 0;
-    int deepest = 0;
-    bool inString = false;
-    for (std::size_t i = 0; i < body.size(); ++i) {
-        const char c = body[i];
-        if (inString) {
-            i += c == '\\' ? 1 : 0;
-            inString = c != '"';
-        } else if (c == '"') {
-            inString = true;
-        } else if (c == '{' || c == '[') {
-            depth += 1;
-            deepest = std::max(deepest, depth);
-        } else if (c == '}' || c == ']') {
-            depth -= 1;
-        }
-    }
-    return deepest > maxNesting;
-}
-
 leaf::result<std::string> parseQueryBody(std::string_view body)
 {
-    if (nestsTooDeep(body)) {
+    if (jsonNestsTooDeep(body)) {
         return leaf::new_error(request_error {request_failure::body_malformed, "body nested too deep"});
     }
     const auto parsed = json::parse(body, nullptr, false);
--- a/Source/Request/claim_record.cxx
+++ b/Source/Request/claim_record.cxx
@@ -104,7 +104,7 @@
             if (end == std::string_view::npos) {
                 return std::nullopt;
             }
-            const auto line = json::parse(text.substr(0, end));
+            const auto line = parseForeignJson(text.substr(0, end));
             text.remove_prefix(end + 1);
             if (first) {
                 segment.header = headerFrom(line);
--- a/Source/Version/config_node.cxx
+++ b/Source/Version/config_node.cxx
@@ -1,5 +1,7 @@
 #include "config_node.h"
 
+#include <Process/process.h>
+
 #include <nlohmann/json.hpp>
 #include <toml++/toml.h>
 
@@ -11,6 +13,8 @@
 namespace {
 
 constexpr std::size_t maxDescribedTextLength = 40;
+// The TOML library bounds the nesting of values, but not the number of parts of a key, each of which is a table.
+constexpr std::size_t maxKeyDots = 32;
 
 config_node convert(const toml::node &node);
 
@@ -90,6 +94,29 @@
     return result;
 }
 
+// Recurses no deeper than what it accepts.
+bool nestsTooDeep(const toml::node &node, std::size_t depth)
+{
+    if (depth > maxJsonNesting) {
+        return true;
+    }
+    const auto childTooDeep = [depth](const auto &child) {
+        return nestsTooDeep(child, depth + 1);
+    };
+    if (const auto *table = node.as_table()) {
+        return std::any_of(table->begin(), table->end(), [&](const auto &entry) { return childTooDeep(entry.second); });
+    }
+    const auto *array = node.as_array();
+    return array != nullptr && std::any_of(array->begin(), array->end(), childTooDeep);
+}
+
+constexpr const char *tooDeepFound = "deeper nesting";
+
+std::string tooDeepExpected()
+{
+    return "values nested " + std::to_string(maxJsonNesting) + " levels deep at most";
+}
+
 config_errors singleError(std::string_view fileName, std::uint32_t line, std::string expected, std::string found)
 {
     return {{{std::string(fileName), line, "", std::move(expected), std::move(found)}}};
@@ -97,6 +124,9 @@
 
 parsed<config_node> readJson(std::string_view text, std::string_view fileName)
 {
+    if (jsonNestsTooDeep(text)) {
+        return singleError(fileName, 0, tooDeepExpected(), tooDeepFound);
+    }
     // The library also throws on numbers out of range and on invalid escapes.
     try {
         return convert(nlohmann::json::parse(text));
@@ -109,13 +139,40 @@
     }
 }
 
+// Whether a run of characters that could be one key has more dots than a key may have. Strings count too: what looks like
+// the end of a string may lie inside a longer one.
+bool hasLongKey(std::string_view text)
+{
+    std::size_t dots = 0;
+    bool lineStarts = true;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char c = text[at];
+        if (lineStarts && c == '#') {
+            at = std::min(text.find('\n', at), text.size());
+            continue;
+        }
+        lineStarts = c == '\n' || (lineStarts && (c == ' ' || c == '\t'));
+        dots = c == '\n' || c == ',' || c == '=' ? 0 : dots + (c == '.' ? 1 : 0);
+        if (dots > maxKeyDots) {
+            return true;
+        }
+    }
+    return false;
+}
+
 parsed<config_node> readToml(std::string_view text, std::string_view fileName)
 {
+    if (hasLongKey(text)) {
+        return singleError(fileName, 0, "keys of " + std::to_string(maxKeyDots + 1) + " parts at most", "a longer key");
+    }
     const auto result = toml::parse(text);
     if (!result) {
         const auto &error = result.error();
         return singleError(fileName, error.source().begin.line, "well-formed TOML", std::string(error.description()));
     }
+    if (nestsTooDeep(result.table(), 0)) {
+        return singleError(fileName, 0, tooDeepExpected(), tooDeepFound);
+    }
     return convertTable(result.table());
 }
 
--- a/Source/Version/config_record.cxx
+++ b/Source/Version/config_record.cxx
@@ -98,7 +98,7 @@
 parsed<config_head> parseHead(std::string_view json)
 {
     return parseStored<config_head>(headKey, [&] {
-        const auto document = nlohmann::json::parse(json);
+        const auto document = parseForeignJson(json);
         config_head head;
         head.number = document.at("number").get<std::uint64_t>();
         for (const auto &entry : document.at("entries")) {
@@ -112,7 +112,7 @@
 parsed<config_record> parseRecord(std::string_view json)
 {
     return parseStored<config_record>("record", [&] {
-        const auto document = nlohmann::json::parse(json);
+        const auto document = parseForeignJson(json);
         config_record record;
         record.object = objectFrom(document);
         record.version.value = document.at("version").get<std::uint64_t>();
--- a/Tests/Platform/platform_client_test.cxx
+++ b/Tests/Platform/platform_client_test.cxx
@@ -148,3 +148,21 @@
         EXPECT_TRUE(std::holds_alternative<platform_unavailable>(listed)) << body;
     }
 }
+
+// A list nested 200,000 levels deep in one entry ended every daemon that listed or watched the servers.
+TEST_F(platform_client_test, aDeeplyNestedValueIsPassedOnAsItStands)
+{
+    const auto nested = R"({"capacity":)" + std::string(200'000, '[') + std::string(200'000, ']') + "}";
+    const auto object = R"({"meta":{"name":"a","revision":4},"spec":)" + nested + "}";
+    m_reply = http_response {.body = R"({"items":[)" + object + R"(],"has_more":false,"current_rev":5})"};
+    const auto list = std::get<object_list>(run<list_result>([&](auto callback) { m_client->list("servers/", read_freshness::newest, callback); }));
+    EXPECT_EQ(list.objects.at(0).value, nested);
+    m_reply = http_response {.body = R"({"events":[{"removed":false,"object":)" + object + R"(}],"current_rev":5})"};
+    const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("servers/", 3, callback); }));
+    EXPECT_EQ(batch.events.at(0).object.value, nested);
+    m_reply = http_response {.body = object};
+    EXPECT_EQ(std::get<platform_object>(run<read_result>([&](auto callback) { m_client->get("servers/a", callback); })).value, nested);
+    EXPECT_EQ(std::get<object_written>(put(always {})).etag, "4");
+    EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({"a"}, nested)));
+    EXPECT_TRUE(std::holds_alternative<malformed_text>(readRoutingConfiguration(nested)));
+}
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -63,12 +63,19 @@
     }
 }
 
-bool plain_fleet::start()
+bool plain_fleet::startStore()
 {
     m_store = std::make_unique<child_process>("platform-standin", std::vector<std::string> {}, (m_folder / "store.err").string());
-    if (!m_store->waitReady()) {
-        return false;
-    }
+    return m_store->waitReady();
+}
+
+bool plain_fleet::start()
+{
+    return (m_store || startStore()) && startProcesses() && waitUntilReady();
+}
+
+bool plain_fleet::startProcesses()
+{
     for (int i = 0; i < m_size.logbookServers; ++i) {
         addServer("logbook", static_cast<std::size_t>(i));
     }
@@ -91,6 +98,11 @@
             return false;
         }
     }
+    return true;
+}
+
+bool plain_fleet::waitUntilReady()
+{
     return m_control.waitUntil([this] {
         for (std::size_t i = 0; i < m_daemons.size(); ++i) {
             if (!daemonReady(i)) {
@@ -160,17 +172,28 @@
     auto process = std::make_unique<plain_backend>(id, std::string(16, service.back()));
     process->setFatalPath(m_fatalPath);
     process->setDelay(m_delay);
-    putObject("servers/" + id,
+    putServer(service, domain, *process, milliseconds {0});
+    return process;
+}
+
+void plain_fleet::putServer(const std::string &service, const failure_domain_name &domain, const plain_backend &process, milliseconds coldLeft)
+{
+    putObject("servers/" + process.id(),
         {{"service", service},
-            {"address", toString(process->address())},
+            {"address", toString(process.address())},
             {"zone", domain.value},
             {"version", "v1"},
             {"capacity", 4},
             {"state", "ready"},
-            {"warmup_left_ms", 0},
-            {"sequence", 1},
-            {"born", m_nextServer}});
-    return process;
+            {"warmup_left_ms", coldLeft.count()},
+            {"sequence", ++m_sequence},
+            {"born", 1}});
+}
+
+void plain_fleet::registerServer(std::size_t index, milliseconds coldLeft)
+{
+    const auto &entry = m_servers[index];
+    putServer(entry.service, entry.domain, *entry.process, coldLeft);
 }
 
 void plain_fleet::addServer(const std::string &service, std::size_t place)
@@ -182,7 +205,7 @@
 void plain_fleet::replaceServer(std::size_t index)
 {
     auto &entry = m_servers[index];
-    m_control.call({.method = "DELETE", .address = m_store->address("control"), .path = "/control/objects/servers/" + entry.process->id()});
+    removeObject("servers/" + entry.process->id());
     m_endedServers.push_back(std::move(entry.process));
     entry.process = makeServer(entry.service, entry.domain);
 }
@@ -244,7 +267,7 @@
 void plain_fleet::writeConfiguration()
 {
     json shards = json::array();
-    json services = json::array({{{"name", "logbook"}, {"max_connections", connectionsPerServer}}});
+    json services = json::array({{{"name", "logbook"}, {"max_connections", connectionsPerServer}, {"warmup_per_s", m_size.coldRequestsPerSecond}}});
     json routes = json::array({routeOf("/read/", {{"service", "logbook"}})});
     for (int shard = 0; shard < m_size.shards; ++shard) {
         shards.push_back(shardName(shard));
@@ -262,7 +285,22 @@
 
 void plain_fleet::putObject(const std::string &key, const json &value)
 {
-    m_control.send("PUT", m_store->address("control"), "/control/objects/" + key, value);
+    putText(key, value.dump());
+}
+
+std::size_t plain_fleet::waitingWatches()
+{
+    return m_control.get(m_store->address("control"), "/control/counters").value("watches_waiting", std::size_t {0});
+}
+
+void plain_fleet::removeObject(const std::string &key)
+{
+    m_control.call({.method = "DELETE", .address = m_store->address("control"), .path = "/control/objects/" + key});
+}
+
+void plain_fleet::putText(const std::string &key, const std::string &value)
+{
+    m_control.call({.method = "PUT", .address = m_store->address("control"), .path = "/control/objects/" + key, .body = value});
 }
 
 } // namespace daisystile
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -29,6 +29,8 @@
         int serversPerShard = 3;
         /// The number of failure domains that have servers.
         int serverDomains = domainCount;
+        /// Requests per second that a cold server takes from all daemons together; 0 if cold servers need no care.
+        double coldRequestsPerSecond = 0;
     };
 
     struct server
@@ -45,6 +47,10 @@
 
     /// False if a program could not be started or a daemon does not become ready.
     bool start();
+    /// The parts of start(): the store alone, then the servers and the daemons, which needn't become ready.
+    bool startStore();
+    bool startProcesses();
+    bool waitUntilReady();
     bool startDaemon(std::size_t index);
     void killDaemon(std::size_t index);
     bool daemonReady(std::size_t index);
@@ -65,12 +71,20 @@
     std::vector<monotonic_time> fatalArrivals() const;
     /// Server processes that have ended.
     std::size_t endedServers() const;
+    /// Writes an object into the store as another writer would; the value goes in as it stands.
+    void putText(const std::string &key, const std::string &value);
+    /// Number of watches that daemons have open at the store.
+    std::size_t waitingWatches();
+    void removeObject(const std::string &key);
+    /// Writes the entry of a server again, as cold for this long.
+    void registerServer(std::size_t index, milliseconds coldLeft);
     /// Turns the store off or on.
     void setStoreDown(bool down);
     test_client &control();
 
 private:
     void addServer(const std::string &service, std::size_t place);
+    void putServer(const std::string &service, const failure_domain_name &domain, const plain_backend &process, milliseconds coldLeft);
     std::unique_ptr<plain_backend> makeServer(const std::string &service, const failure_domain_name &domain);
     void writeConfiguration();
     void putObject(const std::string &key, const nlohmann::json &value);
@@ -88,6 +102,7 @@
     milliseconds m_delay {2};
     std::string m_logs;
     int m_nextServer = 0;
+    int m_sequence = 0;
 };
 
 } // namespace daisystile
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -72,12 +72,31 @@
     return std::strtoull(etag.c_str() + (etag.starts_with('"') ? 1 : 0), nullptr, 10);
 }
 
-static json objectJson(const std::string &key, const std::string &etag, const std::string &value)
+static std::string formatted(const json &value)
 {
-    auto spec = parseJson(value);
-    return {{"meta", {{"name", objectName(key)}, {"revision", parseRevision(etag)}, {"finalizers", json::array()}, {"deleting", false}}},
-        {"spec", spec && !spec->is_discarded() ? *spec : json(value)},
-        {"status", nullptr}};
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+static http_response textResponse(std::string body, int status = 200)
+{
+    return {.status = status, .body = std::move(body)};
+}
+
+// Objects and arrays are passed on as they were written, also with contents that a reader may refuse.
+static std::string objectText(const std::string &key, const std::string &etag, const std::string &value)
+{
+    const json meta {{"name", objectName(key)}, {"revision", parseRevision(etag)}, {"finalizers", json::array()}, {"deleting", false}};
+    const bool structured = splitJsonObject(value) || splitJsonArray(value);
+    return R"({"meta":)" + formatted(meta) + R"(,"spec":)" + (structured ? value : formatted(value)) + R"(,"status":null})";
+}
+
+static std::string arrayText(const std::vector<std::string> &elements)
+{
+    std::string text = "[";
+    for (const auto &element : elements) {
+        text += (text.size() > 1 ? "," : "") + element;
+    }
+    return text + "]";
 }
 
 static std::string queryValue(const http_request &request, const std::string &name)
@@ -181,7 +200,7 @@
     if (object == nullptr) {
         return problemResponse(404, "no such object");
     }
-    return jsonResponse(objectJson(key, object->etag, object->value));
+    return textResponse(objectText(key, object->etag, object->value));
 }
 
 static std::string specText(const json &body)
@@ -233,7 +252,7 @@
     const auto *current = m_store.find(key);
     if (const auto *error = std::get_if<write_error>(&result)) {
         const bool tooLarge = *error == write_error::too_large;
-        respond(tooLarge ? problemResponse(413, "value too large") : jsonResponse(objectJson(key, current->etag, current->value), 409));
+        respond(tooLarge ? problemResponse(413, "value too large") : textResponse(objectText(key, current->etag, current->value), 409));
         return;
     }
     notifyWatches();
@@ -244,13 +263,13 @@
         respond(dropConnectionResponse());
         return;
     }
-    respond(jsonResponse(current == nullptr ? objectJson(key, std::get<std::string>(result), "") : objectJson(key, current->etag, current->value)));
+    respond(textResponse(current == nullptr ? objectText(key, std::get<std::string>(result), "") : objectText(key, current->etag, current->value)));
 }
 
 http_response platform_standin::listObjects(const http_request &request, const std::string &prefix) const
 {
     const auto after = queryValue(request, "after");
-    auto items = json::array();
+    std::vector<std::string> items;
     bool more = false;
     for (const auto &object : m_store.list(prefix)) {
         if (!after.empty() && objectName(object.key) <= after) {
@@ -260,20 +279,26 @@
         if (more) {
             break;
         }
-        items.push_back(objectJson(object.key, object.etag, object.value));
+        items.push_back(objectText(object.key, object.etag, object.value));
     }
-    return jsonResponse({{"items", std::move(items)}, {"has_more", more}, {"current_rev", m_store.revision()}});
+    return listResponse(items, more);
+}
+
+http_response platform_standin::listResponse(const std::vector<std::string> &items, bool more) const
+{
+    return textResponse(
+        R"({"items":)" + arrayText(items) + R"(,"has_more":)" + (more ? "true" : "false") + R"(,"current_rev":)" + std::to_string(m_store.revision()) + "}");
 }
 
 http_response platform_standin::listHosts()
 {
-    auto items = json::array();
+    std::vector<std::string> items;
     for (const auto &[id, text] : m_hosts.visible(m_loop.now())) {
         auto key = hostsKind + "/";
         key += id;
-        items.push_back(objectJson(key, "1", text));
+        items.push_back(objectText(key, "1", text));
     }
-    return jsonResponse({{"items", std::move(items)}, {"has_more", false}, {"current_rev", m_store.revision()}});
+    return listResponse(items, false);
 }
 
 http_response platform_standin::eventsResponse(const std::string &prefix, std::uint64_t after) const
@@ -282,11 +307,12 @@
     if (!events) {
         return problemResponse(410, "history compacted");
     }
-    auto list = json::array();
+    std::vector<std::string> list;
     for (const auto &event : *events) {
-        list.push_back({{"removed", !event.value.has_value()}, {"object", objectJson(event.key, event.etag, event.value.value_or(""))}});
+        const char *removed = event.value ? "false" : "true";
+        list.push_back(std::string(R"({"removed":)") + removed + R"(,"object":)" + objectText(event.key, event.etag, event.value.value_or("")) + "}");
     }
-    return jsonResponse({{"events", std::move(list)}, {"current_rev", m_store.revision()}});
+    return textResponse(R"({"events":)" + arrayText(list) + R"(,"current_rev":)" + std::to_string(m_store.revision()) + "}");
 }
 
 void platform_standin::watch(const http_request &request, const std::string &prefix, const http_responder &respond)
--- a/Tests/StandIns/platform_standin.h
+++ b/Tests/StandIns/platform_standin.h
@@ -72,6 +72,7 @@
     void change(const http_request &request, const std::string &key, const http_responder &respond);
     void finishWrite(const std::string &key, const store_result &result, const http_responder &respond);
     http_response listObjects(const http_request &request, const std::string &prefix) const;
+    http_response listResponse(const std::vector<std::string> &items, bool more) const;
     http_response listHosts();
     void watch(const http_request &request, const std::string &prefix, const http_responder &respond);
     http_response controlObject(const http_request &request);
--- a/Tests/Version/config_parser_test.cxx
+++ b/Tests/Version/config_parser_test.cxx
@@ -163,3 +163,25 @@
         EXPECT_EQ(errorTextOf(parseService(replaced(serviceText, one.from, one.to), "s")), one.expectedErrors) << one.name;
     }
 }
+
+// An operator's text with deeply nested values, or a key of many parts, ended the daemon that read it.
+TEST(config_parser, deeplyNestedTextIsAnError)
+{
+    constexpr std::size_t levels = 100'000;
+    const auto arrays = std::string(levels, '[') + std::string(levels, ']');
+    EXPECT_NE(errorTextOf(parseContract(R"({"customer":)" + arrays + "}", "c")).find("levels deep at most"), std::string::npos);
+    std::string key = "a";
+    for (std::size_t i = 0; i < levels; ++i) {
+        key += ".a";
+    }
+    for (const auto &text : {key + " = 1", "[" + key + "]", "x = {y = 1, " + key + " = 1}", "x = \"\"\"\n\" \" \"\"\"\n" + key + " = 1"}) {
+        EXPECT_NE(errorTextOf(parseContract(text, "c")).find("parts at most"), std::string::npos) << text.substr(0, 30);
+    }
+    std::string nested;
+    for (int i = 0; i < 200; ++i) {
+        nested += "{a.b = ";
+    }
+    nested += "1" + std::string(200, '}');
+    EXPECT_NE(errorTextOf(parseContract("x = " + nested, "c")).find("levels deep at most"), std::string::npos);
+    EXPECT_EQ(errorTextOf(parseContract("# " + std::string(200, '.') + "\n" + contractText, "c")), errorTextOf(parseContract(contractText, "c")));
+}
