--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr number_range ratioRange {0, 10};
-constexpr number_range strengthRange {0.001, 1024};
+constexpr number_range strengthRange {minStrength, maxStrength};
 constexpr number_range slackRange {0, 1e6};
 constexpr number_range graceRangeMs {100, 600000};
 constexpr number_range windowRangeMs {1000, 600000};
--- a/Source/Forward/fleet_registry.cxx
+++ b/Source/Forward/fleet_registry.cxx
@@ -23,10 +23,9 @@
 
 std::optional<fleet_daemon> readEntry(const platform_object &object)
 {
-    const auto json = nlohmann::json::parse(object.value, nullptr, false);
+    const auto json = parseForeignJson(object.value);
     const auto domain = textOf(json, "domain");
     if (domain.empty()) {
-        DAISYSTILE_LOG(WARNING, "fleet") << "Daemon entry is invalid." << field("key", object.key);
         return std::nullopt;
     }
     fleet_daemon daemon;
@@ -36,7 +35,8 @@
     daemon.queries = addressOf(json, "queries");
     const auto strength = json.find("strength");
     daemon.strength = strength != json.end() && strength->is_number() ? strength->get<double>() : daemon.strength;
-    return daemon;
+    const bool plausible = daemon.strength >= minStrength && daemon.strength <= maxStrength;
+    return plausible ? std::optional(std::move(daemon)) : std::nullopt;
 }
 
 } // namespace
@@ -50,9 +50,10 @@
 void fleet_registry::listed(const object_list &list, monotonic_time now)
 {
     std::map<std::string, seen_entry> entries;
+    std::map<std::string, std::string> invalid;
     for (const auto &object : list.objects) {
         if (object.key == peerKeyEntry) {
-            m_peerKey = textOf(nlohmann::json::parse(object.value, nullptr, false), "key");
+            readPeerKey(object);
             continue;
         }
         const auto before = m_entries.find(object.key);
@@ -60,11 +61,39 @@
             entries.insert(*before);
         } else if (auto daemon = readEntry(object)) {
             entries.emplace(object.key, seen_entry {object, std::move(*daemon), now});
+        } else {
+            invalid.emplace(object.key, object.etag);
+            // The daemon still counts until it has missed its refreshes; a smaller fleet would take more than its share.
+            if (before != m_entries.end()) {
+                entries.insert(*before);
+            }
         }
     }
+    logNewInvalid(invalid);
+    m_invalid = std::move(invalid);
     m_entries = std::move(entries);
 }
 
+// A key that was read stays if its entry is overwritten.
+void fleet_registry::readPeerKey(const platform_object &object)
+{
+    auto key = textOf(parseForeignJson(object.value), "key");
+    if (!key.empty()) {
+        m_peerKey = std::move(key);
+    }
+}
+
+// An entry is listed again and again, so it is reported once for each of its versions.
+void fleet_registry::logNewInvalid(const std::map<std::string, std::string> &invalid) const
+{
+    for (const auto &[key, version] : invalid) {
+        const auto before = m_invalid.find(key);
+        if (before == m_invalid.end() || before->second != version) {
+            DAISYSTILE_LOG(WARNING, "fleet") << "Daemon entry is invalid." << field("key", key) << field("revision", version);
+        }
+    }
+}
+
 std::vector<fleet_daemon> fleet_registry::daemons(monotonic_time now) const
 {
     const auto maxAge = refreshInterval(m_entries.size()) * m_limits.missedUntilAbsent;
--- a/Source/Forward/fleet_registry.h
+++ b/Source/Forward/fleet_registry.h
@@ -46,6 +46,9 @@
     static constexpr const char *peerKeyEntry = "daisystile-daemons/0-peer-key";
 
 private:
+    void readPeerKey(const platform_object &object);
+    void logNewInvalid(const std::map<std::string, std::string> &invalid) const;
+
     struct seen_entry
     {
         platform_object object;
@@ -56,6 +59,8 @@
     fleet_registry_limits m_limits;
     fleet_daemon m_self;
     std::map<std::string, seen_entry> m_entries;
+    // Versions of the entries that can't be read, by key.
+    std::map<std::string, std::string> m_invalid;
     std::string m_peerKey;
 };
 
--- a/Source/Process/log.cxx
+++ b/Source/Process/log.cxx
@@ -9,6 +9,14 @@
 
 namespace daisystile {
 
+static bool isControl(char c)
+{
+    constexpr unsigned char lastControl = 0x1f;
+    constexpr unsigned char deleteCode = 0x7f;
+    const auto code = static_cast<unsigned char>(c);
+    return code <= lastControl || code == deleteCode;
+}
+
 static std::unique_ptr<log_writer> &currentWriter()
 {
     static std::unique_ptr<log_writer> writer;
@@ -61,23 +69,28 @@
     return std::exchange(m_dropped, 0);
 }
 
+// A value may come from another process, so it can't fill the log or end its line.
 std::string field(std::string_view key, std::string_view value)
 {
+    constexpr std::size_t maxValueLength = 256;
+    const auto shown = value.substr(0, maxValueLength);
     std::string text = " ";
     text += key;
     text += '=';
-    const bool quoted = value.empty() || value.find_first_of(" \t\n\"") != std::string_view::npos;
+    const bool quoted = value.empty() || std::any_of(shown.begin(), shown.end(), [](char c) { return isControl(c) || c == ' ' || c == '"'; });
     if (!quoted) {
-        return text.append(value);
+        text += shown;
+        return shown.size() < value.size() ? text + "..." : text;
     }
     text += '"';
-    for (const char c : value) {
+    for (const char c : shown) {
         if (c == '"' || c == '\\') {
             text += '\\';
         }
-        text += c == '\n' ? ' ' : c;
+        text += isControl(c) ? ' ' : c;
     }
-    return text += '"';
+    text += shown.size() < value.size() ? "...\"" : "\"";
+    return text;
 }
 
 std::string field(std::string_view key, std::uint64_t value)
--- a/Source/Process/log.h
+++ b/Source/Process/log.h
@@ -20,7 +20,8 @@
 /// Writes the queued lines as far as this is possible without blocking.
 void stopLogging();
 
-/// Formats one log field as key=value; a value that is empty or contains spaces or quotes is quoted.
+/// Formats one log field as key=value; a value that is empty or contains spaces, quotes or control characters is
+/// quoted, a long one is cut.
 std::string field(std::string_view key, std::string_view value);
 std::string field(std::string_view key, std::uint64_t value);
 
--- a/Source/Route/server_entry.h
+++ b/Source/Route/server_entry.h
@@ -34,6 +34,10 @@
     std::map<service_name, std::vector<server_entry>> byService;
 };
 
+/// Range of a daemon's processor share, in cores.
+inline constexpr double minStrength = 0.001;
+inline constexpr double maxStrength = 1024;
+
 /// One daemon of the fleet, as registered in the store.
 struct fleet_daemon
 {
@@ -43,7 +47,7 @@
     ip_address peers;
     /// Address at which it takes queries from other daemons; port 0 if it takes none.
     ip_address queries;
-    /// Processor share, in cores.
+    /// Processor share, in cores, within the range above.
     double strength = 1;
 
     bool operator==(const fleet_daemon &) const = default;
--- a/Tests/Forward/fleet_registry_test.cxx
+++ b/Tests/Forward/fleet_registry_test.cxx
@@ -41,6 +41,25 @@
     EXPECT_EQ(fleet.daemons(monotonic_time {seconds {1}}).size(), 1101U);
 }
 
+// An entry that was overwritten by another writer must not make the fleet smaller at once.
+TEST(fleet_registry, countsADaemonWhoseEntryWasSpoiledUntilItMissesItsRefreshes)
+{
+    const fleet_daemon self {{"d1"}, {"port"}, {}, {}, 1};
+    const fleet_daemon other {{"d2"}, {"port"}, {}, {}, 1};
+    fleet_registry registry({}, self);
+    const fleet_registry elsewhere({}, other);
+    const monotonic_time start {seconds {1000}};
+    const platform_object key {fleet_registry::peerKeyEntry, "1", fleet_registry::peerKeyText("secret")};
+    registry.listed({.objects = {key, {elsewhere.entryKey(), "2", elsewhere.entryText(1)}}}, start);
+    EXPECT_EQ(registry.daemons(start).size(), 2U);
+    for (const auto *spoiled : {"", "{", R"({"domain":7})", R"({"domain":"port","strength":1e300})", R"({"domain":"port","strength":-1})"}) {
+        registry.listed({.objects = {{key.key, "3", spoiled}, {elsewhere.entryKey(), "4", spoiled}}}, start + seconds {10});
+        EXPECT_EQ(registry.daemons(start + seconds {10}).size(), 2U) << spoiled;
+        EXPECT_EQ(registry.peerKey(), "secret") << spoiled;
+    }
+    EXPECT_EQ(registry.daemons(start + seconds {100}).size(), 1U);
+}
+
 TEST(drainStep, servesUntilTheBalancerStopsAndExitsBeforeTheKill)
 {
     const milliseconds grace {6000};
--- a/Tests/Platform/platform_client_test.cxx
+++ b/Tests/Platform/platform_client_test.cxx
@@ -166,3 +166,88 @@
     EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({"a"}, nested)));
     EXPECT_TRUE(std::holds_alternative<malformed_text>(readRoutingConfiguration(nested)));
 }
+
+// A single surrogate or a number out of range in one entry made every listing and watch of the servers fail.
+TEST_F(platform_client_test, anObjectThatCannotBeReadHidesNoOther)
+{
+    for (const std::string spoiled : {R"({"zone":"\ud800"})", R"({"capacity":1e999})", R"("\udfff")", "nul", "{\"zone\":\"\xff\xfe\"}"}) {
+        const auto objects = std::string(R"([{"meta":{"name":"a","revision":1},"spec":)") + spoiled
+            + R"(},{"meta":{"name":"b","revision":2},"spec":{"x":1}},{"meta":{"name":"\ud800","revision":3},"spec":{}},{"spec":7},7])";
+        m_reply = http_response {.body = R"({"items":)" + objects + R"(,"has_more":false,"current_rev":9})"};
+        const auto list = std::get<object_list>(run<list_result>([&](auto callback) { m_client->list("servers/", read_freshness::newest, callback); }));
+        ASSERT_EQ(list.objects.size(), 2U) << spoiled;
+        EXPECT_EQ(list.objects[0].value, spoiled);
+        EXPECT_EQ(list.objects[1].value, R"({"x":1})");
+        EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({"a"}, spoiled)));
+        m_reply = http_response {.body = R"({"events":[{"object":{"meta":{"name":"a","revision":1},"spec":)" + spoiled
+                + R"(}},{"object":{"meta":{"name":"b","revision":2}},"removed":true}],"current_rev":9})"};
+        const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("servers/", 3, callback); }));
+        ASSERT_EQ(batch.events.size(), 2U) << spoiled;
+        EXPECT_EQ(batch.events[0].object.value, spoiled);
+        EXPECT_TRUE(batch.events[1].deleted);
+    }
+}
+
+TEST_F(platform_client_test, aHostThatCannotBeReadHidesNoOther)
+{
+    m_reply = http_response {
+        .body =
+            R"({"items":[{"meta":{"name":"g","revision":1},"spec":{"id":7}},{"meta":{"name":"h","revision":1},"spec":{"id":"h","domain":"d","traffic":"127.0.0.1:1","control":"127.0.0.1:2"}}],"has_more":false,"current_rev":5})"};
+    const auto hosts = std::get<std::vector<platform_host>>(run<host_result>([&](auto callback) { m_client->hosts(callback); }));
+    ASSERT_EQ(hosts.size(), 1U);
+    EXPECT_EQ(hosts[0].id.value, "h");
+}
+
+TEST_F(platform_client_test, aListingThatDoesNotGoOnEnds)
+{
+    m_reply = http_response {.body = R"({"items":[{"meta":{"name":"a","revision":1},"spec":{}}],"has_more":true,"current_rev":9})"};
+    const auto list = [this] {
+        return run<list_result>([&](auto callback) { m_client->list("servers/", read_freshness::newest, callback); });
+    };
+    EXPECT_TRUE(std::holds_alternative<platform_unavailable>(list()));
+    m_reply = http_response {.body = R"({"items":[7],"has_more":true,"current_rev":9})"};
+    EXPECT_TRUE(std::holds_alternative<platform_unavailable>(list()));
+}
+
+TEST_F(platform_client_test, aNameWithAnyCharactersContinuesAListing)
+{
+    const std::string name = "a b&c=%d/\xc3\xa4?#";
+    std::vector<std::string> requestedAfter;
+    m_server = http_server::listen(m_loop, {"127.0.0.1", 0}, [&](const http_request &request, const http_responder &respond) {
+        const auto after = request.query.find("after");
+        requestedAfter.push_back(after == request.query.end() ? "" : after->second);
+        const bool first = requestedAfter.size() == 1;
+        respond({.body = first ? R"({"items":[{"meta":{"name":")" + name + R"(","revision":1},"spec":{}}],"has_more":true,"current_rev":9})"
+                               : std::string(R"({"items":[],"has_more":false,"current_rev":9})")});
+    }).value();
+    m_client = std::make_unique<platform_client>(m_http, platform_client_settings {.platform = m_server->address(), .domain = {"d"}});
+    const auto list = run<list_result>([&](auto callback) { m_client->list("servers/", read_freshness::newest, callback); });
+    EXPECT_EQ(std::get<object_list>(list).objects.size(), 1U);
+    EXPECT_EQ(requestedAfter, (std::vector<std::string> {"", name}));
+}
+
+// Some foreign entries of the largest size filled the memory of the daemons and the frames between them.
+TEST_F(platform_client_test, aValueLongerThanItsKindAllowsIsLeftEmpty)
+{
+    m_client = std::make_unique<platform_client>(
+        m_http, platform_client_settings {.platform = m_server->address(), .domain = {"d"}, .maxValueBytes = {{"servers", 10}}});
+    const auto valueIn = [this](const std::string &prefix, std::size_t length) {
+        m_reply = http_response {
+            .body = R"({"items":[{"meta":{"name":"a","revision":1},"spec":")" + std::string(length - 2, 'x') + R"("}],"has_more":false,"current_rev":9})"};
+        const auto listed = run<list_result>([&](auto callback) { m_client->list(prefix, read_freshness::newest, callback); });
+        return std::get<object_list>(listed).objects.at(0).value.size();
+    };
+    EXPECT_EQ(valueIn("servers/", 10), 8U);
+    EXPECT_EQ(valueIn("servers/", 11), 0U);
+    EXPECT_EQ(valueIn("config/", 11), 9U);
+    EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({"a"}, "")));
+}
+
+TEST(readServerEntry, aNameThatIsNoHeaderValueNamesNoServer)
+{
+    const auto *entry = R"({"service":"s","address":"127.0.0.1:9","zone":"z","capacity":1,"state":"ready","warmup_left_ms":0})";
+    EXPECT_TRUE(std::holds_alternative<server_entry>(readServerEntry({"i-7f3a"}, entry)));
+    for (const auto *name : {"a\r\nX: y", "a b", "a\tb", "\x7f", "\xc3\xa4"}) {
+        EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({name}, entry))) << name;
+    }
+}
--- a/Tests/Promises/foreign_objects_test.cxx
+++ b/Tests/Promises/foreign_objects_test.cxx
@@ -95,3 +95,16 @@
     ASSERT_TRUE(m_fleet.start());
     expectChangesAreSeen("in a fleet that started beside the objects");
 }
+
+// One entry with a single surrogate, or a number out of range, hid all changes of the servers from all daemons.
+TEST_F(foreign_objects, objectsThatCannotBeReadHideNoOthers)
+{
+    ASSERT_TRUE(m_fleet.startStore());
+    putIntoEachKind(R"({"service":"logbook","zone":"\ud800","domain":"\udfff"})");
+    ASSERT_TRUE(m_fleet.start());
+    expectChangesAreSeen("in a fleet that started beside the objects");
+    for (const auto &value : {entryWith("1e999"), entryWith("\"\\ud800\""), std::string("[null]")}) {
+        putIntoEachKind(value);
+        expectChangesAreSeen("while the objects stand");
+    }
+}
