Forward: Keep no value of an entry that is longer than servers and daemons write

Other writers may store entries of up to 1 MiB. Each daemon kept and relayed them whole; six of 900 KB exceed the largest frame between daemons, so all followers lost their sources and followed the store themselves.

Values of servers and daemons are read up to 16 KiB, those of evacuations not at all, as their key says all. Longer ones are kept without their value, so the entry names nothing.

foreign_objects.largeObjectsKeepNoDaemonFromFollowingAnother failed on the code before (the daemons didn't go back to three followers of the store) and passes.

--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -31,11 +31,26 @@
 constexpr milliseconds maxServersBatchDelay {1500};
 constexpr milliseconds serversBatchDelayPerDaemon {20};
 
+// Far more than a server or a daemon writes about itself.
+constexpr std::size_t maxEntryBytes = 16U << 10U;
+// The key of an evacuation says all.
+constexpr std::size_t maxEvacuationBytes = 0;
+
 std::string nameOf(const std::string &key)
 {
     return key.substr(key.find('/') + 1);
 }
 
+std::map<std::string, std::size_t> maxValueBytes()
+{
+    const auto kindOf = [](std::string_view prefix) {
+        return std::string(prefix.substr(0, prefix.find('/')));
+    };
+    return {{kindOf(serverKeyPrefix), maxEntryBytes},
+        {kindOf(evacuationKeyPrefix), maxEvacuationBytes},
+        {kindOf(fleet_registry::keyPrefix), maxEntryBytes}};
+}
+
 } // namespace
 
 struct store_follower::implementation
@@ -45,7 +60,7 @@
           settings(entrySettings),
           publish(std::move(publishView)),
           http(eventLoop),
-          store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout}),
+          store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout, .maxValueBytes = maxValueBytes()}),
           fleet(loop, store, settings, [this] { fleetUpdated(); }),
           configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
           servers(loop,
--- a/Tests/Promises/foreign_objects_test.cxx
+++ b/Tests/Promises/foreign_objects_test.cxx
@@ -108,3 +108,23 @@
         expectChangesAreSeen("while the objects stand");
     }
 }
+
+// The updates between daemons have a largest size.
+TEST_F(foreign_objects, largeObjectsKeepNoDaemonFromFollowingAnother)
+{
+    constexpr std::size_t bytes = 900'000;
+    ASSERT_TRUE(m_fleet.start());
+    // One daemon of each of three domains follows the store, with four watches, and the others follow these.
+    const auto settled = [this] {
+        return m_fleet.waitingWatches() == 12;
+    };
+    ASSERT_TRUE(m_fleet.control().waitUntil(settled));
+    m_fleet.drainOutput();
+    const auto startedUntil = m_fleet.logs().size();
+    for (int i = 0; i < 6; ++i) {
+        m_fleet.putText("servers/x-" + std::to_string(i), entryWith("\"" + std::string(bytes, 'x') + "\""));
+    }
+    expectChangesAreSeen("while the objects stand");
+    EXPECT_EQ(m_fleet.logs().find("Lost the source daemon", startedUntil), std::string::npos);
+    EXPECT_TRUE(m_fleet.control().waitUntil(settled));
+}
