Route, Forward: End an evacuation once the servers are known as of its revision

Cause: changes of servers are fetched in batches of up to 1.5 s, the end of an evacuation at once, so facts of one store were applied out of its order.

Change: evacuation_gate holds the end back until the servers are known as of the revision at which it was seen; a daemon that follows the store lists them at once for it. It relays an evacuation for as long as it holds it, and servers before evacuations. The beginning of an evacuation waits for nothing.

--- a/Source/Forward/mirror_runner.cxx
+++ b/Source/Forward/mirror_runner.cxx
@@ -78,10 +78,16 @@
     m_reachabilityChanged = std::move(callback);
 }
 
+void mirror_runner::onRevisionChanged(std::function<void()> callback)
+{
+    m_revisionChanged = std::move(callback);
+}
+
 void mirror_runner::step(const mirror_event &event)
 {
     const bool wasUnreachable = m_mirror.storeUnreachable();
     const auto before = m_mirror.changes();
+    const auto revisionBefore = m_mirror.revision();
     const auto action = m_mirror.decide(event, m_loop.now());
     const bool reachChanged = wasUnreachable != m_mirror.storeUnreachable();
     if (reachChanged) {
@@ -100,6 +106,9 @@
     if (reachChanged) {
         m_reachabilityChanged();
     }
+    if (revisionBefore != m_mirror.revision()) {
+        m_revisionChanged();
+    }
 }
 
 void mirror_runner::perform(const mirror_action &action)
--- a/Source/Forward/mirror_runner.h
+++ b/Source/Forward/mirror_runner.h
@@ -43,6 +43,8 @@
     void onHistoryLost(std::function<void()> callback);
     /// Called when the store becomes unreachable or reachable again.
     void onReachabilityChanged(std::function<void()> callback);
+    /// Called when the objects are known as of another store revision, whether or not any of them has changed.
+    void onRevisionChanged(std::function<void()> callback);
 
 private:
     void step(const mirror_event &event);
@@ -65,6 +67,8 @@
     };
     std::function<void()> m_reachabilityChanged = [] {
     };
+    std::function<void()> m_revisionChanged = [] {
+    };
     http_call_id m_watch = 0;
     std::uint64_t m_call = 0;
     timer_id m_checkTimer = 0;
--- a/Source/Forward/relay_messages.cxx
+++ b/Source/Forward/relay_messages.cxx
@@ -56,33 +56,43 @@
 
 relayed_objects allOf(const object_mirror &mirror)
 {
-    relayed_objects objects;
-    objects.whole = true;
-    objects.revision = mirror.revision();
-    for (const auto &[key, object] : mirror.objects()) {
-        objects.objects.push_back({key, object.etag, object.value});
+    return allOf(mirror.objects(), mirror.revision());
+}
+
+relayed_objects allOf(const std::map<std::string, platform_object> &objects, std::uint64_t revision)
+{
+    relayed_objects all;
+    all.whole = true;
+    all.revision = revision;
+    for (const auto &[key, object] : objects) {
+        all.objects.push_back({key, object.etag, object.value});
     }
-    return objects;
+    return all;
 }
 
 relayed_objects sent_objects::changes(const object_mirror &mirror)
+{
+    return changes(mirror.objects(), mirror.revision());
+}
+
+relayed_objects sent_objects::changes(const std::map<std::string, platform_object> &objects, std::uint64_t revision)
 {
     relayed_objects changed;
     for (auto entry = m_sent.begin(); entry != m_sent.end();) {
-        const bool gone = !mirror.objects().contains(entry->first);
+        const bool gone = !objects.contains(entry->first);
         if (gone) {
             changed.removed.push_back(entry->first);
         }
         entry = gone ? m_sent.erase(entry) : std::next(entry);
     }
-    for (const auto &[key, object] : mirror.objects()) {
+    for (const auto &[key, object] : objects) {
         auto &sentRevision = m_sent[key];
         if (sentRevision != object.etag) {
             sentRevision = object.etag;
             changed.objects.push_back({key, object.etag, object.value});
         }
     }
-    changed.revision = mirror.revision();
+    changed.revision = revision;
     return changed;
 }
 
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -82,8 +82,9 @@
 std::vector<relayed_daemon> fromFleet(const std::vector<fleet_daemon> &fleet);
 std::vector<fleet_daemon> toFleet(const std::vector<relayed_daemon> &relayed);
 
-/// All objects of a mirror, for a new follower.
+/// All objects of a mirror, or all of these objects as of a store revision, for a new follower.
 relayed_objects allOf(const object_mirror &mirror);
+relayed_objects allOf(const std::map<std::string, platform_object> &objects, std::uint64_t revision);
 
 /// Revisions of the objects of one kind as last sent, to find what has changed since.
 class sent_objects
@@ -91,6 +92,7 @@
 public:
     /// Changes since the previous call.
     relayed_objects changes(const object_mirror &mirror);
+    relayed_objects changes(const std::map<std::string, platform_object> &objects, std::uint64_t revision);
 
 private:
     // Revision of each object, by key.
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -7,6 +7,7 @@
 #include "suspect_board.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace daisystile {
 
@@ -81,6 +82,7 @@
             each->onHistoryLost([this] { reloadAll(); });
             each->onReachabilityChanged([this] { updateFollowers(); });
         }
+        servers.onRevisionChanged([this] { serversRevisionChanged(); });
         fleet.start();
         loop.after(settings.bootstrap ? maxBootstrapSourceSearch : maxSourceSearch, [this] {
             if (!servers.mirror().known()) {
@@ -169,6 +171,7 @@
             return;
         }
         followDaemon();
+        // The source ends an evacuation only with what it knows of the servers, so these come first.
         servers.takeRelayed(toMirror(std::move(update.servers)));
         evacuations.takeRelayed(toMirror(std::move(update.evacuations)));
         suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
@@ -277,7 +280,7 @@
         auto update = updateHead();
         update.configuration = allOf(configuration.mirror());
         update.servers = allOf(servers.mirror());
-        update.evacuations = allOf(evacuations.mirror());
+        update.evacuations = allOf(evacuationsInForce, evacuations.mirror().revision());
         update.suspects = allOf(suspects.objects().mirror());
         update.fleet = fromFleet(fleet.daemons());
         return update;
@@ -299,7 +302,7 @@
         auto update = updateHead();
         update.configuration = std::move(changedConfiguration);
         update.servers = sentServers.changes(servers.mirror());
-        update.evacuations = sentEvacuations.changes(evacuations.mirror());
+        update.evacuations = sentEvacuations.changes(evacuationsInForce, evacuations.mirror().revision());
         update.suspects = sentSuspects.changes(suspects.objects().mirror());
         if (sentFleet != fleet.daemons()) {
             sentFleet = fleet.daemons();
@@ -414,11 +417,55 @@
 
     void evacuationsChanged()
     {
-        view.evacuated.clear();
+        std::set<failure_domain_name> domains;
         for (const auto &[key, object] : evacuations.mirror().objects()) {
-            view.evacuated.insert({nameOf(key)});
+            domains.insert({nameOf(key)});
         }
-        DAISYSTILE_LOG(INFO, "store") << "Evacuated failure domains changed." << field("count", view.evacuated.size());
+        // A source relays nothing of the evacuations that is ahead of the servers.
+        const auto serversRevision = servers.following() ? servers.mirror().revision() : std::numeric_limits<std::uint64_t>::max();
+        gate.evacuationsRead(domains, evacuations.mirror().revision(), serversRevision);
+        applyEvacuations();
+        readServersForGate();
+    }
+
+    void serversRevisionChanged()
+    {
+        if (!gate.waiting()) {
+            return;
+        }
+        gate.serversRead(servers.mirror().revision());
+        if (gate.evacuated() != view.evacuated) {
+            applyEvacuations();
+        }
+        readServersForGate();
+    }
+
+    // Deferred, because the mirror of the servers may be in the middle of a step.
+    void readServersForGate()
+    {
+        if (!gate.waiting() || !servers.following()) {
+            return;
+        }
+        loop.post([this] {
+            if (gate.waiting() && servers.following()) {
+                servers.reload();
+            }
+        });
+    }
+
+    void applyEvacuations()
+    {
+        auto inForce = evacuations.mirror().objects();
+        for (auto &[key, object] : evacuationsInForce) {
+            if (gate.waiting({nameOf(key)})) {
+                inForce.emplace(key, std::move(object));
+            }
+        }
+        evacuationsInForce = std::move(inForce);
+        view.evacuated = gate.evacuated();
+        DAISYSTILE_LOG(INFO, "store") << "Evacuated failure domains changed." << field("count", view.evacuated.size())
+                                      << field("revision", evacuations.mirror().revision()) << field("servers_revision", servers.mirror().revision())
+                                      << field("waiting_for_servers", gate.waiting() ? "true" : "false");
         publishView();
     }
 
@@ -466,6 +513,9 @@
     mirror_runner configuration;
     mirror_runner servers;
     mirror_runner evacuations;
+    evacuation_gate gate;
+    // The evacuations that the gate has in force, also those that have ended and wait.
+    std::map<std::string, platform_object> evacuationsInForce;
     suspect_board suspects;
     incarnation incarnationId {stableHash(randomBytes(8))};
     failed_sources failed;
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -4,6 +4,7 @@
 
 #include "crash_suspects.h"
 #include "delegate_health.h"
+#include "evacuation_gate.h"
 #include "forward_decision.h"
 #include "query_coordinators.h"
 #include "record_merge.h"
