Forward: Take a small share of the fleet's limits until the fleet is known

Cause: what wasn't known yet was taken for the best case. The list of daemons was read at fixed times whether or not that succeeded, and a failed write of the own entry was repeated after 30 s.

Change: until the fleet was read the share is that of one daemon in 1,100, and the daemon is no sender to servers that name a limit. Failed reads and writes are repeated after 0.25 to 2 s with jitter. After a failure the list counts once it was read 2 s after the first success, by when the others have registered. Nothing is routed before configuration, servers, evacuations and suspected requests were all read. Readiness doesn't wait for the fleet; the share alone keeps the bound.

--- a/Source/Forward/coordinator_table.cxx
+++ b/Source/Forward/coordinator_table.cxx
@@ -39,6 +39,7 @@
         m_all.countByDomain[daemon.domain] += 1;
     }
     m_fleet = view.fleet;
+    m_fleetKnown = view.fleetKnown;
     m_coordinators = chooseCoordinators(view.fleet, m_self);
     m_delegates.clear();
     if (!m_coordinators.includesSelf) {
@@ -91,6 +92,9 @@
 service_senders coordinator_table::sendersIn(const std::set<failure_domain_name> &domains) const
 {
     constexpr double coordinatorsShare = 0.75;
+    if (!m_fleetKnown) {
+        return m_all;
+    }
     service_senders senders {.count = 0, .countByDomain = {}, .limitShare = 0};
     for (const auto &domain : domains) {
         const auto found = m_coordinators.byDomain.find(domain);
@@ -181,6 +185,10 @@
     const auto score = [&server](const daemon_id &daemon) {
         return std::pair(stableHash(daemon.value + "/" + server.id.value), daemon);
     };
+    // Others may be in front of this daemon, so it sends rarely.
+    if (!m_fleetKnown) {
+        return {.rank = std::nullopt, .candidates = m_all.count, .allDaemons = m_all.count};
+    }
     const auto candidates = candidatesFor(server);
     if (candidates.empty()) {
         return {};
--- a/Source/Forward/coordinator_table.h
+++ b/Source/Forward/coordinator_table.h
@@ -50,6 +50,7 @@
 
     fleet_daemon m_self;
     std::vector<fleet_daemon> m_fleet;
+    bool m_fleetKnown = true;
     std::shared_ptr<const route_table> m_routes;
     query_coordinators m_coordinators;
     std::vector<fleet_daemon> m_delegates;
--- a/Source/Forward/fleet_runner.cxx
+++ b/Source/Forward/fleet_runner.cxx
@@ -11,6 +11,10 @@
 constexpr milliseconds initialListingInterval {800};
 constexpr unsigned initialListings = 4;
 constexpr milliseconds listingInterval {10000};
+// Calls that fail are repeated; the daemons of a fleet that started without the store have all registered by the longest delay
+// after its return.
+constexpr milliseconds initialRetryDelay {250};
+constexpr milliseconds maxRetryDelay {2000};
 
 // Not an error if another daemon has removed the entry or its owner has rewritten it.
 void logUnlessGone(const std::string &key, const remove_result &result)
@@ -29,12 +33,14 @@
       m_updated(std::move(updated)),
       m_self {settings.id, settings.domain, settings.peers, settings.queries, settings.strength},
       m_registry({}, m_self),
-      m_daemons {m_self}
+      m_daemons {m_self},
+      m_random(stableHash(randomBytes(8)))
 {
 }
 
 void fleet_runner::start()
 {
+    m_startedAt = m_loop.now();
     refreshEntry();
     m_loop.after(m_bootstrap ? bootstrapListingDelay : milliseconds {0}, [this] { list(); });
 }
@@ -61,12 +67,18 @@
     return m_registry.peerKey();
 }
 
+bool fleet_runner::known() const
+{
+    return m_known;
+}
+
 void fleet_runner::takeRelayed(std::vector<fleet_daemon> daemons)
 {
     m_relayed = true;
     if (daemons.empty()) {
         return;
     }
+    m_known = true;
     if (std::none_of(daemons.begin(), daemons.end(), [this](const auto &daemon) { return daemon.id == m_self.id; })) {
         daemons.push_back(m_self);
     }
@@ -85,39 +97,73 @@
         return;
     }
     m_beat += 1;
-    m_store.put(m_registry.entryKey(), m_registry.entryText(m_beat), always {}, [](const write_result &result) {
-        if (!std::holds_alternative<object_written>(result)) {
-            DAISYSTILE_LOG(WARNING, "fleet") << "Failed to write this daemon's entry.";
-        }
-    });
-    m_loop.after(m_registry.refreshInterval(m_daemons.size()), [this] { refreshEntry(); });
+    m_store.put(m_registry.entryKey(), m_registry.entryText(m_beat), always {}, [this](const write_result &result) { entryWritten(result); });
+}
+
+void fleet_runner::entryWritten(const write_result &result)
+{
+    if (std::holds_alternative<object_written>(result)) {
+        m_failedWrites = 0;
+        reached();
+        m_loop.after(m_registry.refreshInterval(m_daemons.size()), [this] { refreshEntry(); });
+        return;
+    }
+    DAISYSTILE_LOG(WARNING, "fleet") << "Failed to write this daemon's entry.";
+    m_loop.after(retryDelay(m_failedWrites++, initialRetryDelay, maxRetryDelay, m_random), [this] { refreshEntry(); });
+}
+
+// Others that could not reach the store either are still waiting to try again.
+void fleet_runner::reached()
+{
+    if (m_completeFrom) {
+        return;
+    }
+    const bool failedBefore = m_failedWrites + m_failedListings > 0;
+    m_completeFrom = failedBefore ? m_loop.now() + maxRetryDelay : m_startedAt + (m_bootstrap ? bootstrapListingDelay : milliseconds {0});
 }
 
 // A stale listing of a fleet that has just started would be empty, so the first two must be current.
 void fleet_runner::list()
 {
-    const auto later = std::max(listingInterval, m_registry.refreshInterval(m_daemons.size()) / 3);
     if (m_relayed && !m_registry.peerKey().empty()) {
-        m_loop.after(later, [this] { list(); });
+        m_loop.after(laterListing(), [this] { list(); });
         return;
     }
-    m_listings += 1;
-    const auto freshness = m_listings <= 2 ? read_freshness::newest : read_freshness::stale_allowed;
-    m_store.list(fleet_registry::keyPrefix, freshness, [this](const list_result &result) { listed(result); });
-    m_loop.after(m_listings <= initialListings ? initialListingInterval : later, [this] { list(); });
+    const auto freshness = m_listings < 2 || !m_known ? read_freshness::newest : read_freshness::stale_allowed;
+    m_store.list(fleet_registry::keyPrefix, freshness, [this, sentAt = m_loop.now()](const list_result &result) { listed(result, sentAt); });
+}
+
+milliseconds fleet_runner::laterListing() const
+{
+    return std::max(listingInterval, m_registry.refreshInterval(m_daemons.size()) / 3);
+}
+
+milliseconds fleet_runner::nextListing() const
+{
+    const auto regular = m_listings <= initialListings ? initialListingInterval : laterListing();
+    if (m_known || !m_completeFrom) {
+        return regular;
+    }
+    return std::min(regular, std::chrono::ceil<milliseconds>(std::max(*m_completeFrom - m_loop.now(), monotonic_time::duration {0})));
 }
 
-void fleet_runner::listed(const list_result &result)
+void fleet_runner::listed(const list_result &result, monotonic_time sentAt)
 {
-    const auto *list = std::get_if<object_list>(&result);
-    if (list == nullptr) {
+    const auto *entries = std::get_if<object_list>(&result);
+    if (entries == nullptr) {
         DAISYSTILE_LOG(WARNING, "fleet") << "Failed to list the daemons." << field("known", m_daemons.size());
+        m_loop.after(retryDelay(m_failedListings++, initialRetryDelay, maxRetryDelay, m_random), [this] { list(); });
         return;
     }
-    m_registry.listed(*list, m_loop.now());
+    reached();
+    m_failedListings = 0;
+    m_listings += 1;
+    m_known = m_known || sentAt >= *m_completeFrom;
+    m_registry.listed(*entries, m_loop.now());
     removeStaleEntries();
     replace(m_registry.daemons(m_loop.now()));
     writePeerKey();
+    m_loop.after(nextListing(), [this] { list(); });
     m_updated();
 }
 
--- a/Source/Forward/fleet_runner.h
+++ b/Source/Forward/fleet_runner.h
@@ -2,8 +2,11 @@
 
 #include "entry_settings.h"
 #include "fleet_registry.h"
+#include "retry_delay.h"
 
 #include <functional>
+#include <optional>
+#include <random>
 #include <vector>
 
 namespace daisystile {
@@ -24,6 +27,8 @@
     const std::vector<fleet_daemon> &daemons() const;
     /// Empty until it is known.
     const std::string &peerKey() const;
+    /// False until the daemons were read at a time by which those that started along with this one have registered.
+    bool known() const;
 
     /// Replaces the list by another daemon's; there are no own listings until useOwnListings().
     void takeRelayed(std::vector<fleet_daemon> daemons);
@@ -31,8 +36,12 @@
 
 private:
     void refreshEntry();
+    void entryWritten(const write_result &result);
     void list();
-    void listed(const list_result &result);
+    void listed(const list_result &result, monotonic_time sentAt);
+    milliseconds nextListing() const;
+    void reached();
+    milliseconds laterListing() const;
     void removeStaleEntries();
     void writePeerKey();
     void replace(std::vector<fleet_daemon> daemons);
@@ -44,8 +53,16 @@
     fleet_daemon m_self;
     fleet_registry m_registry;
     std::vector<fleet_daemon> m_daemons;
+    std::mt19937_64 m_random;
     std::uint64_t m_beat = 0;
+    /// Listings that succeeded.
     unsigned m_listings = 0;
+    unsigned m_failedListings = 0;
+    unsigned m_failedWrites = 0;
+    /// The daemons that started along with this one have registered by then; nothing until a call to the store has succeeded.
+    std::optional<monotonic_time> m_completeFrom;
+    monotonic_time m_startedAt;
+    bool m_known = false;
     bool m_relayed = false;
     bool m_leaving = false;
 };
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -1,5 +1,7 @@
 #include "object_mirror.h"
 
+#include "retry_delay.h"
+
 #include <algorithm>
 #include <charconv>
 #include <set>
@@ -165,14 +167,9 @@
     return missing;
 }
 
-// Exponential backoff with jitter: many daemons lose the store at the same time and must not all retry at the same time.
 mirror_action object_mirror::failed()
 {
-    const auto shift = std::min(m_failures, 8U);
-    m_failures += 1;
-    const auto longest = std::min(m_limits.initialRetryDelay * (1U << shift), m_limits.maxRetryDelay);
-    std::uniform_int_distribution<milliseconds::rep> spread(longest.count() / 2, longest.count());
-    return start_timer {milliseconds {spread(m_random)}};
+    return start_timer {retryDelay(m_failures++, m_limits.initialRetryDelay, m_limits.maxRetryDelay, m_random)};
 }
 
 void object_mirror::reached(monotonic_time now)
--- a/Source/Forward/routing_snapshot.h
+++ b/Source/Forward/routing_snapshot.h
@@ -19,6 +19,9 @@
     std::vector<suspect_record> records;
 };
 
+/// Number of daemons that a fleet has at most.
+inline constexpr std::size_t largestFleet = 1100;
+
 /// Immutable state that the control thread publishes to the traffic thread.
 struct routing_snapshot
 {
@@ -29,6 +32,8 @@
     std::set<failure_domain_name> evacuated;
     /// All daemons of the fleet, including this one.
     std::vector<fleet_daemon> fleet;
+    /// Whether the fleet was read. Until then there may be as many daemons as in the largest fleet.
+    bool fleetKnown = true;
     /// What the daemons, including this one, have shared of suspected requests.
     std::shared_ptr<const std::vector<shared_suspects>> suspects = std::make_shared<std::vector<shared_suspects>>();
     /// Key that authenticates daemons to one another; empty until it is known.
@@ -37,7 +42,7 @@
     /// Number of daemons that share the fleet's limits; at least 1.
     std::size_t sharingDaemons() const
     {
-        return std::max<std::size_t>(fleet.size(), 1);
+        return std::max<std::size_t>(fleet.size(), fleetKnown ? 1 : largestFleet);
     }
 
     /// True if the server is neither draining nor in an evacuated failure domain.
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -47,9 +47,7 @@
     const auto kindOf = [](std::string_view prefix) {
         return std::string(prefix.substr(0, prefix.find('/')));
     };
-    return {{kindOf(serverKeyPrefix), maxEntryBytes},
-        {kindOf(evacuationKeyPrefix), maxEvacuationBytes},
-        {kindOf(fleet_registry::keyPrefix), maxEntryBytes}};
+    return {{kindOf(serverKeyPrefix), maxEntryBytes}, {kindOf(evacuationKeyPrefix), maxEvacuationBytes}, {kindOf(fleet_registry::keyPrefix), maxEntryBytes}};
 }
 
 } // namespace
@@ -61,7 +59,13 @@
           settings(entrySettings),
           publish(std::move(publishView)),
           http(eventLoop),
-          store(http, {.platform = settings.store, .domain = settings.domain, .timeout = callTimeout, .watchWait = watchWait, .watchTimeout = watchTimeout, .maxValueBytes = maxValueBytes()}),
+          store(http,
+              {.platform = settings.store,
+                  .domain = settings.domain,
+                  .timeout = callTimeout,
+                  .watchWait = watchWait,
+                  .watchTimeout = watchTimeout,
+                  .maxValueBytes = maxValueBytes()}),
           fleet(loop, store, settings, [this] { fleetUpdated(); }),
           configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
           servers(loop,
@@ -74,6 +78,7 @@
           suspects(loop, store, settings, [this] { suspectsChanged(); })
     {
         view.fleet = fleet.daemons();
+        view.fleetKnown = fleet.known();
     }
 
     void start()
@@ -480,8 +485,9 @@
     {
         servers.setBatchDelay(std::clamp<milliseconds>(serversBatchDelayPerDaemon * fleet.daemons().size(), minServersBatchDelay, maxServersBatchDelay));
         suspects.setFleet(fleet.daemons());
-        if (fleet.daemons() != view.fleet || fleet.peerKey() != view.peerKey) {
+        if (fleet.daemons() != view.fleet || fleet.known() != view.fleetKnown || fleet.peerKey() != view.peerKey) {
             view.fleet = fleet.daemons();
+            view.fleetKnown = fleet.known();
             view.peerKey = fleet.peerKey();
             publishView();
         }
@@ -492,14 +498,21 @@
         loop.after(first && settings.bootstrap ? bootstrapRelayDelay : milliseconds {0}, [this] { chooseSource(); });
     }
 
+    // Requests are not routed with half of what decides about them: a domain may be evacuated, or a request quarantined.
     void publishView()
     {
-        publish(std::make_shared<routing_snapshot>(view));
+        auto published = std::make_shared<routing_snapshot>(view);
+        if (!ready()) {
+            published->routes.reset();
+        }
+        publish(std::move(published));
     }
 
     bool ready() const
     {
-        return configuration.mirror().known() && servers.mirror().known() && evacuations.mirror().known() && view.routes != nullptr;
+        const auto mirrors = {&configuration, &servers, &evacuations, &suspects.objects()};
+        const bool known = std::all_of(mirrors.begin(), mirrors.end(), [](const auto *each) { return each->mirror().known(); });
+        return known && view.routes != nullptr;
     }
 
     reactor &loop;
--- a/Source/Forward/suspect_board.cxx
+++ b/Source/Forward/suspect_board.cxx
@@ -102,6 +102,11 @@
     return m_objects;
 }
 
+const mirror_runner &suspect_board::objects() const
+{
+    return m_objects;
+}
+
 std::shared_ptr<const std::vector<shared_suspects>> suspect_board::shared() const
 {
     return m_shared;
--- a/Source/Forward/suspect_board.h
+++ b/Source/Forward/suspect_board.h
@@ -29,6 +29,7 @@
     suspect_board(reactor &loop, platform_client &store, const entry_settings &settings, std::function<void()> changed);
 
     mirror_runner &objects();
+    const mirror_runner &objects() const;
     /// What all daemons have shared, as far as it can be read.
     std::shared_ptr<const std::vector<shared_suspects>> shared() const;
     /// Replaces what this daemon shares.
--- a/Tests/Forward/coordinator_table_test.cxx
+++ b/Tests/Forward/coordinator_table_test.cxx
@@ -68,3 +68,24 @@
     EXPECT_TRUE(table.remoteParts(*before.routes, {"find"}).empty());
     EXPECT_EQ(table.remoteParts(*after.routes, {"find"})[0].parts.size(), 5U);
 }
+
+// A daemon that had not read the fleet took the whole share of each limit.
+TEST(coordinator_table, takesASmallShareUntilTheFleetIsKnown)
+{
+    auto view = viewOf(3);
+    view.fleet = {daemonIn("d2", "medina")};
+    view.fleetKnown = false;
+    coordinator_table table(settingsOf("d2", "medina"));
+    table.update(view);
+    constexpr double smallShare = 1.0 / 1000;
+    for (const auto &[service, servers] : view.servers->byService) {
+        EXPECT_LT(table.sendersOf(service).limitShare, smallShare);
+        EXPECT_EQ(table.positionAt(servers.front()).rank, std::nullopt);
+        EXPECT_GE(table.positionAt(servers.front()).candidates, 1000U);
+    }
+    EXPECT_LT(table.sendersOf({"other"}).limitShare, smallShare);
+    view.fleetKnown = true;
+    table.update(view);
+    EXPECT_EQ(table.sendersOf({"other"}).limitShare, 1);
+    EXPECT_EQ(table.positionAt(view.servers->byService.begin()->second.front()).rank, 0U);
+}
--- a/Tests/Promises/cold_promises_test.cxx
+++ b/Tests/Promises/cold_promises_test.cxx
@@ -79,6 +79,27 @@
 
 } // namespace
 
+// Each daemon took itself for the only one until ten seconds after its start, and what the whole fleet may send.
+TEST_F(cold_promises, daemonsThatStartedWithoutTheStoreShareTheRateOfColdServers)
+{
+    constexpr seconds outage {4};
+    m_fleet = std::make_unique<plain_fleet>(plain_fleet::layout {.daemons = 4, .logbookServers = 2, .coldRequestsPerSecond = coldRequestsPerSecond});
+    ASSERT_TRUE(m_fleet->startStore());
+    m_fleet->setStoreDown(true);
+    ASSERT_TRUE(m_fleet->startProcesses());
+    const auto returns = now() + outage;
+    m_fleet->control().waitUntil([&] { return now() >= returns; });
+    for (std::size_t i = 0; i < m_fleet->servers().size(); ++i) {
+        m_fleet->registerServer(i, coldFor);
+    }
+    m_fleet->setStoreDown(false);
+    ASSERT_TRUE(m_fleet->waitUntilReady());
+    run(seconds {5}, milliseconds {4}, {0, 1, 2, 3});
+    expectWithinBound(0);
+    expectWithinBound(1);
+    EXPECT_GT(m_served, 0U) << "the fleet is known some seconds after the store's return";
+}
+
 // The end of an evacuation was known before the servers were, which had become cold meanwhile.
 TEST_F(cold_promises, serversThatBecameColdDuringAnEvacuationAreKnownWhenItEnds)
 {
