Route, Forward: Count crashes that daemons see at the same time by the servers' names

Cause: daemons' counts were merged by their maximum, so five daemons that each counted one crash agreed on one.

Change: a record also names up to eight servers that were counted, each with the count that it brought about; names are joined, so order and repetition make no difference and a server that two daemons saw counts once. Strikes are the larger of the count in a row and the names above what is cleared. Ruled out: adding counts up (counts one server twice), a lease for each trial in the store (hundreds of writes in a wave of lost servers).

--- a/Source/Forward/suspect_board.cxx
+++ b/Source/Forward/suspect_board.cxx
@@ -22,6 +22,22 @@
 // No record is in use longer.
 constexpr seconds maxAge = longestQuarantine + suspicionDuration;
 
+// Records of earlier releases name no servers.
+std::map<backend_server_id, std::uint64_t> parseServers(const json &object)
+{
+    std::map<backend_server_id, std::uint64_t> servers;
+    const auto found = object.find("servers");
+    if (found == object.end() || !found->is_object()) {
+        return servers;
+    }
+    for (const auto &[server, count] : found->items()) {
+        if (count.is_number_unsigned() && servers.size() < maxNamedServers) {
+            servers.emplace(backend_server_id {server}, count.get<std::uint64_t>());
+        }
+    }
+    return servers;
+}
+
 std::optional<suspect_record> parseRecord(const json &object)
 {
     if (!object.is_object()) {
@@ -43,6 +59,7 @@
             record.services.insert({service.get<std::string>()});
         }
     }
+    record.servers = parseServers(object);
     return record;
 }
 
@@ -56,7 +73,15 @@
         for (const auto &service : record.services) {
             services.push_back(service.value);
         }
-        list.push_back({{"request", toString(record.request)}, {"crashes", record.crashes}, {"cleared", record.cleared}, {"services", services}});
+        auto servers = json::object();
+        for (const auto &[server, count] : record.servers) {
+            servers[server.value] = count;
+        }
+        list.push_back({{"request", toString(record.request)},
+            {"crashes", record.crashes},
+            {"cleared", record.cleared},
+            {"services", services},
+            {"servers", std::move(servers)}});
     }
     return json {{"suspects", list}}.dump();
 }
--- a/Source/Forward/suspect_guard.cxx
+++ b/Source/Forward/suspect_guard.cxx
@@ -89,7 +89,7 @@
     m_metrics.serverEnds.add();
     const auto now = m_loop.now();
     const bool before = m_suspects.quarantineLeft(attempt.digest, attempt.service, now).has_value();
-    const auto record = m_suspects.crashed(attempt.digest, attempt.service, attempt.sent, now);
+    const auto record = m_suspects.crashed(attempt.digest, attempt.service, attempt.sent, now, attempt.server);
     logServerEnd(attempt, strikes(record), now);
     if (!before && m_suspects.quarantineLeft(attempt.digest, attempt.service, now)) {
         logQuarantine(record, "own attempts");
@@ -124,8 +124,9 @@
         for (const auto &record : each.records) {
             const bool isNew = m_suspects.learn(record, each.daemon == self ? record_origin::this_daemon : record_origin::other_daemon, now);
             anyNew = anyNew || isNew;
-            if (isNew && strikes(record) >= crashesUntilQuarantine) {
-                logQuarantine(record, each.daemon.value);
+            const auto merged = isNew ? m_suspects.find(record.request) : std::nullopt;
+            if (merged && strikes(*merged) >= crashesUntilQuarantine) {
+                logQuarantine(*merged, each.daemon.value);
             }
         }
     }
--- a/Source/Route/crash_suspects.cxx
+++ b/Source/Route/crash_suspects.cxx
@@ -14,11 +14,33 @@
 // A record that is being shared may be cleared before this daemon learns that it has been shared.
 constexpr seconds clearedDuration {10};
 
+std::uint64_t countedInARow(const suspect_record &record)
+{
+    return record.crashes - std::min(record.crashes, record.cleared);
+}
+
+bool higherCountFirst(const std::pair<backend_server_id, std::uint64_t> &left, const std::pair<backend_server_id, std::uint64_t> &right)
+{
+    return std::pair(left.second, left.first) > std::pair(right.second, right.first);
+}
+
+// Which names are kept doesn't depend on the order in which they were joined.
+void keepHighestCounts(std::map<backend_server_id, std::uint64_t> &servers)
+{
+    if (servers.size() <= maxNamedServers) {
+        return;
+    }
+    std::vector<std::pair<backend_server_id, std::uint64_t>> ordered(servers.begin(), servers.end());
+    std::sort(ordered.begin(), ordered.end(), higherCountFirst);
+    servers = {ordered.begin(), ordered.begin() + maxNamedServers};
+}
+
 } // namespace
 
 std::uint64_t strikes(const suspect_record &record)
 {
-    return record.crashes - std::min(record.crashes, record.cleared);
+    const auto named = std::count_if(record.servers.begin(), record.servers.end(), [&](const auto &server) { return server.second > record.cleared; });
+    return std::max(countedInARow(record), static_cast<std::uint64_t>(named));
 }
 
 bool crash_suspects::concerns(const suspect_record &record, const service_name &service)
@@ -28,12 +50,11 @@
 
 monotonic_time crash_suspects::quarantineEnds(const suspect &entry)
 {
-    const auto count = strikes(entry.record);
-    if (count < crashesUntilQuarantine) {
+    if (strikes(entry.record) < crashesUntilQuarantine) {
         return monotonic_time::min();
     }
     auto duration = firstQuarantine;
-    for (auto extra = count - crashesUntilQuarantine; extra > 0 && duration < longestQuarantine; --extra) {
+    for (auto count = countedInARow(entry.record); count > crashesUntilQuarantine && duration < longestQuarantine; --count) {
         duration *= 2;
     }
     return entry.crashedAt + std::min(duration, longestQuarantine);
@@ -69,6 +90,12 @@
     return find(request, service) != nullptr;
 }
 
+std::optional<suspect_record> crash_suspects::find(const request_digest &request) const
+{
+    const auto found = m_suspects.find(request);
+    return found == m_suspects.end() ? std::nullopt : std::optional(found->second.record);
+}
+
 bool crash_suspects::empty() const
 {
     return m_suspects.empty();
@@ -94,7 +121,8 @@
 
 // Servers that ended under attempts that were already running say no more than the first of them: a wave of lost servers hits
 // several attempts of an innocent request, and a query runs on all shards at once.
-suspect_record crash_suspects::crashed(const request_digest &request, const service_name &service, monotonic_time sent, monotonic_time now)
+suspect_record
+crash_suspects::crashed(const request_digest &request, const service_name &service, monotonic_time sent, monotonic_time now, const backend_server_id &server)
 {
     auto &entry = makeRoom(request, now);
     auto &record = entry.record;
@@ -103,6 +131,10 @@
     if (isFirst || sent >= entry.crashedAt) {
         record.crashes = std::max(record.crashes, record.cleared) + 1;
         entry.crashedAt = now;
+        if (!server.value.empty()) {
+            record.servers[server] = record.crashes;
+            keepHighestCounts(record.servers);
+        }
     }
     if (isFirst) {
         record.services = {service};
@@ -133,12 +165,18 @@
     entry.own = entry.own || origin == record_origin::this_daemon;
     auto &record = entry.record;
     const auto before = record;
-    const bool unknown = strikes(record) == 0;
-    if (told.crashes > record.crashes) {
+    const auto strikesBefore = strikes(record);
+    const bool unknown = strikesBefore == 0;
+    record.crashes = std::max(record.crashes, told.crashes);
+    record.cleared = std::max(record.cleared, told.cleared);
+    for (const auto &[server, count] : told.servers) {
+        auto &known = record.servers[server];
+        known = std::max(known, count);
+    }
+    keepHighestCounts(record.servers);
+    if (record.crashes > before.crashes || strikes(record) > strikesBefore) {
         entry.crashedAt = now;
-        record.crashes = told.crashes;
     }
-    record.cleared = std::max(record.cleared, told.cleared);
     if (strikes(record) > 0 && told.crashes > told.cleared) {
         const bool all = told.services.empty() || (!unknown && record.services.empty());
         if (unknown || all) {
--- a/Source/Route/crash_suspects.h
+++ b/Source/Route/crash_suspects.h
@@ -23,22 +23,29 @@
 /// How long a trial may keep others waiting; its server may be silent.
 inline constexpr milliseconds maxTrial {1000};
 
-/// What daemons tell each other about a request under which backend servers ended. Merging takes the larger of each number, so
-/// the order and the repetition of what is told make no difference.
+/// Number of servers of which a record says by name that they ended under the request.
+inline constexpr std::size_t maxNamedServers = 8;
+
+/// What daemons tell each other about a request under which backend servers ended. Merging takes the larger of each number and
+/// joins the names, so the order and the repetition of what is told make no difference.
 struct suspect_record
 {
     request_digest request;
-    /// Counts the servers that ended under the request, one after the other; those that ended at the same time count once.
+    /// Counts the servers that ended under the request, one after the other, as far as one daemon knows of them; those that ended at
+    /// the same time count once.
     std::uint64_t crashes = 0;
     /// The count up to which the request is cleared, because a server survived it later.
     std::uint64_t cleared = 0;
     /// The services whose servers ended; all services of the request if it is empty.
     std::set<service_name> services;
+    /// Servers that were counted, each with the count that it brought about. Two daemons that count at the same time reach the same
+    /// count, but name different servers. Of many the highest counts are kept.
+    std::map<backend_server_id, std::uint64_t> servers = {};
 
     bool operator==(const suspect_record &) const = default;
 };
 
-/// Number of servers that ended under the request, one after the other, since a server last survived it.
+/// Number of servers that ended under the request since a server last survived it: one after the other, or at several daemons.
 std::uint64_t strikes(const suspect_record &record);
 
 /// Whether an attempt to run a request may start.
@@ -69,13 +76,16 @@
     /// Whether the request must be tried before it may run freely at the service.
     bool suspected(const request_digest &request, const service_name &service) const;
     bool empty() const;
+    /// What is known of the request, if anything.
+    std::optional<suspect_record> find(const request_digest &request) const;
 
     void trialStarted(const request_digest &request, attempt_id attempt, monotonic_time now);
     /// The attempt ended; true if it was the trial, so that attempts that wait may be tried again.
     bool trialEnded(const request_digest &request, attempt_id attempt);
 
     /// A server ended under an attempt that was sent at the given time. Returns the new state.
-    suspect_record crashed(const request_digest &request, const service_name &service, monotonic_time sent, monotonic_time now);
+    suspect_record
+    crashed(const request_digest &request, const service_name &service, monotonic_time sent, monotonic_time now, const backend_server_id &server = {});
     /// A server of the service has survived the request. Returns true if that clears it.
     bool survived(const request_digest &request, const service_name &service);
     /// A record that a daemon has shared, possibly this one, now or before it was restarted. Returns true if it has told anything
--- a/Tests/Forward/suspect_board_test.cxx
+++ b/Tests/Forward/suspect_board_test.cxx
@@ -20,6 +20,15 @@
     EXPECT_EQ(parseSuspects(suspectsText({})), std::vector<suspect_record> {});
 }
 
+TEST(suspectsText, namesTheServersAndReadsRecordsWithoutNames)
+{
+    auto named = recordOf("/a", 1);
+    named.servers = {{{"s1"}, 1}, {{"s2"}, 2}};
+    EXPECT_EQ(parseSuspects(suspectsText({named})), std::vector {named});
+    const auto unnamed = R"({"suspects":[{"request":")" + toString(named.request) + R"(","crashes":1,"cleared":0,"services":["board","logbook"]}]})";
+    EXPECT_EQ(parseSuspects(unnamed), std::vector {recordOf("/a", 1)});
+}
+
 TEST(parseSuspects, leavesOutWhatAnotherWriterHasSpoiled)
 {
     EXPECT_EQ(parseSuspects("{"), std::nullopt);
--- a/Tests/Route/crash_suspects_test.cxx
+++ b/Tests/Route/crash_suspects_test.cxx
@@ -201,3 +201,82 @@
         EXPECT_EQ(one.permission(fatal, logbook, m_now), two.permission(fatal, logbook, m_now));
     }
 }
+
+namespace {
+
+backend_server_id serverOf(int number)
+{
+    return {"s" + std::to_string(number)};
+}
+
+} // namespace
+
+// Five daemons each lost a server to the request before they heard of one another; all of them knew of one crash then, and each
+// tried the request once more.
+TEST_F(crash_suspects_test, crashesThatDaemonsCountAtTheSameTimeAddUp)
+{
+    std::vector<crash_suspects> daemons(5);
+    for (int i = 0; i < 5; ++i) {
+        daemons[static_cast<std::size_t>(i)].crashed(fatal, logbook, m_now, m_now + milliseconds {10}, serverOf(i));
+    }
+    m_now += milliseconds {400};
+    for (const auto &teller : daemons) {
+        ASSERT_EQ(teller.toShare().size(), 1U);
+        for (int repeat = 0; repeat < 2; ++repeat) {
+            m_suspects.learn(teller.toShare()[0], record_origin::other_daemon, m_now);
+        }
+    }
+    EXPECT_EQ(permission(), run_permission::quarantined);
+    EXPECT_EQ(m_suspects.quarantineLeft(fatal, logbook, m_now), milliseconds(firstQuarantine));
+    EXPECT_EQ(strikes(*m_suspects.find(fatal)), 5U);
+}
+
+TEST_F(crash_suspects_test, aServerThatSeveralDaemonsSawEndCountsOnce)
+{
+    std::vector<crash_suspects> daemons(5);
+    for (auto &daemon : daemons) {
+        daemon.crashed(fatal, logbook, m_now, m_now + milliseconds {10}, serverOf(1));
+        m_suspects.learn(daemon.toShare()[0], record_origin::other_daemon, m_now);
+    }
+    EXPECT_EQ(strikes(*m_suspects.find(fatal)), 1U);
+    EXPECT_EQ(permission(), run_permission::trial);
+}
+
+TEST_F(crash_suspects_test, aSurvivorClearsWhatAllDaemonsCountedBefore)
+{
+    crash_suspects elsewhere;
+    elsewhere.crashed(fatal, logbook, m_now, m_now + milliseconds {10}, serverOf(9));
+    elsewhere.survived(fatal, logbook);
+    elsewhere.learn({fatal, 1, 0, {logbook}}, record_origin::this_daemon, m_now);
+    for (int i = 0; i < 4; ++i) {
+        m_suspects.learn({fatal, 1, 0, {logbook}, {{serverOf(i), 1}}}, record_origin::other_daemon, m_now);
+    }
+    EXPECT_EQ(permission(), run_permission::quarantined);
+    m_suspects.learn(elsewhere.toShare().at(0), record_origin::other_daemon, m_now);
+    EXPECT_EQ(permission(), run_permission::run);
+    m_suspects.learn({fatal, 1, 0, {logbook}, {{serverOf(5), 1}}}, record_origin::other_daemon, m_now);
+    EXPECT_EQ(permission(), run_permission::run) << "the same evidence, told late";
+}
+
+TEST_F(crash_suspects_test, namesOfServersAreBoundedWhateverTheirOrder)
+{
+    std::mt19937 random(32);
+    constexpr int recordCount = 40;
+    std::vector<suspect_record> records;
+    records.reserve(recordCount);
+    for (int i = 0; i < recordCount; ++i) {
+        records.push_back({fatal, 3, 0, {logbook}, {{serverOf(i % 20), random() % 3 + 1}}});
+    }
+    std::optional<suspect_record> first;
+    for (int round = 0; round < 20; ++round) {
+        crash_suspects daemon;
+        std::shuffle(records.begin(), records.end(), random);
+        for (const auto &record : records) {
+            daemon.learn(record, record_origin::other_daemon, m_now);
+        }
+        const auto known = *daemon.find(fatal);
+        EXPECT_EQ(known.servers.size(), maxNamedServers);
+        EXPECT_EQ(known, first.value_or(known));
+        first = known;
+    }
+}
