Route, Forward: Count servers that are gone apart from those that refuse

Cause: a part is given up after three refusals, so that it doesn't cycle among overloaded servers, and a connection that can't be made counted as one.

Change: such an attempt ends as unreached; 12 of them are allowed, each at another server. Like before it takes nothing from the retry budget.

forward_decision.serversThatAreGoneAreNoRefusals doesn't compile against the code before.

--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -580,7 +580,7 @@
 {
     if (const auto *broken = std::get_if<exchange_broken>(&exchange)) {
         m_pool.failed(attempt.server, id, 1);
-        return broken->mayHaveRun ? attempt_end::failed : attempt_end::not_run;
+        return broken->mayHaveRun ? attempt_end::failed : attempt_end::unreached;
     }
     const auto &answer = std::get<exchange_answer>(exchange).answer;
     switch (answer.verdict) {
@@ -639,7 +639,7 @@
         part.checkingEnd = false;
         if (exchange != nullptr) {
             acceptAnswer(*request, attempt.part, *exchange);
-        } else if (end == attempt_end::not_run && part.arrivals > 0) {
+        } else if ((end == attempt_end::not_run || end == attempt_end::unreached) && part.arrivals > 0) {
             part.arrivals -= 1;
         }
         step(request, attempt_ended {attempt.part, end});
--- a/Source/Forward/running_request.cxx
+++ b/Source/Forward/running_request.cxx
@@ -50,7 +50,7 @@
     DAISYSTILE_LOG(WARNING, "attempt") << "Attempt failed." << field("request", attempt.clientId.value) << field("part", attempt.part)
                                        << field("service", attempt.service.value) << field("server", attempt.server.value) << field("reason", reason)
                                        << field("took_ms", static_cast<std::uint64_t>(took.count()))
-                                       << field("outcome", end == attempt_end::not_run ? "not_run" : "may_have_run") << field("awaited", awaited ? "yes" : "no")
+                                       << field("outcome", end == attempt_end::failed ? "may_have_run" : "not_run") << field("awaited", awaited ? "yes" : "no")
                                        << field("content", toString(attempt.digest));
 }
 
--- a/Source/Route/forward_decision.cxx
+++ b/Source/Route/forward_decision.cxx
@@ -8,6 +8,8 @@
 
 // A part fails after this many refusals, so that it doesn't cycle among overloaded servers.
 constexpr unsigned maxRefusals = 3;
+// A server that is gone says nothing about the others; many may be gone at once and still be listed.
+constexpr unsigned maxUnreached = 12;
 
 class forward_decider
 {
@@ -62,7 +64,7 @@
             answer(part);
             return;
         }
-        (event.end == attempt_end::not_run ? part.refusals : part.runs) += 1;
+        countAttempt(part, event.end);
         if (part.answered || part.lost || part.running > 0) {
             return;
         }
@@ -78,7 +80,8 @@
         auto &part = m_state.parts[event.part];
         if (part.waiting) {
             part.waiting = false;
-            m_actions.emplace_back(start_attempt {event.part, part.runs + part.refusals == 0 ? attempt_purpose::first : attempt_purpose::retry});
+            m_actions.emplace_back(
+                start_attempt {event.part, part.runs + part.refusals + part.unreached == 0 ? attempt_purpose::first : attempt_purpose::retry});
         }
     }
 
@@ -115,9 +118,26 @@
     }
 
 private:
+    static void countAttempt(part_progress &part, attempt_end end)
+    {
+        switch (end) {
+        case attempt_end::answered:
+            return;
+        case attempt_end::not_run:
+            part.refusals += 1;
+            return;
+        case attempt_end::unreached:
+            part.unreached += 1;
+            return;
+        case attempt_end::failed:
+            part.runs += 1;
+            return;
+        }
+    }
+
     bool mayTryAgain(const part_progress &part) const
     {
-        if (part.refusals >= maxRefusals) {
+        if (part.refusals >= maxRefusals || part.unreached >= maxUnreached) {
             return false;
         }
         if (m_state.terms.retryPolicy == retry_policy::at_most_once) {
--- a/Source/Route/forward_decision.h
+++ b/Source/Route/forward_decision.h
@@ -23,6 +23,8 @@
     answered,
     /// The server is known not to have run it.
     not_run,
+    /// Nothing was sent, because no connection to the server could be made.
+    unreached,
     /// It may have run.
     failed,
 };
@@ -52,6 +54,8 @@
     unsigned runs = 0;
     /// Attempts that no server ran.
     unsigned refusals = 0;
+    /// Attempts that reached no server.
+    unsigned unreached = 0;
     unsigned running = 0;
     bool answered = false;
     bool lost = false;
--- a/Tests/Route/forward_decision_test.cxx
+++ b/Tests/Route/forward_decision_test.cxx
@@ -196,3 +196,31 @@
     EXPECT_TRUE(end(0, attempt_end::failed).empty());
     EXPECT_TRUE(only<fail_request>(end(1, attempt_end::failed)));
 }
+
+// 18 of 30 listed servers were gone; a request that met three of them was refused, though others were free.
+TEST_F(forward_decision, serversThatAreGoneAreNoRefusals)
+{
+    for (const auto policy : {retry_policy::idempotent, retry_policy::at_most_once}) {
+        begin(1, 1, policy, 1);
+        for (int gone = 0; gone < 10; ++gone) {
+            const auto next = end(0, attempt_end::unreached);
+            ASSERT_TRUE(only<start_attempt>(next)) << gone;
+            on(attempt_started {0, attempt_purpose::retry, milliseconds {30}});
+        }
+        EXPECT_TRUE(only<answer_request>(end(0, attempt_end::answered)));
+    }
+}
+
+TEST_F(forward_decision, triesABoundedNumberOfServersThatAreGone)
+{
+    begin(1, 1, retry_policy::idempotent, 1);
+    int attempts = 1;
+    auto next = end(0, attempt_end::unreached);
+    for (; only<start_attempt>(next) && attempts < 100; ++attempts) {
+        on(attempt_started {0, attempt_purpose::retry, milliseconds {30}});
+        next = end(0, attempt_end::unreached);
+    }
+    EXPECT_LT(attempts, 20);
+    ASSERT_TRUE(only<fail_request>(next));
+    EXPECT_EQ(std::get<fail_request>(next[0]).failure, forward_failure::not_run);
+}
