Connection: Take memory for the elements of a frame as they are read

A frame of 4 MiB may state four million elements; of the relay's objects these took some hundred megabytes before the first of them was read, more than a daemon has. Also no memcpy from a null pointer.

frame_archive.elementsTakeMemoryOnlyOnceTheyAreRead failed on the code before (100,000 elements for a frame that holds a quarter) and passes.

--- a/Source/Connection/frame_archive.h
+++ b/Source/Connection/frame_archive.h
@@ -11,6 +11,8 @@
 #include <cstring>
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <vector>
 
 namespace daisystile {
 
@@ -49,7 +51,9 @@
     void read(void *data, std::size_t size)
     {
         require(size);
-        std::memcpy(data, m_bytes.data(), size);
+        if (size > 0) {
+            std::memcpy(data, m_bytes.data(), size);
+        }
         m_bytes.remove_prefix(size);
     }
 
@@ -99,6 +103,17 @@
     tag.size = size;
 }
 
+// A frame may state more elements than it has, so each takes memory only once it is read.
+template<class T> inline std::enable_if_t<!std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(frame_input_archive &archive, std::vector<T> &elements)
+{
+    cereal::size_type count = 0;
+    archive(cereal::make_size_tag(count));
+    elements.clear();
+    for (; count > 0; --count) {
+        archive(elements.emplace_back());
+    }
+}
+
 template<class T> inline void CEREAL_SAVE_FUNCTION_NAME(frame_output_archive &archive, const cereal::BinaryData<T> &data)
 {
     archive.write(data.data, static_cast<std::size_t>(data.size));
