--- a/Tests/Soak/entry_soak.cxx
+++ b/Tests/Soak/entry_soak.cxx
@@ -82,6 +82,7 @@
     void run(std::uint64_t seed, seconds length, std::size_t daemons)
     {
         m_random.seed(seed);
+        m_foreignRandom.seed(seed);
         std::cout << "soak seed=" << seed << " seconds=" << length.count() << " daemons=" << daemons << std::endl;
         m_folder = std::filesystem::temp_directory_path() / ("soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
         std::filesystem::create_directories(m_folder);
@@ -98,6 +99,7 @@
         const auto end = m_loop.now() + length;
         while (m_loop.now() < end) {
             faultOnce();
+            foreignObject();
             wait(milliseconds {draw(20, 500)});
         }
         endFaults();
@@ -127,6 +129,42 @@
             addServer("logbook");
         }
         writeConfiguration();
+        for (const auto *kind : foreignKinds) {
+            putForeign(std::string(kind) + "/x-first", foreignValues().front());
+        }
+    }
+
+    // Objects of other writers, in each kind that daemons follow.
+
+    static constexpr std::array foreignKinds {"servers", "evacuations", "config", "daisystile-daemons", "daisystile-suspects"};
+
+    static const std::vector<std::string> &foreignValues()
+    {
+        constexpr std::size_t levels = 100'000;
+        static const std::vector<std::string> values {R"({"service":"logbook","state":)" + std::string(levels, '[') + std::string(levels, ']') + "}",
+            R"({"zone":"\ud800","domain":"\udfff"})",
+            R"({"capacity":1e999,"suspects":[{"crashes":1e999}]})",
+            R"([[],{}])",
+            R"({"service":")" + std::string(levels, 'x') + R"("})",
+            ""};
+        return values;
+    }
+
+    void putForeign(const std::string &key, const std::string &value)
+    {
+        m_control.call({.method = "PUT", .address = m_store->address("control"), .path = "/control/objects/" + key, .body = value});
+    }
+
+    // Draws of its own, so that the other faults of a seed stay the same.
+    void foreignObject()
+    {
+        const auto choice = m_foreignRandom();
+        if (choice % 4 != 0) {
+            return;
+        }
+        const auto kind = foreignKinds[m_foreignRandom() % foreignKinds.size()];
+        const auto &value = foreignValues()[m_foreignRandom() % foreignValues().size()];
+        putForeign(std::string(kind) + "/x-" + std::to_string(m_foreignRandom() % 3), value);
     }
 
     ip_address link(const std::string &name, const ip_address &target, const std::string &group)
@@ -246,8 +284,13 @@
                 sendOne(*client);
             }
         }
-        for (auto &daemon : m_daemons) {
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            auto &daemon = m_daemons[i];
             m_logs << daemon.process->readOutput();
+            if (!daemon.terminated && !daemon.disturbed && !daemon.process->running()) {
+                daemon.disturbed = true;
+                m_violations.push_back("daemon " + std::to_string(i) + " ended by itself");
+            }
         }
         m_loop.after(milliseconds {20}, [this] { driveClients(); });
     }
@@ -687,6 +730,7 @@
     reactor m_loop;
     test_client m_control;
     pcg64 m_random;
+    pcg64 m_foreignRandom;
     std::filesystem::path m_folder;
     std::unique_ptr<child_process> m_store;
     std::unique_ptr<child_process> m_proxy;
