Tests: A query on two daemons is told apart from one that was hedged

The review had seen the same under sanitizers and not traced it.

Trace: the test with the daemons' counters printed, beside six busy processes; the second of seven runs failed at k3, with 17 hedges, no retry and no failed delegation. So the fifth run was a hedge of an idempotent query whose server was slow on a busy machine, which the route allows (max_attempts 2); the check counted it as if two daemons had sent the query.

The check now allows as many further runs as the daemons count hedges during the query, and none without; a query sent twice runs on all shards again and is still found. Tried before: no second attempts in these tests; then runsQueriesItselfWhileTheDelegateIsPaused lost a shard on the busy machine in one run of four.

--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <thread>
 
 using namespace daisystile;
@@ -160,20 +161,42 @@
     // Delegations of the first daemon that ended this way.
     int delegationCount(const std::string &outcome)
     {
-        const auto result = m_client.call({.address = m_daemon->address("readiness"), .path = "/metrics"});
+        return metricOf(*m_daemon, "daisystile_delegations_total{outcome=\"" + outcome + "\"} ").value_or(0);
+    }
+
+    // Nothing if the daemon doesn't answer.
+    std::optional<int> metricOf(child_process &daemon, const std::string &key)
+    {
+        const auto result = m_client.call({.address = daemon.address("readiness"), .path = "/metrics"});
         const auto *reply = std::get_if<http_reply>(&result);
-        const auto key = "daisystile_delegations_total{outcome=\"" + outcome + "\"} ";
-        const auto at = reply == nullptr ? std::string::npos : reply->body.find(key);
+        if (reply == nullptr) {
+            return std::nullopt;
+        }
+        const auto at = reply->body.find(key);
         return at == std::string::npos ? 0 : std::atoi(reply->body.c_str() + at + key.size());
     }
 
+    // Hedges that both daemons have sent; the last known number of a delegate that has ended or is paused.
+    int hedgeCount()
+    {
+        const std::string key = "daisystile_attempts_total{purpose=\"hedge\"} ";
+        if (m_delegate && !m_delegatePaused && m_delegate->running()) {
+            m_delegateHedges = metricOf(*m_delegate, key).value_or(m_delegateHedges);
+        }
+        return metricOf(*m_daemon, key).value_or(0) + m_delegateHedges;
+    }
+
+    // Each shard runs once, but for hedges, which idempotent queries may have: a query that two daemons have sent runs on all
+    // shards twice.
     void expectWholeAnswer(const std::string &id)
     {
+        const auto hedgesBefore = hedgeCount();
         auto found = sendRequest("GET", "/find/", id);
         EXPECT_EQ(found.status, 200) << id;
         EXPECT_EQ(found.headers["missing-parts"], "0") << id;
         EXPECT_EQ(found.body, std::string(16, 'd') + std::string(16, 'c') + std::string(16, 'b')) << id;
-        EXPECT_EQ(runCount(id), shardCount) << id;
+        EXPECT_GE(runCount(id), shardCount) << id;
+        EXPECT_LE(runCount(id), shardCount + hedgeCount() - hedgesBefore) << id;
     }
 
     bool waitFor(const std::function<bool()> &condition, seconds maxWait = seconds {10})
@@ -254,6 +277,8 @@
 
     std::filesystem::path m_folder;
     test_client m_client;
+    bool m_delegatePaused = false;
+    int m_delegateHedges = 0;
     std::unique_ptr<child_process> m_store;
     std::unique_ptr<child_process> m_daemon;
     std::unique_ptr<child_process> m_delegate;
@@ -529,6 +554,7 @@
 TEST_F(entry_promises, runsQueriesItselfWhileTheDelegateIsPaused)
 {
     startWithDelegate();
+    m_delegatePaused = true;
     m_delegate->signal(SIGSTOP);
     for (int i = 0; i < 5; ++i) {
         const auto started = std::chrono::steady_clock::now();
