Settings: Take every customary form, within bounds

What callers saw: a daemon that ends with status 2 at each start, so that it never serves.

Cause: the template builds TOML and milliseconds by pasting values into text ("6.0" and "000"), so a fraction, a whole number written as 6.0, 0, or a field without a value gives another number or no TOML; and the reader ends the start for any wrong type, value out of range, unknown key or name with capitals, underscores or dots, though the daemon could serve.

The table reader has a second set of rules for settings, one for both front doors: numbers, times and truth values also as texts, an empty text or "null" as "not given", everything that isn't required clamped or replaced by its default, each with a finding that names key, value and what is used. grace_s and retry_window_s are new, in seconds; the keys in milliseconds stay. Contracts and changes by operators are read as before. What the daemon can't serve without still ends the start: no TOML, id, clients, readiness, store; for the callers' API all names, addresses and secrets. Without a failure domain the daemon serves under the domain "unknown", as others count only daemons that name one; the region isn't used; without peers none follows it. An id may have what a path of the store carries.

child_process::waitReady passes over log lines before the ready line, since the daemon now says what it found before it listens; it still fails without such a line. No assertion was changed.

--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -16,24 +16,24 @@
 {
     reader.number("retry_ratio", bounds.retryRatio, ratioRange);
     reader.number("retry_slack", bounds.retrySlack, slackRange);
-    reader.integer("retry_window_ms", bounds.retryWindow, windowRangeMs);
+    reader.duration("retry_window_s", "retry_window_ms", bounds.retryWindow, windowRangeMs);
     reader.number("cold_factor", bounds.coldFactor, ratioRange);
     reader.number("cold_slack", bounds.coldSlack, slackRange);
 }
 
 void readSettings(table_reader &reader, entry_settings &settings)
 {
-    reader.name("id", settings.id.value);
-    reader.name("failure_domain", settings.domain.value);
-    reader.name("region", settings.region.value);
+    reader.daemonName("id", settings.id.value);
+    reader.text("failure_domain", settings.domain.value, presence::expected);
+    reader.text("region", settings.region.value, presence::expected);
     reader.address("clients", settings.clients);
     reader.address("readiness", settings.readiness);
-    reader.address("peers", settings.peers);
+    reader.address("peers", settings.peers, presence::expected);
     reader.address("queries", settings.queries, presence::optional);
     reader.number("strength", settings.strength, strengthRange);
     reader.boolean("bootstrap", settings.bootstrap);
     reader.address("store", settings.store);
-    reader.integer("grace_ms", settings.grace, graceRangeMs);
+    reader.duration("grace_s", "grace_ms", settings.grace, graceRangeMs);
     reader.integer("lapse_grace_ms", settings.lapseGrace, graceRangeMs);
     reader.integer("stale_check_ms", settings.staleCheck, graceRangeMs);
     reader.integer("fresh_check_ms", settings.freshCheck, graceRangeMs);
@@ -44,9 +44,14 @@
 
 } // namespace
 
+settings_reading<entry_settings> readEntrySettings(std::string_view text, std::string_view fileName)
+{
+    return readTable<entry_settings>(text, fileName, readSettings);
+}
+
 parsed<entry_settings> parseEntrySettings(std::string_view text, std::string_view fileName)
 {
-    return parseTable<entry_settings>(text, fileName, readSettings);
+    return withoutMistakes(readEntrySettings(text, fileName));
 }
 
 } // namespace daisystile
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -26,11 +26,13 @@
 struct entry_settings
 {
     daemon_id id;
-    failure_domain_name domain;
+    /// Requests go to the servers of this domain first. Other daemons count only those that have one, so there is a default.
+    failure_domain_name domain {"unknown"};
+    /// Not used yet.
     region_name region;
     ip_address clients;
     ip_address readiness;
-    /// Listening address for daemons that follow this one.
+    /// Listening address for daemons that follow this one; port 0 without a host if none can.
     ip_address peers;
     /// Listening address for queries that other daemons delegate to this one; port 0 to take none.
     ip_address queries;
@@ -56,7 +58,10 @@
     bool operator==(const entry_settings &) const = default;
 };
 
-/// Parses a settings file and reports unknown keys, wrong types and values out of range.
+/// Reads a settings file in the customary forms (see reading_rules). Only id, clients, readiness and store must be right.
+settings_reading<entry_settings> readEntrySettings(std::string_view text, std::string_view fileName);
+
+/// The same for a check: unknown keys, wrong types and values out of range are errors.
 parsed<entry_settings> parseEntrySettings(std::string_view text, std::string_view fileName);
 
 } // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -229,6 +229,9 @@
 
     void openRelay()
     {
+        if (settings.peers.host.empty()) {
+            return;
+        }
         relay = std::make_unique<relay_server>(loop, credentials(), [this] { return firstUpdate(); });
         leaf::try_handle_all([&]() -> leaf::result<void> { return relay->listen(settings.peers); },
             [](const process_error &error) { DAISYSTILE_LOG(ERROR, "relay") << "Failed to listen for other daemons: " << error << "."; },
--- a/Source/Version/config_error.cxx
+++ b/Source/Version/config_error.cxx
@@ -1,5 +1,6 @@
 #include "config_error.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace daisystile {
@@ -14,7 +15,8 @@
     if (!error.key.empty()) {
         stream << error.key << ": ";
     }
-    return stream << "expected " << error.expected << ", found " << error.found;
+    stream << "expected " << error.expected << ", found " << error.found;
+    return error.used.empty() ? stream : stream << ", used " << error.used;
 }
 
 std::string toString(const config_errors &errors)
@@ -26,4 +28,18 @@
     return std::move(stream).str();
 }
 
+bool hasMistakes(const config_errors &findings)
+{
+    return std::any_of(findings.all.begin(), findings.all.end(), [](const auto &finding) { return finding.severity != config_severity::absent; });
+}
+
+config_errors asMistakes(config_errors findings)
+{
+    for (auto &finding : findings.all) {
+        finding.severity = config_severity::mistake;
+        finding.used.clear();
+    }
+    return findings;
+}
+
 } // namespace daisystile
--- a/Source/Version/settings.h
+++ b/Source/Version/settings.h
@@ -56,7 +56,10 @@
     bool recordTrace = false;
 };
 
-/// Parses a settings file. Unknown keys, wrong types and values out of range are errors.
+/// Reads a settings file in the customary forms (see reading_rules). Names, addresses and secrets must be right.
+settings_reading<daemon_settings> readDaemonSettings(std::string_view text, std::string_view fileName);
+
+/// The same for a check: unknown keys, wrong types and values out of range are errors.
 parsed<daemon_settings> parseDaemonSettings(std::string_view text, std::string_view fileName);
 
 } // namespace daisystile
--- a/Source/Version/settings_parser.cxx
+++ b/Source/Version/settings_parser.cxx
@@ -42,9 +42,14 @@
 
 } // namespace
 
+settings_reading<daemon_settings> readDaemonSettings(std::string_view text, std::string_view fileName)
+{
+    return readTable<daemon_settings>(text, fileName, readSettings);
+}
+
 parsed<daemon_settings> parseDaemonSettings(std::string_view text, std::string_view fileName)
 {
-    return parseTable<daemon_settings>(text, fileName, readSettings);
+    return withoutMistakes(readDaemonSettings(text, fileName));
 }
 
 } // namespace daisystile
--- a/Source/Version/table_reader.h
+++ b/Source/Version/table_reader.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,17 @@
 enum class presence {
     required,
     optional,
+    /// Usually there, but the rest works without.
+    expected,
+};
+
+/// How strictly values are read.
+enum class reading_rules {
+    /// One form for each type; whatever else is found is a mistake.
+    exact,
+    /// For settings: a value may come in any customary form, and only what is required must be right. Other values are taken
+    /// within bounds, or the default is used; unknown keys are ignored. All of that is reported.
+    customary,
 };
 
 /// Inclusive bounds of a number.
@@ -32,12 +44,19 @@
 class table_reader
 {
 public:
-    table_reader(const config_table &table, std::uint32_t line, std::string fileName, std::string path, config_errors &errors);
+    table_reader(const config_table &table,
+        std::uint32_t line,
+        std::string fileName,
+        std::string path,
+        config_errors &errors,
+        reading_rules rules = reading_rules::exact);
 
     /// Reads a text that is not empty.
     void text(const std::string &key, std::string &target, presence need = presence::required);
     /// Reads a name of lower-case letters, digits and hyphens, since names are used in paths and metrics.
     void name(const std::string &key, std::string &target, presence need = presence::required);
+    /// Reads the name of a daemon, which is part of the keys under which it writes its objects.
+    void daemonName(const std::string &key, std::string &target, presence need = presence::required);
     /// Reads a SHA-256 digest in lower-case hexadecimal.
     void digest(const std::string &key, std::string &target, presence need = presence::required);
     void digests(const std::string &key, std::vector<std::string> &target);
@@ -51,11 +70,14 @@
     /// Reads a whole number into an integer or a duration.
     template<class T> void integer(const std::string &key, T &target, number_range range, presence need = presence::optional)
     {
-        if (const auto value = wholeNumber(key, range, need)) {
+        if (const auto value = wholeNumber(key, range, need, currentValue(target))) {
             target = T(*value);
         }
     }
 
+    /// Reads a time in seconds with fractions, or in whole milliseconds under another key that ends with "_ms". The seconds win.
+    void duration(const std::string &secondsKey, const std::string &millisecondsKey, milliseconds &target, number_range rangeMs);
+
     template<class T>
     void choice(const std::string &key, T &target, std::initializer_list<std::pair<std::string_view, T>> choices, presence need = presence::optional)
     {
@@ -69,13 +91,15 @@
             return;
         }
         const auto *text = std::get_if<std::string>(&node->value);
+        std::string current;
         for (const auto &[word, value] : choices) {
             if (text != nullptr && *text == word) {
                 target = value;
                 return;
             }
+            current = value == target ? word : current;
         }
-        addInvalidValue(key, *node, expected);
+        addInvalidValue(key, *node, expected, need, current);
     }
 
     /// Calls the function with a reader for each table of an array, then reports the unknown keys of that table.
@@ -88,11 +112,27 @@
     void reportUnknownKeys();
 
 private:
-    const config_node *find(const std::string &key, std::string_view expected, presence need);
-    std::optional<std::int64_t> wholeNumber(const std::string &key, number_range range, presence need);
+    const config_node *find(const std::string &key, std::string_view expected, presence need, const std::string &used = "nothing");
+    std::optional<std::int64_t> wholeNumber(const std::string &key, number_range range, presence need, double current);
+    template<class T> static double currentValue(const T &value)
+    {
+        if constexpr (std::is_arithmetic_v<T>) {
+            return static_cast<double>(value);
+        } else if constexpr (requires { value.count(); }) {
+            return static_cast<double>(value.count());
+        } else {
+            return static_cast<double>(value.value);
+        }
+    }
     void texts(const std::string &key, std::vector<std::string> &target, bool (*valid)(std::string_view), std::string_view expected, presence need);
     void validatedText(const std::string &key, std::string &target, bool (*valid)(std::string_view), std::string_view expected, presence need);
-    void addInvalidValue(const std::string &key, const config_node &node, std::string_view expected);
+    std::optional<double> numberIn(const config_node &node) const;
+    bool customary(presence need) const;
+    void addInvalidValue(const std::string &key,
+        const config_node &node,
+        std::string_view expected,
+        presence need = presence::required,
+        const std::string &used = "nothing");
     std::string keyPath(const std::string &key) const;
 
     const config_table &m_table;
@@ -100,27 +140,39 @@
     std::string m_fileName;
     std::string m_path;
     config_errors &m_errors;
+    reading_rules m_rules;
     std::set<std::string> m_knownKeys;
 };
 
-/// Parses a text and reads its top-level table. Returns the value, or all errors ordered by line.
-template<class T> parsed<T> parseTable(std::string_view text, std::string_view fileName, const std::function<void(table_reader &, T &)> &read)
+/// Parses a text and reads its top-level table. Findings are ordered by line.
+template<class T>
+settings_reading<T> readTable(std::string_view text,
+    std::string_view fileName,
+    const std::function<void(table_reader &, T &)> &read,
+    reading_rules rules = reading_rules::customary)
 {
     auto document = readConfigText(text, fileName);
     if (auto *errors = std::get_if<config_errors>(&document)) {
-        return std::move(*errors);
+        return {std::nullopt, std::move(*errors)};
     }
     const auto &node = std::get<config_node>(document);
-    config_errors errors;
-    T value;
-    table_reader reader(std::get<config_table>(node.value), node.line, std::string(fileName), "", errors);
-    read(reader, value);
+    settings_reading<T> reading;
+    reading.settings.emplace();
+    auto &all = reading.findings.all;
+    table_reader reader(std::get<config_table>(node.value), node.line, std::string(fileName), "", reading.findings, rules);
+    read(reader, *reading.settings);
     reader.reportUnknownKeys();
-    if (!errors.all.empty()) {
-        std::stable_sort(errors.all.begin(), errors.all.end(), [](const auto &left, const auto &right) { return left.line < right.line; });
-        return errors;
+    std::stable_sort(all.begin(), all.end(), [](const auto &left, const auto &right) { return left.line < right.line; });
+    if (std::any_of(all.begin(), all.end(), [](const auto &finding) { return finding.severity == config_severity::mistake; })) {
+        reading.settings.reset();
     }
-    return value;
+    return reading;
+}
+
+/// The same with the exact rules. Returns the value, or all errors.
+template<class T> parsed<T> parseTable(std::string_view text, std::string_view fileName, const std::function<void(table_reader &, T &)> &read)
+{
+    return withoutMistakes(readTable(text, fileName, read, reading_rules::exact));
 }
 
 } // namespace daisystile
--- a/Source/Version/version.h
+++ b/Source/Version/version.h
@@ -13,4 +13,5 @@
 #include "domain_states.h"
 #include "fleet_view.h"
 #include "settings.h"
+#include "settings_findings.h"
 #include <platform/platform.h>
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -83,7 +83,7 @@
         });
 }
 
-static int serve(daemon_settings settings, const daemon_options &)
+static int serve(daemon_settings settings, settings_findings &, const daemon_options &)
 {
     daemon_process server(std::move(settings));
     return serveAndReportErrors([&]() -> leaf::result<int> {
@@ -95,24 +95,21 @@
     });
 }
 
-static std::optional<entry_settings> reloadSettings(const std::string &file)
+static std::optional<entry_settings> reloadSettings(const std::string &file, settings_findings &findings)
 {
     const auto text = readFile(file);
     if (!text) {
-        DAISYSTILE_LOG(ERROR, "daemon") << "Settings file can't be read." << field("file", file);
+        findings.report({{{file, 0, "", "a file that can be read", "none"}}});
         return std::nullopt;
     }
-    auto settings = parseEntrySettings(*text, file);
-    if (const auto *errors = std::get_if<config_errors>(&settings)) {
-        DAISYSTILE_LOG(ERROR, "daemon") << "Settings file is invalid; the previous settings stay in effect." << field("mistakes", toString(*errors));
-        return std::nullopt;
-    }
-    return std::get<entry_settings>(std::move(settings));
+    auto reading = readEntrySettings(*text, file);
+    findings.report(reading.findings);
+    return std::move(reading.settings);
 }
 
-static int serve(entry_settings settings, const daemon_options &options)
+static int serve(entry_settings settings, settings_findings &findings, const daemon_options &options)
 {
-    entry_process server(std::move(settings), [file = options.config] { return reloadSettings(file); });
+    entry_process server(std::move(settings), [&findings, file = options.config] { return reloadSettings(file, findings); });
     return serveAndReportErrors([&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(addresses, server.listen());
         std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
@@ -122,17 +119,28 @@
     });
 }
 
-template<class Settings> static int checkAndServe(parsed<Settings> settings, const daemon_options &options)
+template<class Settings> static int check(const settings_reading<Settings> &reading, const std::string &file)
 {
-    if (const auto *errors = std::get_if<config_errors>(&settings)) {
-        std::cerr << toString(*errors);
+    std::cerr << toString(reading.findings);
+    if (hasMistakes(reading.findings)) {
         return exitSettingsInvalid;
     }
+    std::cout << file << ": settings are valid\n";
+    return 0;
+}
+
+template<class Settings> static int checkAndServe(settings_reading<Settings> reading, const daemon_options &options)
+{
     if (options.checkOnly) {
-        std::cout << options.config << ": settings are valid\n";
-        return 0;
+        return check(reading, options.config);
+    }
+    if (!reading.settings) {
+        std::cerr << toString(reading.findings);
+        return exitSettingsInvalid;
     }
-    return serve(std::move(std::get<Settings>(settings)), options);
+    settings_findings findings;
+    findings.report(reading.findings);
+    return serve(std::move(*reading.settings), findings, options);
 }
 
 int main(int argc, char **argv)
@@ -146,7 +154,7 @@
         return exitSettingsInvalid;
     }
     if (options.frontDoor == plainFrontDoor) {
-        return checkAndServe(parseEntrySettings(*text, options.config), options);
+        return checkAndServe(readEntrySettings(*text, options.config), options);
     }
-    return checkAndServe(parseDaemonSettings(*text, options.config), options);
+    return checkAndServe(readDaemonSettings(*text, options.config), options);
 }
--- a/Tests/Promises/child_process.cxx
+++ b/Tests/Promises/child_process.cxx
@@ -16,7 +16,20 @@
 
 // Long, because sanitizer builds start slowly on a loaded machine.
 static constexpr milliseconds readyTimeout {30000};
-static constexpr std::size_t maxReadyLineBytes = 4096;
+static constexpr std::size_t maxReadyLineBytes = 65536;
+static constexpr std::string_view readyWord = "ready ";
+
+// Nothing until the whole line has been read.
+static std::optional<std::string> readyLine(std::string_view text)
+{
+    for (auto end = text.find('\n'); end != std::string_view::npos; end = text.find('\n')) {
+        if (text.starts_with(readyWord)) {
+            return std::string(text.substr(readyWord.size(), end - readyWord.size()));
+        }
+        text.remove_prefix(end + 1);
+    }
+    return std::nullopt;
+}
 
 static std::string programPath(const std::string &program)
 {
@@ -81,7 +94,8 @@
 bool child_process::waitReady()
 {
     const auto deadline = std::chrono::steady_clock::now() + readyTimeout;
-    while (m_text.find('\n') == std::string::npos) {
+    std::optional<std::string> line;
+    while (!(line = readyLine(m_text))) {
         pollfd entry {.fd = m_output, .events = POLLIN, .revents = 0};
         const auto remaining = timeLeft(std::chrono::steady_clock::now(), deadline);
         if (m_pid < 0 || remaining.count() == 0 || poll(&entry, 1, static_cast<int>(remaining.count())) <= 0) {
@@ -94,12 +108,8 @@
         }
         m_text.append(buffer, static_cast<std::size_t>(size));
     }
-    std::istringstream words(m_text.substr(0, m_text.find('\n')));
+    std::istringstream words(*line);
     std::string word;
-    words >> word;
-    if (word != "ready") {
-        return false;
-    }
     while (words >> word) {
         const auto equals = word.find('=');
         m_addresses[word.substr(0, equals)] = parseIpAddress(word.substr(equals + 1)).value();
--- a/Tests/Promises/child_process.h
+++ b/Tests/Promises/child_process.h
@@ -20,7 +20,7 @@
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
 
-    /// Waits for the line "ready NAME=IP:PORT ..."; returns false if the process exits or the wait times out.
+    /// Waits for the line "ready NAME=IP:PORT ...", which log lines may precede; returns false if the process exits or the wait times out.
     bool waitReady();
     /// Returns the listening address with this name in the ready line.
     ip_address address(const std::string &name) const;
--- a/Tests/Version/config_parser_test.cxx
+++ b/Tests/Version/config_parser_test.cxx
@@ -131,6 +131,21 @@
     }
 }
 
+TEST(config_parser, takesSettingsWithinBoundsButNotWithoutNamesAndSecrets)
+{
+    const auto text = settingsText + "heartbeat_ms = \"200.0\"\nownership_lease_ms = 1e300\nrecord_trace = \"True\"\nhedging = 7\nhartbeat = 5\n";
+    const auto reading = readDaemonSettings(text, "d.toml");
+    const auto &settings = reading.settings.value();
+    EXPECT_EQ(settings.heartbeat, milliseconds {200});
+    EXPECT_EQ(settings.ownershipLease, milliseconds {60000});
+    EXPECT_TRUE(settings.recordTrace);
+    EXPECT_EQ(settings.hedging, hedge_policy::quantile);
+    EXPECT_EQ(reading.findings.all.size(), 3U) << toString(reading.findings);
+    EXPECT_NE(errorTextOf(parseDaemonSettings(text, "d.toml")), "");
+    EXPECT_FALSE(readDaemonSettings(replaced(settingsText, "region = \"sfax\"", "region = 7"), "d.toml").settings);
+    EXPECT_FALSE(readDaemonSettings(replaced(settingsText, "peer_key = \"0123456789abcdef\"\n", ""), "d.toml").settings);
+}
+
 TEST(config_parser, reportsEachErrorOfAContract)
 {
     const std::vector<invalid_text_case> cases {
