Settings: Say once which changes await a restart

What callers saw: none; operators of a daemon whose settings file had a new address or name got the same warning each 10 s, until the restart.

Cause: a reload compared the file with the settings in effect, from which it differs until the restart.

Before, with the new assertion of settings_promises (four reloads, the same changed region in each): "Changes to addresses or names take effect after a restart." 4 times.

Change: the process remembers the addresses and names that the file had when it was last read, and warns when these change.

--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -18,6 +18,14 @@
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
+entry_settings withBoundsAndTimes(entry_settings settings, const entry_settings &from)
+{
+    settings.bounds = from.bounds;
+    settings.grace = from.grace;
+    settings.lapseGrace = from.lapseGrace;
+    return settings;
+}
+
 } // namespace
 
 struct entry_process::implementation
@@ -46,20 +54,20 @@
         reload();
     }
 
-    // The bounds and grace times are applied at run time; addresses and names need a restart.
+    // The bounds and grace times are applied at run time; addresses and names need a restart. The file is read again and again,
+    // so what awaits a restart is said once.
     void reload()
     {
         const auto again = readSettingsAgain();
-        if (!again || *again == settings) {
+        if (!again) {
             return;
         }
-        auto next = settings;
-        next.bounds = again->bounds;
-        next.grace = again->grace;
-        next.lapseGrace = again->lapseGrace;
-        if (next != *again) {
+        const auto next = withBoundsAndTimes(settings, *again);
+        const auto pending = withBoundsAndTimes(*again, settings);
+        if (pending != settings && pending != withBoundsAndTimes(awaitingRestart, settings)) {
             DAISYSTILE_LOG(WARNING, "daemon") << "Changes to addresses or names take effect after a restart." << field("id", settings.id.value);
         }
+        awaitingRestart = pending;
         if (next == settings) {
             return;
         }
@@ -155,6 +163,8 @@
     }
 
     entry_settings settings;
+    // With the addresses and names that the file had when it was last read.
+    entry_settings awaitingRestart {settings};
     settings_reader readSettingsAgain;
     metrics registry;
     reactor control;
--- a/Tests/Promises/settings_promises_test.cxx
+++ b/Tests/Promises/settings_promises_test.cxx
@@ -179,6 +179,7 @@
     reload(withGrace(9));
     EXPECT_TRUE(waitForLog("grace_ms=9000")) << m_log;
     EXPECT_EQ(logCount("the previous settings stay in effect"), 1) << m_log;
+    EXPECT_EQ(logCount("take effect after a restart"), 1) << m_log;
     EXPECT_TRUE(m_daemon->running());
 }
 
