Process: Write the queued log lines and the reason when a process ends by itself

What callers saw: a daemon that crashed or met an uncaught exception left neither its last lines nor a reason in its log; one whose settings can't be read left nothing in the log at all, and no end named its exit status.

Cause: lines are written in batches of 100 ms by a thread that a crash stops; errors before serving went to standard error only; an exception on the control thread was taken for an address that can't be opened.

Evidence, the daemon before: SIGSEGV and SIGABRT right after the ready line left 0 lines on standard output ("Started." was queued). Settings that can't be read: status 2, standard output empty.

Change: handlers for the signals that glog reports, and for std::terminate, write what is queued and a last line, then go on to the stack as before. They take no memory; a lock that is held is tried for 50 ms, a reader waited for 100 ms a write. Times of log lines are formatted without the lock of the time zone. main() ends with a line that says status and reason, and settings' mistakes are logged. Exceptions while running are no longer caught.

After: "Started." and "process: Ends on a signal. signal=11" on standard output; "Settings can't be used." and "Process ends. status=2"; with too few threads an uncaught exception ends it as before, now with its reason: "Ends on an uncaught exception. what="Resource temporarily unavailable"".

failure_report.linesQueuedAtACrashComeBeforeItsReason failed once, in the first run of the fresh executable; its output wasn't kept.

--- a/Source/Process/log.cxx
+++ b/Source/Process/log.cxx
@@ -1,8 +1,10 @@
 #include "log.h"
 
+#include "failure_report.h"
 #include "log_writer.h"
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <unistd.h>
 #include <utility>
@@ -23,13 +25,15 @@
     return writer;
 }
 
+// The same for signal handlers.
+static std::atomic<log_writer *> lastLineWriter = nullptr;
+
 void startLogging(const char *program, std::string_view level, log_destination destination)
 {
     FLAGS_logtostderr = destination == log_destination::standard_error;
     FLAGS_minloglevel = level == "error" ? google::GLOG_ERROR : level == "warning" ? google::GLOG_WARNING : google::GLOG_INFO;
     google::InitGoogleLogging(program);
-    // On a crash, the stack trace is written to standard error.
-    google::InstallFailureSignalHandler();
+    reportFailures();
     if (destination == log_destination::standard_error) {
         return;
     }
@@ -40,16 +44,27 @@
     }
     currentWriter() = std::make_unique<log_writer>(STDOUT_FILENO);
     google::AddLogSink(currentWriter().get());
+    lastLineWriter = currentWriter().get();
 }
 
 void stopLogging()
 {
     if (currentWriter()) {
         google::RemoveLogSink(currentWriter().get());
+        lastLineWriter = nullptr;
         currentWriter().reset();
     }
 }
 
+void writeLastLine(std::string_view line)
+{
+    if (auto *writer = lastLineWriter.load()) {
+        writer->writeLast(line);
+    } else if (write(STDERR_FILENO, line.data(), line.size()) < 0) {
+        // Nowhere is left to say so.
+    }
+}
+
 bool log_rate_limiter::take(std::uint64_t nowMicroseconds)
 {
     constexpr double microsecondsPerSecond = 1e6;
--- a/Source/Process/log.h
+++ b/Source/Process/log.h
@@ -14,11 +14,13 @@
     standard_output,
 };
 
-/// Logs messages of at least this level: info, warning or error.
+/// Logs messages of at least this level: info, warning or error. A process that then fails writes its reason as the last line.
 /// Line format: "TIME LEVEL component: Sentence. key=value ...".
 void startLogging(const char *program, std::string_view level, log_destination destination = log_destination::standard_error);
 /// Writes the queued lines as far as this is possible without blocking.
 void stopLogging();
+/// Writes the queued lines and then this one where the log goes, from a thread that ends the process; waits for a short time only.
+void writeLastLine(std::string_view line);
 
 /// Formats one log field as key=value; a value that is empty or contains spaces, quotes or control characters is
 /// quoted, a long one is cut.
--- a/Source/Process/log_writer.cxx
+++ b/Source/Process/log_writer.cxx
@@ -1,11 +1,14 @@
 #include "log_writer.h"
 
+#include "log_line.h"
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
-#include <ctime>
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace daisystile {
@@ -16,6 +19,10 @@
 // Lines are written in batches, so that the thread isn't woken for each line of a busy daemon.
 constexpr std::chrono::milliseconds batchInterval {100};
 constexpr std::uint64_t reportIntervalMicroseconds = 1000000;
+// A process that fails waits no longer than this for the reader, and for a thread that writes; the lock may be held by the thread that fails.
+constexpr int maxReaderWaitMilliseconds = 100;
+constexpr int maxLockTries = 50;
+constexpr timespec lockTryInterval {0, 1000000};
 
 std::uint64_t steadyMicroseconds()
 {
@@ -23,23 +30,9 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-std::string formatCurrentTime()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-    const std::time_t whole = microseconds / 1000000;
-    std::tm parts {};
-    gmtime_r(&whole, &parts);
-    std::array<char, 40> text {};
-    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::array<char, 16> fraction {};
-    std::snprintf(fraction.data(), fraction.size(), ".%06dZ", static_cast<int>(microseconds % 1000000));
-    return std::string(text.data(), length) + fraction.data();
-}
-
 std::string formatLine(google::LogSeverity severity, std::string_view message)
 {
-    auto line = formatCurrentTime();
+    std::string line(log_time(std::chrono::system_clock::now()).text());
     line.append(" ").append(google::GetLogSeverityName(severity)).append(" ").append(message);
     std::replace(line.begin(), line.end(), '\n', ' ');
     return line += '\n';
@@ -94,6 +87,45 @@
     }
 }
 
+bool log_writer::lockForLast()
+{
+    for (int i = 0; i < maxLockTries; ++i) {
+        if (m_mutex.try_lock()) {
+            return true;
+        }
+        nanosleep(&lockTryInterval, nullptr);
+    }
+    return false;
+}
+
+bool log_writer::writeWhole(std::string_view text) const
+{
+    while (!text.empty()) {
+        const auto count = write(m_handle, text.data(), text.size());
+        if (count > 0) {
+            text.remove_prefix(static_cast<std::size_t>(count));
+            continue;
+        }
+        pollfd reader {m_handle, POLLOUT, 0};
+        if (count == 0 || errno != EAGAIN || poll(&reader, 1, maxReaderWaitMilliseconds) <= 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// The lock is kept: lines of other threads would come after the last one.
+void log_writer::writeLast(std::string_view line)
+{
+    if (lockForLast()) {
+        bool written = writeWhole(std::string_view(m_batch).substr(m_batchWritten));
+        for (auto each = m_lines.begin(); written && each != m_lines.end(); ++each) {
+            written = writeWhole(*each);
+        }
+    }
+    writeWhole(line);
+}
+
 std::uint64_t log_writer::dropped() const
 {
     const std::lock_guard guard(m_mutex);
--- a/Source/Process/log_writer.h
+++ b/Source/Process/log_writer.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace daisystile {
@@ -28,12 +29,17 @@
         const char *message,
         std::size_t length) override;
 
+    /// Writes all queued lines and this one from a thread that ends the process. Takes no memory; no line is written after it.
+    void writeLast(std::string_view line);
+
     /// Number of lines dropped since the start, because of the rate limit or a full queue.
     std::uint64_t dropped() const;
 
 private:
     void run();
     bool writeSome();
+    bool lockForLast();
+    bool writeWhole(std::string_view text) const;
     void reportDropped(std::uint64_t now);
 
     int m_handle;
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -24,6 +24,13 @@
     bool checkOnly = false;
 };
 
+// The exit status, and why.
+struct process_end
+{
+    int status = 0;
+    std::string reason;
+};
+
 // Environment variable that names the settings file if --config is not given.
 constexpr const char *settingsVariable = "DAISYSTILE_NODE_FILE";
 constexpr const char *plainFrontDoor = "plain";
@@ -69,29 +76,38 @@
     return text.str();
 }
 
-template<class Start> static int serveAndReportErrors(const Start &start)
+// Handles no exceptions: uncaught, they end the process with their reason and the stack at which they were thrown.
+template<class Server, class Announce> static process_end listenAndRun(Server &server, const Announce &announceReady)
 {
-    return leaf::try_handle_all(
-        start,
-        [](const process_error &error) {
-            DAISYSTILE_LOG(ERROR, "daemon") << "Daemon failed to start: " << error << ".";
-            return error.failure == process_failure::out_of_descriptors ? exitOutOfDescriptors : exitAddressInUse;
+    const auto failure = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<process_end>> {
+            BOOST_LEAF_AUTO(addresses, server.listen());
+            announceReady(addresses);
+            return std::optional<process_end>();
         },
-        [] {
+        [](const process_error &error) -> std::optional<process_end> {
+            std::ostringstream reason;
+            reason << error;
+            DAISYSTILE_LOG(ERROR, "daemon") << "Daemon failed to start: " << reason.str() << ".";
+            return process_end {error.failure == process_failure::out_of_descriptors ? exitOutOfDescriptors : exitAddressInUse, reason.str()};
+        },
+        []() -> std::optional<process_end> {
             DAISYSTILE_LOG(ERROR, "daemon") << "Daemon failed to start.";
-            return exitAddressInUse;
+            return process_end {exitAddressInUse, "an address can't be opened"};
         });
+    if (failure) {
+        return *failure;
+    }
+    server.run();
+    return {0, "stopped"};
 }
 
-static int serve(daemon_settings settings, const daemon_options &)
+static process_end serve(daemon_settings settings, const daemon_options &)
 {
     daemon_process server(std::move(settings));
-    return serveAndReportErrors([&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(addresses, server.listen());
+    return listenAndRun(server, [](const auto &addresses) {
         std::cout << "ready callers=" << toString(addresses.callers) << " operators=" << toString(addresses.operators)
                   << " traffic=" << toString(addresses.traffic) << " control=" << toString(addresses.control) << std::endl;
-        server.run();
-        return 0;
     });
 }
 
@@ -110,43 +126,62 @@
     return std::get<entry_settings>(std::move(settings));
 }
 
-static int serve(entry_settings settings, const daemon_options &options)
+static process_end serve(entry_settings settings, const daemon_options &options)
 {
     entry_process server(std::move(settings), [file = options.config] { return reloadSettings(file); });
-    return serveAndReportErrors([&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(addresses, server.listen());
+    return listenAndRun(server, [](const auto &addresses) {
         std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
-        server.run();
-        stopLogging();
-        return 0;
     });
 }
 
-template<class Settings> static int checkAndServe(parsed<Settings> settings, const daemon_options &options)
+static process_end rejectSettings(const std::string &mistakes)
+{
+    std::cerr << mistakes;
+    std::istringstream lines(mistakes);
+    for (std::string line; std::getline(lines, line);) {
+        DAISYSTILE_LOG(ERROR, "daemon") << "Settings can't be used." << field("mistake", line);
+    }
+    return {exitSettingsInvalid, "settings can't be used"};
+}
+
+template<class Settings> static process_end checkAndServe(parsed<Settings> settings, const daemon_options &options)
 {
     if (const auto *errors = std::get_if<config_errors>(&settings)) {
-        std::cerr << toString(*errors);
-        return exitSettingsInvalid;
+        return rejectSettings(toString(*errors));
     }
     if (options.checkOnly) {
         std::cout << options.config << ": settings are valid\n";
-        return 0;
+        return {0, "settings are valid"};
     }
     return serve(std::move(std::get<Settings>(settings)), options);
 }
 
-int main(int argc, char **argv)
+static process_end run(const daemon_options &options)
 {
-    blockTerminationSignals();
-    const auto options = parseOptions(argc, argv);
-    startLogging(argv[0], options.logLevel, options.frontDoor == plainFrontDoor ? log_destination::standard_output : log_destination::standard_error);
     const auto text = readFile(options.config);
     if (!text) {
-        std::cerr << options.config << ": settings file can't be read\n";
-        return exitSettingsInvalid;
+        return rejectSettings(options.config + ": settings file can't be read\n");
     }
     if (options.frontDoor == plainFrontDoor) {
         return checkAndServe(parseEntrySettings(*text, options.config), options);
     }
     return checkAndServe(parseDaemonSettings(*text, options.config), options);
 }
+
+static log_destination logDestination(const daemon_options &options)
+{
+    // The output of a check is for a person.
+    return options.frontDoor == plainFrontDoor && !options.checkOnly ? log_destination::standard_output : log_destination::standard_error;
+}
+
+int main(int argc, char **argv)
+{
+    blockTerminationSignals();
+    const auto options = parseOptions(argc, argv);
+    startLogging(argv[0], options.checkOnly ? "error" : options.logLevel, logDestination(options));
+    const auto end = run(options);
+    google::LogMessage(__FILE__, __LINE__, end.status == 0 ? google::GLOG_INFO : google::GLOG_ERROR).stream()
+        << "daemon: Process ends." << field("status", static_cast<std::uint64_t>(end.status)) << field("reason", end.reason);
+    stopLogging();
+    return end.status;
+}
