Process: Ignore SIGXFSZ and SIGPIPE in every process that logs

What callers saw: a daemon whose standard output is a file at the limit of file sizes ended with signal 25 (SIGXFSZ) at its first log line. The platform sets such a limit.

Cause: only SIGPIPE was ignored, and only with the log on standard output.

Change: startLogging() ignores both; a failed write costs lines.

--- a/Source/Process/log.cxx
+++ b/Source/Process/log.cxx
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <memory>
 #include <unistd.h>
 #include <utility>
@@ -34,6 +35,9 @@
     FLAGS_minloglevel = level == "error" ? google::GLOG_ERROR : level == "warning" ? google::GLOG_WARNING : google::GLOG_INFO;
     google::InitGoogleLogging(program);
     reportFailures();
+    // A write that fails must not end the process: its reader is gone, or its file is as large as it may be.
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
     if (destination == log_destination::standard_error) {
         return;
     }
--- a/Source/Process/log.h
+++ b/Source/Process/log.h
@@ -14,7 +14,8 @@
     standard_output,
 };
 
-/// Logs messages of at least this level: info, warning or error. A process that then fails writes its reason as the last line.
+/// Logs messages of at least this level: info, warning or error. A process that then fails writes its reason as the last line, and a write
+/// to a closed pipe or beyond the limit of file sizes doesn't end it.
 /// Line format: "TIME LEVEL component: Sentence. key=value ...".
 void startLogging(const char *program, std::string_view level, log_destination destination = log_destination::standard_error);
 /// Writes the queued lines as far as this is possible without blocking.
--- a/Tests/Process/failure_report_test.cxx
+++ b/Tests/Process/failure_report_test.cxx
@@ -30,6 +30,20 @@
     std::thread([] { throw std::runtime_error("no room\nleft"); }).join();
 }
 
+static void failToWrite()
+{
+    startLogging("failure_report_test", "info");
+    std::raise(SIGXFSZ);
+    std::raise(SIGPIPE);
+    std::_Exit(0);
+}
+
+TEST(failure_report, writesThatFailDoNotEndTheProcess)
+{
+    GTEST_FLAG_SET(death_test_style, "threadsafe");
+    EXPECT_EXIT(failToWrite(), testing::ExitedWithCode(0), "");
+}
+
 TEST(failure_report, linesQueuedAtACrashComeBeforeItsReason)
 {
     GTEST_FLAG_SET(death_test_style, "threadsafe");
