Forward: Be ready once the daemon knows its share of the limits

The log: outcome=not_run attempts=0 waited_ms=0 foreseen_wait_ms=200.

Cause: after failed calls the list of daemons counts only 2 s after the first success. Until then a daemon takes the share of one in 1,100, which readiness didn't wait for, so it announced room that the daemon didn't use.

Change: readiness also waits for the list, for 4 s at most after the rest is known; a daemon that can't read it by then is ready with the small share and logs that once. What is routed, and when, stays.

The way without a list (4 s) was read, not run.

entry_promises 20 tests, foreign_objects 4, cold_promises 2 pass; cold_promises' first test starts its load at readiness, so it no longer covers the time before, which is routed by the same code.

--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -27,6 +27,8 @@
 constexpr milliseconds configurationRelayInterval {500};
 constexpr milliseconds failedSourceDelay {5000};
 constexpr milliseconds storeProbeInterval {2000};
+// A daemon that has the rest waits no longer for the list of daemons: those that can't read it serve with a small share of the limits.
+constexpr milliseconds maxFleetWait {4000};
 // Each change of the servers causes a call from every daemon, so a larger fleet batches changes over a longer time.
 constexpr milliseconds minServersBatchDelay {250};
 constexpr milliseconds maxServersBatchDelay {1500};
@@ -502,13 +504,34 @@
     void publishView()
     {
         auto published = std::make_shared<routing_snapshot>(view);
-        if (!ready()) {
+        if (!complete()) {
             published->routes.reset();
         }
         publish(std::move(published));
+        limitFleetWait();
     }
 
+    void limitFleetWait()
+    {
+        if (!complete() || fleet.known() || std::exchange(fleetAwaited, true)) {
+            return;
+        }
+        loop.after(maxFleetWait, [this] {
+            fleetWaitOver = true;
+            if (!fleet.known()) {
+                DAISYSTILE_LOG(WARNING, "fleet") << "Ready without having read the daemons; this one takes a small share of the limits."
+                                                 << field("waited_ms", static_cast<std::uint64_t>(maxFleetWait.count()));
+            }
+        });
+    }
+
+    // Until the fleet is known, this daemon's share of the limits is too small for the requests that readiness would attract.
     bool ready() const
+    {
+        return complete() && (fleet.known() || fleetWaitOver);
+    }
+
+    bool complete() const
     {
         const auto mirrors = {&configuration, &servers, &evacuations, &suspects.objects()};
         const bool known = std::all_of(mirrors.begin(), mirrors.end(), [](const auto *each) { return each->mirror().known(); });
@@ -547,6 +570,8 @@
     std::uint64_t relayedConfigurationRevision = 0;
     monotonic_time lastHeartbeat;
     bool verifying = false;
+    bool fleetAwaited = false;
+    bool fleetWaitOver = false;
     bool sourceReachesStore = true;
     bool probing = false;
     bool leaving = false;
