daisystiled: Write no log for a check of the settings

--check started the log, and its reader got mistakes and the exit status a second time as log lines since the last lines were added. A check now prints what it did before and nothing else: seen with a missing file (one line on standard error, status 2) and with a valid one (one line, status 0). end_promises passes.

--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -138,9 +138,12 @@
     });
 }
 
-static process_end rejectSettings(const std::string &mistakes)
+static process_end rejectSettings(const std::string &mistakes, const daemon_options &options)
 {
     std::cerr << mistakes;
+    if (options.checkOnly) {
+        return {exitSettingsInvalid, {}};
+    }
     std::istringstream lines(mistakes);
     for (std::string line; std::getline(lines, line);) {
         DAISYSTILE_LOG(ERROR, "daemon") << "Settings can't be used." << field("mistake", line);
@@ -151,11 +154,11 @@
 template<class Settings> static process_end checkAndServe(parsed<Settings> settings, const daemon_options &options)
 {
     if (const auto *errors = std::get_if<config_errors>(&settings)) {
-        return rejectSettings(toString(*errors));
+        return rejectSettings(toString(*errors), options);
     }
     if (options.checkOnly) {
         std::cout << options.config << ": settings are valid\n";
-        return {0, "settings are valid"};
+        return {0, {}};
     }
     return serve(std::move(std::get<Settings>(settings)), options);
 }
@@ -164,7 +167,7 @@
 {
     const auto text = readFile(options.config);
     if (!text) {
-        return rejectSettings(options.config + ": settings file can't be read\n");
+        return rejectSettings(options.config + ": settings file can't be read\n", options);
     }
     if (options.frontDoor == plainFrontDoor) {
         return checkAndServe(parseEntrySettings(*text, options.config), options);
@@ -174,15 +177,18 @@
 
 static log_destination logDestination(const daemon_options &options)
 {
-    // The output of a check is for a person.
-    return options.frontDoor == plainFrontDoor && !options.checkOnly ? log_destination::standard_output : log_destination::standard_error;
+    return options.frontDoor == plainFrontDoor ? log_destination::standard_output : log_destination::standard_error;
 }
 
 int main(int argc, char **argv)
 {
     blockTerminationSignals();
     const auto options = parseOptions(argc, argv);
-    startLogging(argv[0], options.checkOnly ? "error" : options.logLevel, logDestination(options));
+    // The output of a check is for a person.
+    if (options.checkOnly) {
+        return run(options).status;
+    }
+    startLogging(argv[0], options.logLevel, logDestination(options));
     const auto end = run(options);
     google::LogMessage(__FILE__, __LINE__, end.status == 0 ? google::GLOG_INFO : google::GLOG_ERROR).stream()
         << "daemon: Process ends." << field("status", static_cast<std::uint64_t>(end.status)) << field("reason", end.reason);
