Process: Don't return from the handler of a signal that ends the process

What was seen: failure_report.linesQueuedAtACrashComeBeforeItsReason failed once in its first run and once in 2400 repeats under load: "Result: failed to die", with all lines written.

Cause: glog's handler sends the signal to the process, where another thread may take it; meanwhile the thread that was to end went on after its handler, here to the code behind raise().

Change: the handler unblocks the signal and raises it in its own thread.

--- a/Source/Process/failure_report.cxx
+++ b/Source/Process/failure_report.cxx
@@ -29,6 +29,17 @@
 // An uncaught exception ends in SIGABRT, and other threads may fail at the same time: the first reason is the one to know.
 std::atomic_flag reported = ATOMIC_FLAG_INIT;
 
+// glog's handler has set the default action and sent the signal to the process, where another thread may be the one to take it: this
+// thread must not go on meanwhile.
+void endNow(int number)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, number);
+    pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
+    std::raise(number);
+}
+
 void handleSignal(int number, siginfo_t *info, void *context)
 {
     for (std::size_t i = 0; i < failureSignals.size(); ++i) {
@@ -42,6 +53,7 @@
             writeLastLine(line.finish());
         }
         stackHandlers[i].sa_sigaction(number, info, context);
+        endNow(number);
     }
 }
 
