Daemon: Wait for addresses that are taken, and free them earlier

Callers saw a daemon that ended with status 3 at once and again at each restart, when a connection of the same host had got the port of the clients or of readiness, or when the process before still drained. The port for the relay was tried once in the life of a process, the one for delegated queries only when a view of the store was published.

Cause: each part opened its address once and took any failure for a lasting one.

Evidence, address_promises on the code before: "Daemon failed to start: address can't be bound: 127.0.0.1:41285", "ended with 3" (clients, readiness, both with a SIGTERM meant for the waiting process, a start while the process before drains); "Failed to listen for other daemons: address can't be bound" and no second attempt (peers); five lines "Failed to listen for queries of other daemons" in the first millisecond and none after (queries).

Both loops run meanwhile, readiness answers 503 with what is waited for, and the line "ready" follows when both addresses are open. Addresses that are waited for are left out of the daemon's entry. A leaving daemon closes the readiness address along with clients', and peers and queries at once; one that never listened for clients ends without the 3 s for the balancer. libmicrohttpd gets a socket that is already open, so its cause isn't lost; it also no longer sets SO_REUSEPORT, by which two processes could answer one readiness address in turn.

relay_test asks the new callback of relay_server::listen whether it listens, as it did its result.

--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -44,24 +44,41 @@
 {
 }
 
+void delegation_server::onListening(std::function<void(bool)> listens)
+{
+    m_listens = std::move(listens);
+}
+
 void delegation_server::update(const routing_snapshot &view)
 {
-    if (m_address.port == 0 || m_listener || view.peerKey.empty()) {
+    if (m_address.port == 0 || m_opener || m_draining || view.peerKey.empty()) {
         return;
     }
     m_credentials.key = view.peerKey;
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, m_address, [this](int handle) { accepted(handle); }));
-            return {};
-        },
-        [](const process_error &error) { DAISYSTILE_LOG(ERROR, "delegation") << "Failed to listen for queries of other daemons: " << error << "."; },
-        [] { DAISYSTILE_LOG(ERROR, "delegation") << "Failed to listen for queries of other daemons."; });
+    address_opener::callbacks notify;
+    notify.open = [this]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, m_address, [this](int handle) { accepted(handle); }));
+        return {};
+    };
+    notify.opened = [this] {
+        m_listens(true);
+    };
+    notify.waits = [this] {
+        m_listens(false);
+    };
+    notify.failed = [this](const process_error &error) {
+        DAISYSTILE_LOG(ERROR, "delegation") << "Failed to listen for queries of other daemons: " << error << ".";
+        m_listens(false);
+    };
+    m_opener = std::make_unique<address_opener>(m_loop, "queries", m_address, std::move(notify));
+    m_opener->start();
 }
 
 void delegation_server::startDraining()
 {
     m_draining = true;
+    m_opener.reset();
+    m_listener.reset();
 }
 
 std::size_t delegation_server::runningQueries() const
--- a/Source/Forward/delegation_server.h
+++ b/Source/Forward/delegation_server.h
@@ -16,9 +16,11 @@
 public:
     delegation_server(reactor &loop, forwarder &requests, const entry_settings &settings);
 
-    /// Starts to listen once the view has the key that authenticates daemons.
+    /// Tells whether it listens: false once it has to wait for its address, then true.
+    void onListening(std::function<void(bool)> listens);
+    /// Listens once the view has the key that authenticates daemons and the address is free.
     void update(const routing_snapshot &view);
-    /// From now on all offers are declined; queries that have begun go on.
+    /// From now on no daemon can connect and all offers are declined; queries that have begun go on.
     void startDraining();
     std::size_t runningQueries() const;
 
@@ -51,6 +53,8 @@
     ip_address m_address;
     peer_credentials m_credentials;
     std::unique_ptr<tcp_listener> m_listener;
+    std::unique_ptr<address_opener> m_opener;
+    std::function<void(bool)> m_listens;
     std::map<link_number, delegating_daemon> m_links;
     link_number m_next = 1;
     bool m_draining = false;
--- a/Source/Forward/drain_plan.cxx
+++ b/Source/Forward/drain_plan.cxx
@@ -16,7 +16,7 @@
     if (progress.passed >= latest) {
         return drain_step::exit;
     }
-    if (progress.passed < balancerDelay && balancerDelay < latest) {
+    if (progress.reachable && progress.passed < balancerDelay && balancerDelay < latest) {
         return drain_step::serve;
     }
     return progress.busyConnections == 0 ? drain_step::exit : drain_step::finish;
--- a/Source/Forward/drain_plan.h
+++ b/Source/Forward/drain_plan.h
@@ -20,6 +20,8 @@
     /// Time from SIGTERM to SIGKILL.
     milliseconds grace {0};
     std::size_t busyConnections = 0;
+    /// Whether clients could connect before the SIGTERM.
+    bool reachable = true;
 };
 
 drain_step drainStep(const drain_progress &progress);
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -6,6 +6,8 @@
 #include "quarantine_api.h"
 #include "store_follower.h"
 
+#include <nlohmann/json.hpp>
+
 #include <thread>
 
 namespace daisystile {
@@ -35,6 +37,7 @@
               [this] { startDraining(); },
               [this] { reload(); })
     {
+        delegations.onListening([this](bool listens) { control.post([this, listens] { store.offerQueries(listens); }); });
         requests.onSuspectsChanged(
             [this](std::vector<suspect_record> records) { control.post([this, records = std::move(records)] { store.shareSuspects(records); }); });
     }
@@ -76,15 +79,86 @@
         });
     }
 
-    leaf::result<entry_process::addresses> listen()
+    leaf::result<void> listen()
     {
         if (!control.opened() || !traffic.opened()) {
             return leaf::new_error(process_error {process_failure::out_of_descriptors, "reactor"});
         }
-        BOOST_LEAF_CHECK(clients.listen(settings.clients));
-        BOOST_LEAF_ASSIGN(readiness,
-            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) { answer(request, respond); }));
-        return entry_process::addresses {clients.address(), readiness->address()};
+        clientsOpener.start();
+        readinessOpener.start();
+        return result();
+    }
+
+    leaf::result<void> result() const
+    {
+        return failure ? leaf::result<void>(leaf::new_error(*failure)) : leaf::result<void>();
+    }
+
+    // Runs the callback on the control thread, or at once while there is only one thread.
+    void tellControl(std::function<void()> callback)
+    {
+        if (running) {
+            control.post(std::move(callback));
+        } else {
+            callback();
+        }
+    }
+
+    // The callbacks run on the traffic thread.
+    address_opener::callbacks openClients()
+    {
+        address_opener::callbacks notify;
+        notify.open = [this] {
+            return clients.listen(settings.clients);
+        };
+        notify.opened = [this] {
+            reachable = true;
+            tellControl([this, address = clients.address()] {
+                clientsAwaited.clear();
+                clientsOpen = address;
+                addressOpened();
+            });
+        };
+        notify.waits = [this] {
+            tellControl([this, text = clientsOpener.text()] { clientsAwaited = text; });
+        };
+        notify.failed = [this](const process_error &error) {
+            tellControl([this, error] { fail(error); });
+        };
+        return notify;
+    }
+
+    address_opener::callbacks openReadiness()
+    {
+        address_opener::callbacks notify;
+        notify.open = [this]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(readiness, http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) {
+                answer(request, respond);
+            }));
+            return {};
+        };
+        notify.opened = [this] {
+            addressOpened();
+        };
+        notify.failed = [this](const process_error &error) {
+            fail(error);
+        };
+        return notify;
+    }
+
+    void addressOpened()
+    {
+        if (onOpened && clientsOpen && readiness) {
+            std::exchange(onOpened, {})({*clientsOpen, readiness->address()});
+        }
+    }
+
+    void fail(const process_error &error)
+    {
+        failure = error;
+        if (running) {
+            control.stop();
+        }
     }
 
     void answer(const http_request &request, const http_responder &respond)
@@ -104,8 +178,18 @@
         if (request.path != readinessPath) {
             return {.status = statusNotFound};
         }
-        const bool ready = !draining && store.ready();
-        return {.status = ready ? statusReady : statusNotReady};
+        if (!draining && clientsOpen && store.ready()) {
+            return {.status = statusReady};
+        }
+        return {.status = statusNotReady, .body = nlohmann::json {{"not_ready", reasonNotReady()}}.dump()};
+    }
+
+    std::string reasonNotReady() const
+    {
+        if (draining) {
+            return "draining";
+        }
+        return clientsAwaited.empty() ? "waiting for the store" : "waiting for " + clientsAwaited;
     }
 
     // Further signals have no effect.
@@ -117,7 +201,9 @@
         draining = true;
         drainingSince = control.now();
         DAISYSTILE_LOG(INFO, "daemon") << "Draining." << field("id", settings.id.value);
+        readinessOpener.stop();
         traffic.post([this] {
+            clientsOpener.stop();
             clients.startDraining();
             delegations.startDraining();
         });
@@ -130,10 +216,12 @@
         traffic.post([this] {
             const drain_progress progress {std::chrono::duration_cast<milliseconds>(traffic.now() - drainingSince),
                 settings.grace,
-                clients.busyConnections() + delegations.runningQueries()};
+                clients.busyConnections() + delegations.runningQueries(),
+                reachable};
             const auto next = drainStep(progress);
             if (next != drain_step::serve) {
                 clients.closeIdle();
+                control.post([this] { releaseReadiness(); });
             }
             if (next == drain_step::exit) {
                 control.post([this] { control.stop(); });
@@ -143,8 +231,19 @@
         });
     }
 
-    void run()
+    // The next process of this daemon may take both addresses from now on; a refused connection says not ready too.
+    void releaseReadiness()
+    {
+        if (readiness) {
+            readiness->stopListening();
+        }
+    }
+
+    leaf::result<void> run(std::function<void(const addresses &)> opened)
     {
+        onOpened = std::move(opened);
+        addressOpened();
+        running = true;
         DAISYSTILE_LOG(INFO, "daemon") << "Started." << field("id", settings.id.value) << field("clients", toString(settings.clients));
         store.start();
         watchSettings();
@@ -152,6 +251,7 @@
         control.run();
         traffic.post([this] { traffic.stop(); });
         thread.join();
+        return result();
     }
 
     entry_settings settings;
@@ -166,6 +266,17 @@
     store_follower store;
     termination_signals signals;
     std::unique_ptr<http_server> readiness;
+    address_opener clientsOpener {traffic, "clients", settings.clients, openClients()};
+    address_opener readinessOpener {control, "readiness", settings.readiness, openReadiness()};
+    std::function<void(const addresses &)> onOpened;
+    std::optional<ip_address> clientsOpen;
+    // What is waited for and why, while clients' address is taken.
+    std::string clientsAwaited;
+    std::optional<process_error> failure;
+    // Set before the second thread starts.
+    bool running = false;
+    // Whether clients could connect. Used on the traffic thread only.
+    bool reachable = false;
     bool draining = false;
     monotonic_time drainingSince;
 };
@@ -177,15 +288,16 @@
 
 entry_process::~entry_process() = default;
 
-leaf::result<entry_process::addresses> entry_process::listen()
+leaf::result<void> entry_process::listen()
 {
     return m_implementation->listen();
 }
 
-void entry_process::run()
+leaf::result<void> entry_process::run(std::function<void(const addresses &)> opened)
 {
-    m_implementation->run();
+    BOOST_LEAF_CHECK(m_implementation->run(std::move(opened)));
     DAISYSTILE_LOG(INFO, "daemon") << "Stopped." << field("id", m_implementation->settings.id.value);
+    return {};
 }
 
 } // namespace daisystile
--- a/Source/Forward/entry_process.h
+++ b/Source/Forward/entry_process.h
@@ -26,11 +26,13 @@
         ip_address readiness;
     };
 
-    /// Opens all listening addresses. Errors: process_error{address_in_use}, process_error{out_of_descriptors}.
-    leaf::result<addresses> listen();
+    /// Opens the listening addresses that are free. Errors: process_error{out_of_descriptors}, or those of openListeningSocket() that
+    /// don't pass by themselves.
+    leaf::result<void> listen();
 
-    /// Runs until a termination signal has been handled; the calling thread becomes the control thread.
-    void run();
+    /// Runs until a termination signal has been handled; the calling thread becomes the control thread. Addresses that are taken are
+    /// waited for; the callback is called once clients' and the readiness address are open. Errors: as for listen().
+    leaf::result<void> run(std::function<void(const addresses &)> opened);
 
 private:
     struct implementation;
--- a/Source/Forward/fleet_registry.cxx
+++ b/Source/Forward/fleet_registry.cxx
@@ -47,6 +47,11 @@
 {
 }
 
+void fleet_registry::setSelf(fleet_daemon self)
+{
+    m_self = std::move(self);
+}
+
 void fleet_registry::listed(const object_list &list, monotonic_time now)
 {
     std::map<std::string, seen_entry> entries;
--- a/Source/Forward/fleet_registry.h
+++ b/Source/Forward/fleet_registry.h
@@ -26,6 +26,8 @@
 public:
     fleet_registry(fleet_registry_limits limits, fleet_daemon self);
 
+    /// Replaces what this daemon says about itself.
+    void setSelf(fleet_daemon self);
     /// Processes a listing of the entries.
     void listed(const object_list &list, monotonic_time now);
     /// Live daemons, including this one, ordered by id.
--- a/Source/Forward/fleet_runner.cxx
+++ b/Source/Forward/fleet_runner.cxx
@@ -32,6 +32,8 @@
       m_bootstrap(settings.bootstrap),
       m_updated(std::move(updated)),
       m_self {settings.id, settings.domain, settings.peers, settings.queries, settings.strength},
+      m_peers(settings.peers),
+      m_queries(settings.queries),
       m_registry({}, m_self),
       m_daemons {m_self},
       m_random(stableHash(randomBytes(8)))
@@ -48,8 +50,38 @@
 void fleet_runner::leave()
 {
     m_leaving = true;
-    const auto key = m_registry.entryKey();
-    m_store.remove(key, always {}, [key](const remove_result &result) { logUnlessGone(key, result); });
+    m_loop.cancelTimer(std::exchange(m_refresh, 0));
+    if (!m_writing) {
+        removeEntry();
+    }
+}
+
+void fleet_runner::removeEntry()
+{
+    if (m_written) {
+        const auto key = m_registry.entryKey();
+        m_store.remove(key, always {}, [key](const remove_result &result) { logUnlessGone(key, result); });
+    }
+}
+
+void fleet_runner::offerPeers(bool offered)
+{
+    offer(&fleet_daemon::peers, offered ? m_peers : ip_address {});
+}
+
+void fleet_runner::offerQueries(bool offered)
+{
+    offer(&fleet_daemon::queries, offered ? m_queries : ip_address {});
+}
+
+void fleet_runner::offer(ip_address fleet_daemon::*address, const ip_address &offered)
+{
+    if (m_self.*address == offered) {
+        return;
+    }
+    m_self.*address = offered;
+    m_registry.setSelf(m_self);
+    refreshEntry();
 }
 
 const fleet_daemon &fleet_runner::self() const
@@ -96,20 +128,40 @@
     if (m_leaving) {
         return;
     }
+    m_loop.cancelTimer(std::exchange(m_refresh, 0));
+    if (m_writing) {
+        m_changedWhileWriting = true;
+        return;
+    }
+    m_writing = true;
     m_beat += 1;
     m_store.put(m_registry.entryKey(), m_registry.entryText(m_beat), always {}, [this](const write_result &result) { entryWritten(result); });
 }
 
 void fleet_runner::entryWritten(const write_result &result)
 {
-    if (std::holds_alternative<object_written>(result)) {
+    m_writing = false;
+    const auto *written = std::get_if<object_written>(&result);
+    if (written != nullptr) {
+        m_written = written->etag;
         m_failedWrites = 0;
         reached();
-        m_loop.after(m_registry.refreshInterval(m_daemons.size()), [this] { refreshEntry(); });
-        return;
     }
-    DAISYSTILE_LOG(WARNING, "fleet") << "Failed to write this daemon's entry.";
-    m_loop.after(retryDelay(m_failedWrites++, initialRetryDelay, maxRetryDelay, m_random), [this] { refreshEntry(); });
+    if (m_leaving) {
+        removeEntry();
+    } else if (written == nullptr) {
+        DAISYSTILE_LOG(WARNING, "fleet") << "Failed to write this daemon's entry.";
+        scheduleRefresh(retryDelay(m_failedWrites++, initialRetryDelay, maxRetryDelay, m_random));
+    } else if (std::exchange(m_changedWhileWriting, false)) {
+        refreshEntry();
+    } else {
+        scheduleRefresh(m_registry.refreshInterval(m_daemons.size()));
+    }
+}
+
+void fleet_runner::scheduleRefresh(milliseconds delay)
+{
+    m_refresh = m_loop.after(delay, [this] { refreshEntry(); });
 }
 
 // Others that could not reach the store either are still waiting to try again.
--- a/Source/Forward/fleet_runner.h
+++ b/Source/Forward/fleet_runner.h
@@ -21,6 +21,9 @@
     void start();
     /// Removes this daemon's entry.
     void leave();
+    /// Whether other daemons can connect to the address that the settings name; the entry says so.
+    void offerPeers(bool offered);
+    void offerQueries(bool offered);
 
     const fleet_daemon &self() const;
     /// All live daemons, including this one, ordered by id.
@@ -35,7 +38,10 @@
     void useOwnListings();
 
 private:
+    void offer(ip_address fleet_daemon::*address, const ip_address &offered);
     void refreshEntry();
+    void removeEntry();
+    void scheduleRefresh(milliseconds delay);
     void entryWritten(const write_result &result);
     void list();
     void listed(const list_result &result, monotonic_time sentAt);
@@ -51,10 +57,17 @@
     bool m_bootstrap;
     std::function<void()> m_updated;
     fleet_daemon m_self;
+    ip_address m_peers;
+    ip_address m_queries;
     fleet_registry m_registry;
     std::vector<fleet_daemon> m_daemons;
     std::mt19937_64 m_random;
     std::uint64_t m_beat = 0;
+    /// Version of the entry as this process last wrote it; nothing until then.
+    std::optional<std::string> m_written;
+    timer_id m_refresh = 0;
+    bool m_writing = false;
+    bool m_changedWhileWriting = false;
     /// Listings that succeeded.
     unsigned m_listings = 0;
     unsigned m_failedListings = 0;
--- a/Source/Forward/relay_link.cxx
+++ b/Source/Forward/relay_link.cxx
@@ -16,10 +16,31 @@
 {
 }
 
-leaf::result<void> relay_server::listen(const ip_address &address)
+void relay_server::listen(const ip_address &address, std::function<void(bool)> listens)
 {
-    BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, address, [this](int handle) { accepted(handle); }));
-    return {};
+    address_opener::callbacks notify;
+    notify.open = [this, address]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, address, [this](int handle) { accepted(handle); }));
+        return {};
+    };
+    notify.opened = [listens] {
+        listens(true);
+    };
+    notify.waits = [listens] {
+        listens(false);
+    };
+    notify.failed = [listens](const process_error &error) {
+        DAISYSTILE_LOG(ERROR, "relay") << "Failed to listen for other daemons: " << error << ".";
+        listens(false);
+    };
+    m_opener = std::make_unique<address_opener>(m_loop, "peers", address, std::move(notify));
+    m_opener->start();
+}
+
+void relay_server::stopListening()
+{
+    m_opener.reset();
+    m_listener.reset();
 }
 
 void relay_server::accepted(int handle)
--- a/Source/Forward/relay_link.h
+++ b/Source/Forward/relay_link.h
@@ -18,8 +18,10 @@
     /// The callback returns the initial update for a new follower, or nothing until one is available.
     relay_server(reactor &loop, peer_credentials credentials, std::function<std::optional<relay_update>()> first);
 
-    /// Errors: process_error{address_in_use}.
-    leaf::result<void> listen(const ip_address &address);
+    /// Listens as soon as the address is free. Tells whether it listens: false once it has to wait, then true.
+    void listen(const ip_address &address, std::function<void(bool)> listens);
+    /// Established links stay.
+    void stopListening();
     void broadcast(const relay_update &update);
 
 private:
@@ -36,6 +38,7 @@
     peer_credentials m_credentials;
     std::function<std::optional<relay_update>()> m_first;
     std::unique_ptr<tcp_listener> m_listener;
+    std::unique_ptr<address_opener> m_opener;
     std::map<std::uint64_t, follower> m_followers;
     std::uint64_t m_next = 1;
 };
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -230,9 +230,9 @@
     void openRelay()
     {
         relay = std::make_unique<relay_server>(loop, credentials(), [this] { return firstUpdate(); });
-        leaf::try_handle_all([&]() -> leaf::result<void> { return relay->listen(settings.peers); },
-            [](const process_error &error) { DAISYSTILE_LOG(ERROR, "relay") << "Failed to listen for other daemons: " << error << "."; },
-            [] { DAISYSTILE_LOG(ERROR, "relay") << "Failed to listen for other daemons."; });
+        if (!leaving) {
+            relay->listen(settings.peers, [this](bool listens) { fleet.offerPeers(listens); });
+        }
     }
 
     // 0 until a configuration is known.
@@ -573,9 +573,17 @@
 {
     auto &self = *m_implementation;
     self.leaving = true;
+    if (self.relay) {
+        self.relay->stopListening();
+    }
     self.fleet.leave();
 }
 
+void store_follower::offerQueries(bool offered)
+{
+    m_implementation->fleet.offerQueries(offered);
+}
+
 bool store_follower::ready() const
 {
     return m_implementation->ready();
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -22,7 +22,9 @@
     void start();
     /// Replaces what this daemon tells the others about suspected requests.
     void shareSuspects(std::vector<suspect_record> records);
-    /// Removes this daemon's entry from the store, if the store is reachable.
+    /// Whether other daemons can delegate queries to this one.
+    void offerQueries(bool offered);
+    /// Closes the address for other daemons and removes this daemon's entry from the store, if the store is reachable.
     void leave();
     bool ready() const;
 
--- a/Source/Process/http_server.cxx
+++ b/Source/Process/http_server.cxx
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include "listening_socket.h"
 #include "log.h"
 
 #include <arpa/inet.h>
@@ -7,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace daisystile {
 
@@ -239,20 +241,15 @@
     server->m_implementation = std::make_unique<implementation>(loop, std::move(handler), limits);
     auto &self = *server->m_implementation;
 
-    sockaddr_in socketAddress {};
-    socketAddress.sin_family = AF_INET;
-    socketAddress.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.host.c_str(), &socketAddress.sin_addr) != 1) {
-        return leaf::new_error(process_error {process_failure::address_malformed, toString(address)});
-    }
+    BOOST_LEAF_AUTO(listening, openListeningSocket(address, SOMAXCONN));
     self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
         0,
         nullptr,
         nullptr,
         &implementation::onRequestData,
         &self,
-        MHD_OPTION_SOCK_ADDR,
-        &socketAddress,
+        MHD_OPTION_LISTEN_SOCKET,
+        listening,
         MHD_OPTION_NOTIFY_COMPLETED,
         &implementation::onRequestCompleted,
         &self,
@@ -260,14 +257,15 @@
         limits.connections,
         MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(limits.idle.count()),
-        MHD_OPTION_LISTENING_ADDRESS_REUSE,
-        1U,
         MHD_OPTION_END);
     if (self.daemon == nullptr) {
-        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
+        const int error = errno;
+        close(listening);
+        return leaf::new_error(
+            process_error {error == EMFILE || error == ENFILE ? process_failure::out_of_descriptors : process_failure::library_failed, toString(address)});
     }
     self.epollHandle = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-    self.boundAddress = {address.host, MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_BIND_PORT)->port};
+    self.boundAddress = addressOfSocket(listening);
     loop.watch(self.epollHandle, {.read = true, .write = false}, [&self] { self.runNow(); });
     return server;
 }
--- a/Source/Process/http_server.h
+++ b/Source/Process/http_server.h
@@ -57,7 +57,7 @@
 class http_server
 {
 public:
-    /// Errors: process_error{address_in_use}.
+    /// Errors: those of openListeningSocket().
     static leaf::result<std::unique_ptr<http_server>> listen(reactor &loop, const ip_address &address, http_handler handler, http_server_limits limits = {});
 
     http_server();
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -2,6 +2,7 @@
 
 /// Public header of the process library: event loop, networking, HTTP, JSON text, logging, metrics and basic types.
 
+#include "address_opener.h"
 #include "clock.h"
 #include "hash.h"
 #include "http_client.h"
@@ -11,6 +12,7 @@
 #include "ip_address.h"
 #include "json_text.h"
 #include "latency_histogram.h"
+#include "listening_socket.h"
 #include "log.h"
 #include "metrics.h"
 #include "poll_clock.h"
--- a/Source/Process/process_error.cxx
+++ b/Source/Process/process_error.cxx
@@ -8,7 +8,11 @@
     case process_failure::address_malformed:
         return "address must have the form IP:PORT";
     case process_failure::address_in_use:
-        return "address can't be bound";
+        return "address is taken";
+    case process_failure::address_absent:
+        return "address is not one of this host";
+    case process_failure::address_not_permitted:
+        return "no permission to listen on the address";
     case process_failure::out_of_descriptors:
         return "no file descriptor is available";
     case process_failure::library_failed:
--- a/Source/Process/process_error.h
+++ b/Source/Process/process_error.h
@@ -12,6 +12,9 @@
 enum class process_failure {
     address_malformed,
     address_in_use,
+    /// It is not an address of this host, or not yet.
+    address_absent,
+    address_not_permitted,
     out_of_descriptors,
     library_failed,
 };
--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -1,5 +1,6 @@
 #include "tcp_stream.h"
 
+#include "listening_socket.h"
 #include "log.h"
 
 #include <ace/INET_Addr.h>
@@ -351,11 +352,8 @@
 {
     auto listener = std::make_unique<tcp_listener>();
     auto &self = *listener->m_implementation;
-    const ACE_INET_Addr local(address.port, address.host.c_str());
-    if (self.acceptor.open(local, 1, AF_INET, acceptBacklog) != 0) {
-        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
-    }
-    self.acceptor.enable(ACE_NONBLOCK);
+    BOOST_LEAF_AUTO(handle, openListeningSocket(address, acceptBacklog));
+    self.acceptor.set_handle(handle);
     self.accepted = std::move(accepted);
     self.loop = &loop;
     loop.watch(self.acceptor.get_handle(), {.read = true, .write = false}, [&self] { self.accept(); });
--- a/Source/Process/tcp_stream.h
+++ b/Source/Process/tcp_stream.h
@@ -62,7 +62,7 @@
 class tcp_listener
 {
 public:
-    /// Errors: process_error{address_in_use}.
+    /// Errors: those of openListeningSocket().
     static leaf::result<std::unique_ptr<tcp_listener>> listen(reactor &loop, const ip_address &address, std::function<void(int handle)> accepted);
 
     tcp_listener();
--- a/Source/Process/termination_signals.cxx
+++ b/Source/Process/termination_signals.cxx
@@ -24,6 +24,17 @@
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
+bool terminationWithin(milliseconds time)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    const auto whole = std::chrono::floor<seconds>(time);
+    const timespec limit {.tv_sec = whole.count(), .tv_nsec = std::chrono::nanoseconds(time - whole).count()};
+    return sigtimedwait(&set, nullptr, &limit) > 0;
+}
+
 termination_signals::termination_signals(reactor &loop, std::function<void()> terminate, std::function<void()> reload)
     : m_loop(loop)
 {
--- a/Source/Process/termination_signals.h
+++ b/Source/Process/termination_signals.h
@@ -9,6 +9,9 @@
 /// Blocks SIGTERM, SIGINT and SIGHUP in this thread and those started later; call it first in main().
 void blockTerminationSignals();
 
+/// Waits for SIGTERM or SIGINT, which must be blocked; false if none came in this time. For use while no event loop runs.
+bool terminationWithin(milliseconds time);
+
 /// Handles signals on the reactor's thread: calls `terminate` for each SIGTERM or SIGINT and `reload` for each SIGHUP.
 class termination_signals
 {
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -114,9 +114,10 @@
 {
     entry_process server(std::move(settings), [file = options.config] { return reloadSettings(file); });
     return serveAndReportErrors([&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(addresses, server.listen());
-        std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
-        server.run();
+        BOOST_LEAF_CHECK(server.listen());
+        BOOST_LEAF_CHECK(server.run([](const entry_process::addresses &addresses) {
+            std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
+        }));
         stopLogging();
         return 0;
     });
--- a/Tests/Forward/fleet_registry_test.cxx
+++ b/Tests/Forward/fleet_registry_test.cxx
@@ -68,5 +68,6 @@
     EXPECT_EQ(drainStep({milliseconds {3100}, grace, 2}), drain_step::finish);
     EXPECT_EQ(drainStep({milliseconds {3100}, grace, 0}), drain_step::exit);
     EXPECT_EQ(drainStep({milliseconds {5900}, grace, 2}), drain_step::exit);
+    EXPECT_EQ(drainStep({.passed = milliseconds {0}, .grace = grace, .reachable = false}), drain_step::exit) << "no client ever connected";
     EXPECT_EQ(drainStep({milliseconds {100}, milliseconds {1000}, 1}), drain_step::finish) << "too little time to wait for the balancer";
 }
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -120,7 +120,9 @@
     std::unique_ptr<tcp_listener> probe = tcp_listener::listen(loop, address, [](int) {}).value();
     const auto free = probe->address();
     probe.reset();
-    ASSERT_TRUE(server.listen(free));
+    bool listens = false;
+    server.listen(free, [&](bool listensNow) { listens = listensNow; });
+    ASSERT_TRUE(listens);
     std::vector<std::uint64_t> revisions;
     bool failed = false;
     relay_client client(loop,
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -293,6 +293,17 @@
     return m_control.get(m_store->address("control"), "/control/counters").value("watches_waiting", std::size_t {0});
 }
 
+std::string plain_fleet::textOf(const std::string &key)
+{
+    const auto result = m_control.call({.address = m_store->address("control"), .path = "/control/objects/" + key});
+    return statusOf(result) == 200 ? std::get<http_reply>(result).body : "";
+}
+
+ip_address plain_fleet::storeAddress() const
+{
+    return m_store->address("http");
+}
+
 void plain_fleet::removeObject(const std::string &key)
 {
     m_control.call({.method = "DELETE", .address = m_store->address("control"), .path = "/control/objects/" + key});
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -73,6 +73,9 @@
     std::size_t endedServers() const;
     /// Writes an object into the store as another writer would; the value goes in as it stands.
     void putText(const std::string &key, const std::string &value);
+    /// The object's value, or nothing if there is none.
+    std::string textOf(const std::string &key);
+    ip_address storeAddress() const;
     /// Number of watches that daemons have open at the store.
     std::size_t waitingWatches();
     void removeObject(const std::string &key);
