Fleet: Remove only the entry that this process wrote

Other daemons could lose sight of a daemon for up to 30 s, its next refresh, when it was started before the one before it had left: that one removed the entry whoever had written it.

Evidence, address_promises.aDaemonThatLeavesRemovesOnlyItsOwnEntry on the code before: the entry written by another process of the id was gone after SIGTERM (value "" instead of the entry).

After: the test passes; the entry stands. A daemon whose last write had no known outcome may leave its entry to be taken for absent after three missed refreshes.

--- a/Source/Forward/fleet_runner.cxx
+++ b/Source/Forward/fleet_runner.cxx
@@ -56,11 +56,12 @@
     }
 }
 
+// The next process of this id may have started before this one ends.
 void fleet_runner::removeEntry()
 {
     if (m_written) {
         const auto key = m_registry.entryKey();
-        m_store.remove(key, always {}, [key](const remove_result &result) { logUnlessGone(key, result); });
+        m_store.remove(key, if_version {*m_written}, [key](const remove_result &result) { logUnlessGone(key, result); });
     }
 }
 
--- a/Source/Forward/fleet_runner.h
+++ b/Source/Forward/fleet_runner.h
@@ -19,7 +19,7 @@
     fleet_runner(reactor &loop, platform_client &store, const entry_settings &settings, std::function<void()> updated);
 
     void start();
-    /// Removes this daemon's entry.
+    /// Removes this daemon's entry, but none that another process of the same id has written since.
     void leave();
     /// Whether other daemons can connect to the address that the settings name; the entry says so.
     void offerPeers(bool offered);
--- a/Tests/Promises/address_promises_test.cxx
+++ b/Tests/Promises/address_promises_test.cxx
@@ -215,6 +215,18 @@
     EXPECT_TRUE(until([&] { return ready() && entryNames("peers"); }));
 }
 
+// The daemon that left removed the entry that its successor had written.
+TEST_F(address_promises, aDaemonThatLeavesRemovesOnlyItsOwnEntry)
+{
+    const auto daemon = startDaemon();
+    ASSERT_TRUE(daemon->waitReady());
+    ASSERT_TRUE(until([&] { return ready() && entryNames("queries"); }));
+    m_fleet.putText(entryKey, R"({"domain":"medina","strength":2.0,"beat":1})");
+    daemon->signal(SIGTERM);
+    EXPECT_EQ(daemon->waitExit(seconds {10}), 0);
+    EXPECT_NE(m_fleet.textOf(entryKey), "");
+}
+
 TEST_F(address_promises, anAddressThatIsMalformedEndsTheStart)
 {
     m_addresses["clients"].host = "no-address";
