Daemon: Wait for taken addresses with the callers' API too

The same class as on the plain front door: one of the four addresses taken for a moment ended the daemon with status 3 at each start.

Evidence, taken_callers_address on the code before: all 8 tests fail, with "Daemon failed to start: address can't be bound: 127.0.0.1:58335" and its like for callers, operators, traffic and control.

Change: each address is opened by the same decisions and log lines, one after the other before the loops run. SIGTERM or SIGINT meanwhile ends the process with 0. A second attempt at the control address first closes the datagram socket of the attempt before.

After: all 8 pass.

--- a/Source/Connection/datagram_socket.cxx
+++ b/Source/Connection/datagram_socket.cxx
@@ -4,6 +4,7 @@
 #include <ace/SOCK_Dgram.h>
 
 #include <array>
+#include <cerrno>
 
 namespace daisystile {
 
@@ -52,7 +53,7 @@
     auto opened = std::make_unique<datagram_socket>();
     auto &self = *opened->m_implementation;
     if (self.socket.open(ACE_INET_Addr(address.port, address.host.c_str(), AF_INET)) != 0) {
-        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
+        return leaf::new_error(bindError(errno, address));
     }
     self.socket.enable(ACE_NONBLOCK);
     self.handle = std::move(handle);
--- a/Source/Connection/datagram_socket.h
+++ b/Source/Connection/datagram_socket.h
@@ -23,7 +23,7 @@
 public:
     using handler = std::function<void(const ip_address &from, std::string_view bytes)>;
 
-    /// Errors: process_error{address_in_use}.
+    /// Errors: those of openListeningSocket().
     static leaf::result<std::unique_ptr<datagram_socket>> open(reactor &loop, const ip_address &address, handler handle);
 
     datagram_socket();
--- a/Source/Connection/fleet_member.cxx
+++ b/Source/Connection/fleet_member.cxx
@@ -190,6 +190,8 @@
     const auto receive = [&self](const ip_address &from, std::string_view bytes) {
         self.receive(from, bytes);
     };
+    // An attempt before this one may have opened the address, and failed at its TCP counterpart.
+    self.socket.reset();
     BOOST_LEAF_ASSIGN(self.socket, datagram_socket::open(self.loop, self.settings.control, receive));
     return self.socket->address();
 }
--- a/Source/Connection/fleet_member.h
+++ b/Source/Connection/fleet_member.h
@@ -33,7 +33,7 @@
     fleet_member(const fleet_member &) = delete;
     fleet_member &operator=(const fleet_member &) = delete;
 
-    /// Opens the control address. Errors: process_error{address_in_use}.
+    /// Opens the control address. Errors: those of openListeningSocket().
     leaf::result<ip_address> listen();
     /// Joins the fleet; the control address of self must be the one under which others reach this daemon.
     void start(member self);
--- a/Source/Connection/peer_network.cxx
+++ b/Source/Connection/peer_network.cxx
@@ -173,15 +173,10 @@
 leaf::result<ip_address> peer_network::listen(const ip_address &address)
 {
     auto &self = *m_implementation;
-    const ACE_INET_Addr local(address.port, address.host.c_str());
-    if (self.acceptor.open(local, 1, PF_INET, listenBacklog) != 0) {
-        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
-    }
-    self.acceptor.enable(ACE_NONBLOCK);
-    ACE_INET_Addr bound;
-    self.acceptor.get_local_addr(bound);
+    BOOST_LEAF_AUTO(handle, openListeningSocket(address, listenBacklog));
+    self.acceptor.set_handle(handle);
     self.loop.watch(self.acceptor.get_handle(), {.read = true, .write = false}, [&self] { self.accept(); });
-    return ip_address {address.host, bound.get_port_number()};
+    return addressOfSocket(handle);
 }
 
 void peer_network::setPeers(const std::vector<peer_address> &peers)
--- a/Source/Connection/peer_network.h
+++ b/Source/Connection/peer_network.h
@@ -39,7 +39,7 @@
     peer_network(const peer_network &) = delete;
     peer_network &operator=(const peer_network &) = delete;
 
-    /// Listens, and returns the address with the actual port. Errors: process_error{address_in_use}.
+    /// Listens, and returns the address with the actual port. Errors: those of openListeningSocket().
     leaf::result<ip_address> listen(const ip_address &address);
 
     /// Replaces the addresses of the known peers.
--- a/Source/Forward/client_server.h
+++ b/Source/Forward/client_server.h
@@ -16,7 +16,7 @@
     client_server(const client_server &) = delete;
     client_server &operator=(const client_server &) = delete;
 
-    /// Errors: process_error{address_in_use}.
+    /// Errors: those of openListeningSocket().
     leaf::result<void> listen(const ip_address &address);
 
     ip_address address() const;
--- a/Source/Request/control_runtime.cxx
+++ b/Source/Request/control_runtime.cxx
@@ -232,14 +232,22 @@
 
 control_runtime::~control_runtime() = default;
 
-leaf::result<control_runtime::addresses> control_runtime::listen()
+leaf::result<std::optional<control_runtime::addresses>> control_runtime::listen()
 {
     auto &self = *m_implementation;
-    BOOST_LEAF_ASSIGN(self.operators,
-        http_server::listen(
-            self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) { self.handleRequest(request, respond); }));
-    BOOST_LEAF_CHECK(self.listenControl());
-    return addresses {self.operators->address(), self.controlAddress};
+    const auto openOperators = [&self]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(
+            self.operators, http_server::listen(self.loop, self.settings.operators, [&self](const http_request &request, const http_responder &respond) {
+                self.handleRequest(request, respond);
+            }));
+        return {};
+    };
+    BOOST_LEAF_AUTO(operatorsOpen, openBeforeRunning("operators", self.settings.operators, openOperators));
+    if (!operatorsOpen) {
+        return std::optional<addresses>();
+    }
+    BOOST_LEAF_AUTO(controlOpen, openBeforeRunning("control", self.settings.control, [&self] { return self.listenControl(); }));
+    return controlOpen ? std::optional(addresses {self.operators->address(), self.controlAddress}) : std::nullopt;
 }
 
 void control_runtime::start(const ip_address &traffic, change_callbacks observers)
--- a/Source/Request/control_runtime.h
+++ b/Source/Request/control_runtime.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisystile {
 
@@ -22,8 +23,8 @@
         ip_address control;
     };
 
-    /// Errors: process_error{address_in_use}.
-    leaf::result<addresses> listen();
+    /// Waits for addresses that are taken; nothing if a termination signal came meanwhile. Errors: those of openBeforeRunning().
+    leaf::result<std::optional<addresses>> listen();
 
     /// Called on the control thread.
     struct change_callbacks
--- a/Source/Request/daemon_process.cxx
+++ b/Source/Request/daemon_process.cxx
@@ -86,7 +86,7 @@
 
 daemon_process::~daemon_process() = default;
 
-leaf::result<daemon_addresses> daemon_process::listen()
+leaf::result<std::optional<daemon_addresses>> daemon_process::listen()
 {
     auto &self = *m_implementation;
     if (!self.control.loop().opened() || !self.traffic.opened()) {
@@ -94,9 +94,15 @@
     }
     self.addOperatorsPaths();
     BOOST_LEAF_AUTO(control, self.control.listen());
+    if (!control) {
+        return std::optional<daemon_addresses>();
+    }
     BOOST_LEAF_AUTO(traffic, self.traffic.listen());
-    self.trafficAddress = traffic.traffic;
-    return daemon_addresses {traffic.callers, control.operators, traffic.traffic, control.control};
+    if (!traffic) {
+        return std::optional<daemon_addresses>();
+    }
+    self.trafficAddress = traffic->traffic;
+    return std::optional(daemon_addresses {traffic->callers, control->operators, traffic->traffic, control->control});
 }
 
 void daemon_process::run()
--- a/Source/Request/daemon_process.h
+++ b/Source/Request/daemon_process.h
@@ -3,6 +3,7 @@
 #include <Version/version.h>
 
 #include <memory>
+#include <optional>
 
 namespace daisystile {
 
@@ -24,8 +25,9 @@
     daemon_process(const daemon_process &) = delete;
     daemon_process &operator=(const daemon_process &) = delete;
 
-    /// Opens all listening addresses. Errors: process_error{address_in_use}.
-    leaf::result<daemon_addresses> listen();
+    /// Opens all listening addresses and waits for those that are taken; nothing if a termination signal came meanwhile. Errors: those of
+    /// openListeningSocket() that don't pass by themselves.
+    leaf::result<std::optional<daemon_addresses>> listen();
 
     /// Runs the control thread on the calling thread and returns after a termination signal or after a later incarnation
     /// of this daemon superseded it, when running work has finished.
--- a/Source/Request/traffic_runtime.cxx
+++ b/Source/Request/traffic_runtime.cxx
@@ -296,15 +296,27 @@
     return m_implementation->loop.opened();
 }
 
-leaf::result<traffic_runtime::addresses> traffic_runtime::listen()
+leaf::result<std::optional<traffic_runtime::addresses>> traffic_runtime::listen()
 {
     auto &self = *m_implementation;
-    BOOST_LEAF_AUTO(traffic, self.network.listen(self.settings.traffic));
+    ip_address traffic;
+    const auto openTraffic = [&]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(traffic, self.network.listen(self.settings.traffic));
+        return {};
+    };
+    BOOST_LEAF_AUTO(trafficOpen, openBeforeRunning("traffic", self.settings.traffic, openTraffic));
+    if (!trafficOpen) {
+        return std::optional<addresses>();
+    }
     const auto handler = [&self](http_request request, http_responder respond) {
         self.callers.handle(std::move(request), std::move(respond));
     };
-    BOOST_LEAF_ASSIGN(self.server, http_server::listen(self.loop, self.settings.callers, handler));
-    return addresses {self.server->address(), traffic};
+    const auto openCallers = [&]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(self.server, http_server::listen(self.loop, self.settings.callers, handler));
+        return {};
+    };
+    BOOST_LEAF_AUTO(callersOpen, openBeforeRunning("callers", self.settings.callers, openCallers));
+    return callersOpen ? std::optional(addresses {self.server->address(), traffic}) : std::nullopt;
 }
 
 void traffic_runtime::start(std::function<void(server_idle)> serverIdle)
--- a/Source/Request/traffic_runtime.h
+++ b/Source/Request/traffic_runtime.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisystile {
 
@@ -27,8 +28,8 @@
     /// False if the event loop could not get a file descriptor.
     bool opened() const;
 
-    /// Errors: process_error{address_in_use}.
-    leaf::result<addresses> listen();
+    /// Waits for addresses that are taken; nothing if a termination signal came meanwhile. Errors: those of openBeforeRunning().
+    leaf::result<std::optional<addresses>> listen();
 
     /// Starts the thread. It calls serverIdle when nothing runs any more on a server that this daemon has to release.
     void start(std::function<void(server_idle)> serverIdle);
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -87,7 +87,11 @@
 {
     daemon_process server(std::move(settings));
     return serveAndReportErrors([&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(addresses, server.listen());
+        BOOST_LEAF_AUTO(opened, server.listen());
+        if (!opened) {
+            return 0;
+        }
+        const auto &addresses = *opened;
         std::cout << "ready callers=" << toString(addresses.callers) << " operators=" << toString(addresses.operators)
                   << " traffic=" << toString(addresses.traffic) << " control=" << toString(addresses.control) << std::endl;
         server.run();
--- a/Tests/Promises/address_promises_test.cxx
+++ b/Tests/Promises/address_promises_test.cxx
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <sstream>
 
 using namespace daisystile;
 
@@ -152,6 +153,49 @@
 {
 };
 
+/// A daemon of the callers' API, started beside a taken address.
+class taken_callers_address : public testing::TestWithParam<const char *>
+{
+protected:
+    ~taken_callers_address() override
+    {
+        std::filesystem::remove_all(m_file);
+        std::filesystem::remove_all(m_log);
+    }
+
+    void start()
+    {
+        std::ofstream settings(m_file);
+        settings
+            << "id = \"other\"\nfailure_domain = \"sfax-medina\"\nregion = \"sfax\"\npeer_key = \"key of the daemons under test\"\noperator_token_digest = \""
+            << sha256Hex("token") << "\"\nplatform = \"" << toString(open_listener(0).listenAddress()) << "\"\n";
+        for (const std::string name : {"callers", "operators", "traffic", "control"}) {
+            settings << name << " = \"" << (name == GetParam() ? toString(m_taken) : "127.0.0.1:0") << "\"\n";
+        }
+        settings.close();
+        m_daemon = std::make_unique<child_process>("daisystiled", std::vector<std::string> {"--config", m_file}, m_log);
+    }
+
+    std::string log() const
+    {
+        std::ostringstream text;
+        text << std::ifstream(m_log).rdbuf();
+        return text.str();
+    }
+
+    bool waits()
+    {
+        test_client client;
+        const auto line = std::string("for=") + GetParam();
+        return client.waitUntil([&] { return log().find(line) != std::string::npos || !m_daemon->running(); }, seconds {15}) && m_daemon->running();
+    }
+
+    ip_address m_taken = open_listener(0).listenAddress();
+    std::string m_file = (std::filesystem::temp_directory_path() / ("callers-" + std::to_string(getpid()) + ".toml")).string();
+    std::string m_log = m_file + ".err";
+    std::unique_ptr<child_process> m_daemon;
+};
+
 } // namespace
 
 // A port that was taken by a connection of the same host ended the daemon at each start (clients, readiness), or was never tried
@@ -227,6 +271,30 @@
     EXPECT_NE(m_fleet.textOf(entryKey), "");
 }
 
+// A port that was taken by a connection of the same host ended the daemon at each start.
+TEST_P(taken_callers_address, isWaitedFor)
+{
+    port_holder holder(m_taken);
+    start();
+    ASSERT_TRUE(waits()) << log();
+    holder.release();
+    ASSERT_TRUE(m_daemon->waitReady()) << log();
+    EXPECT_EQ(m_daemon->address(GetParam()).port, m_taken.port);
+}
+
+TEST_P(taken_callers_address, isWaitedForUntilTheDaemonIsToldToEnd)
+{
+    const port_holder holder(m_taken);
+    start();
+    ASSERT_TRUE(waits()) << log();
+    m_daemon->signal(SIGTERM);
+    EXPECT_EQ(m_daemon->waitExit(seconds {2}), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(callers_api, taken_callers_address, testing::Values("callers", "operators", "traffic", "control"), [](const auto &one) {
+    return std::string(one.param);
+});
+
 TEST_F(address_promises, anAddressThatIsMalformedEndsTheStart)
 {
     m_addresses["clients"].host = "no-address";
