Process: Leave the ports of outgoing connections free for listeners

The daemons of one host could take ports away from each other: an outgoing connection drew a port that a daemon was to listen on.

Evidence, trials on arm64, Linux 6.18: bind() and listen() at the port of an established outgoing connection give EADDRINUSE unless both sockets set SO_REUSEADDR; with both they succeed, the listener accepts and the connection goes on. It may be set after connect(). Listeners set it, outgoing sockets didn't.

Change: the sockets of tcp_stream and those of libcurl set it, one system call a new connection.

Connections of other programs still hold a port; the daemon waits for these.

--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include "listening_socket.h"
 #include "log.h"
 
 #include <arpa/inet.h>
@@ -121,6 +122,12 @@
         return {text.data(), ntohs(peer.sin_port)};
     }
 
+    static int prepareSocket(void *, curl_socket_t handle, curlsocktype)
+    {
+        sharePort(handle);
+        return CURL_SOCKOPT_OK;
+    }
+
     // libcurl closes idle connections that it finds ended. A connection closed together with its last call is not
     // reported: the response announced its end.
     static int closeSocket(void *client, curl_socket_t handle)
@@ -352,6 +359,7 @@
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &storeHeader);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &allowSingleSend);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
         return easy;
--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -88,6 +88,7 @@
             });
             return;
         }
+        sharePort(stream.get_handle());
         setOptions(stream, unacknowledgedTimeout);
         start(false);
     }
