--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -80,39 +80,51 @@
     return text.str();
 }
 
-// Handles no exceptions: uncaught, they end the process with their reason and the stack at which they were thrown.
-template<class Server, class Announce> static process_end listenAndRun(Server &server, const Announce &announceReady)
+static process_end failedStart(const process_error &error)
 {
-    const auto failure = leaf::try_handle_all(
+    std::ostringstream reason;
+    reason << error;
+    DAISYSTILE_LOG(ERROR, "daemon") << "Daemon failed to start: " << reason.str() << ".";
+    return {error.failure == process_failure::out_of_descriptors ? exitOutOfDescriptors : exitAddressInUse, reason.str()};
+}
+
+// Handles no exceptions of the process while it runs: uncaught, they end it with their reason and the stack at which they were thrown.
+template<class Listen> static std::optional<process_end> failureToListen(const Listen &listen)
+{
+    return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<process_end>> {
-            BOOST_LEAF_AUTO(addresses, server.listen());
-            announceReady(addresses);
+            BOOST_LEAF_CHECK(listen());
             return std::optional<process_end>();
         },
-        [](const process_error &error) -> std::optional<process_end> {
-            std::ostringstream reason;
-            reason << error;
-            DAISYSTILE_LOG(ERROR, "daemon") << "Daemon failed to start: " << reason.str() << ".";
-            return process_end {error.failure == process_failure::out_of_descriptors ? exitOutOfDescriptors : exitAddressInUse, reason.str()};
-        },
+        [](const process_error &error) -> std::optional<process_end> { return failedStart(error); },
         []() -> std::optional<process_end> {
             DAISYSTILE_LOG(ERROR, "daemon") << "Daemon failed to start.";
             return process_end {exitAddressInUse, "an address can't be opened"};
         });
-    if (failure) {
-        return *failure;
-    }
-    server.run();
+}
+
+static process_end stopped()
+{
     return {0, "stopped"};
 }
 
 static process_end serve(daemon_settings settings, settings_findings &, const daemon_options &)
 {
     daemon_process server(std::move(settings));
-    return listenAndRun(server, [](const auto &addresses) {
-        std::cout << "ready callers=" << toString(addresses.callers) << " operators=" << toString(addresses.operators)
-                  << " traffic=" << toString(addresses.traffic) << " control=" << toString(addresses.control) << std::endl;
+    std::optional<daemon_addresses> addresses;
+    const auto failure = failureToListen([&]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(addresses, server.listen());
+        return {};
     });
+    if (failure) {
+        return *failure;
+    }
+    if (addresses) {
+        std::cout << "ready callers=" << toString(addresses->callers) << " operators=" << toString(addresses->operators)
+                  << " traffic=" << toString(addresses->traffic) << " control=" << toString(addresses->control) << std::endl;
+        server.run();
+    }
+    return stopped();
 }
 
 static std::optional<entry_settings> reloadSettings(const std::string &file, settings_findings &findings)
@@ -130,9 +142,13 @@
 static process_end serve(entry_settings settings, settings_findings &findings, const daemon_options &options)
 {
     entry_process server(std::move(settings), [&findings, file = options.config] { return reloadSettings(file, findings); });
-    return listenAndRun(server, [](const auto &addresses) {
+    if (const auto failure = failureToListen([&] { return server.listen(); })) {
+        return *failure;
+    }
+    const auto error = server.run([](const entry_process::addresses &addresses) {
         std::cout << "ready clients=" << toString(addresses.clients) << " readiness=" << toString(addresses.readiness) << std::endl;
     });
+    return error ? failedStart(*error) : stopped();
 }
 
 static process_end rejectSettings(const std::string &mistakes, const daemon_options &options)
