Process: Open /dev/null for standard descriptors that are closed at the start

A daemon that is started with descriptors 0, 1 or 2 closed gave their numbers to its sockets and to its event loop, so log lines went to a peer.

Evidence before, with all three closed: 0 an epoll descriptor, 1 and 2 sockets; with 1 or 2 closed, that one an epoll descriptor. The test against that program: 0 to 2 don't lead to /dev/null.

Each program now opens /dev/null for each closed one before anything else.

The tools call the same function; they were not run so.

--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -3,6 +3,7 @@
 /// Public header of the process library: event loop, networking, HTTP, JSON text, logging, metrics and basic types.
 
 #include "clock.h"
+#include "descriptors.h"
 #include "hash.h"
 #include "http_client.h"
 #include "http_message.h"
--- a/Source/Process/reactor.cxx
+++ b/Source/Process/reactor.cxx
@@ -1,5 +1,6 @@
 #include "reactor.h"
 
+#include "descriptors.h"
 #include "log.h"
 #include "poll_clock.h"
 
@@ -16,7 +17,6 @@
 #include <fcntl.h>
 #include <mutex>
 #include <sys/eventfd.h>
-#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 #include <unordered_map>
@@ -76,18 +76,6 @@
     ACE_Time_Value m_roundedWait;
 };
 
-static constexpr rlim_t maxHandles = 16384;
-
-// ACE allocates its tables of this size and fails if it exceeds the process's limit on file descriptors.
-static std::size_t handleTableSize()
-{
-    rlimit limit {};
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-        return maxHandles;
-    }
-    return static_cast<std::size_t>(std::min(limit.rlim_cur, maxHandles));
-}
-
 static ACE_Reactor_Mask maskOf(io_interest interest)
 {
     ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
@@ -155,14 +143,15 @@
 
 struct reactor::implementation : public ACE_Event_Handler
 {
+    // ACE allocates tables of this size and fails if it exceeds the process's limit on file descriptors.
     implementation()
         : timers(polls),
-          poll(handleTableSize(), true, nullptr, &timers),
+          poll(allowedDescriptors(), true, nullptr, &timers),
           loop(&poll, false),
           wakeHandle(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
         if (!opened()) {
-            DAISYSTILE_LOG(ERROR, "reactor") << "Event loop can't be initialized." << field("handles", handleTableSize());
+            DAISYSTILE_LOG(ERROR, "reactor") << "Event loop can't be initialized." << field("handles", allowedDescriptors());
             return;
         }
         reactor(&loop);
--- a/Source/daisystile-load.cxx
+++ b/Source/daisystile-load.cxx
@@ -1,4 +1,5 @@
 #include <Load/load.h>
+#include <Process/process.h>
 
 #include <tclap/CmdLine.h>
 
@@ -37,6 +38,7 @@
 
 int main(int argc, char **argv)
 {
+    openStandardDescriptors();
     TCLAP::CmdLine options("Sends requests to daemons at fixed rates, independent of the responses, and reports latency, coverage and outcomes.", ' ', "0.1.0");
     std::vector<std::string> formats {"text", "json"};
     TCLAP::ValuesConstraint<std::string> formatNames(formats);
--- a/Source/daisystile.cxx
+++ b/Source/daisystile.cxx
@@ -1,3 +1,4 @@
+#include <Process/process.h>
 #include <Tool/command.h>
 
 #include <iostream>
@@ -42,6 +43,7 @@
 
 int main(int argc, char **argv)
 {
+    openStandardDescriptors();
     const std::vector<std::string> words(argv + 1, argv + argc);
     if (words.empty() || words[0] == "help" || words[0] == "--help" || words[0] == "-h") {
         printHelp(words.empty() ? std::cerr : std::cout);
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -137,6 +137,7 @@
 
 int main(int argc, char **argv)
 {
+    openStandardDescriptors();
     blockTerminationSignals();
     const auto options = parseOptions(argc, argv);
     startLogging(argv[0], options.logLevel, options.frontDoor == plainFrontDoor ? log_destination::standard_output : log_destination::standard_error);
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -147,6 +147,16 @@
     return m_daemons.size();
 }
 
+int plain_fleet::daemonProcess(std::size_t index) const
+{
+    return m_daemons[index]->pid();
+}
+
+const std::string &plain_fleet::settingsFile(std::size_t index) const
+{
+    return m_settings[index];
+}
+
 void plain_fleet::drainOutput()
 {
     for (const auto &daemon : m_daemons) {
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -57,6 +57,8 @@
     ip_address clientsAddress(std::size_t index) const;
     ip_address readinessAddress(std::size_t index) const;
     std::size_t daemonCount() const;
+    int daemonProcess(std::size_t index) const;
+    const std::string &settingsFile(std::size_t index) const;
     /// Reads the output of the daemons, so that their pipes don't fill up; keeps it for logs().
     void drainOutput();
     const std::string &logs() const;
