Forward: Close the longest idle client connection for a new one

Idle connections took all descriptors of a daemon; new callers, readiness and the store had none. 600 idle ones, limit 300: readiness and requests all failed while they stood, readiness for 10.9 s more.

Above seven eighths of it each new connection closes the one that has been idle longest, after reading what is pending and with the orderly close, so that no request is cut. Closed ones count until their descriptor is free, and are freed early only at the limit. While all are in use none is accepted, and answers say that they close. The idle ones are a list in order, so nothing is searched. The limit is logged once until the number has fallen below three quarters; metrics tell both numbers.

The order and a full house have unit tests.

--- a/Source/Forward/client_server.cxx
+++ b/Source/Forward/client_server.cxx
@@ -13,6 +13,13 @@
 constexpr milliseconds idleGrace {1000};
 // A client that has just connected is about to send its first request.
 constexpr milliseconds firstRequestGrace {500};
+// Clients that have connected or were answered so recently may be about to send.
+constexpr milliseconds minIdleForRoom {100};
+// This part of the connections is kept free, so that idle ones can be closed in order before new ones need their descriptors.
+constexpr std::size_t freePartDivisor = 8;
+// The limit counts as left below this share, so that it is logged once while the number hovers.
+constexpr double limitLeftShare = 0.75;
+constexpr int idleChecksPerAccept = 4;
 constexpr int statusBadRequest = 400;
 constexpr int statusTimeout = 408;
 constexpr int statusBodyTooLarge = 413;
@@ -79,6 +86,8 @@
                           ended();
                       }})
     {
+        m_stream.keepUntilClosed(server.countDescriptor());
+        enterIdle();
     }
 
     bool busy() const
@@ -101,6 +110,52 @@
         m_server.retire(m_number);
     }
 
+    // Like closeIfIdle(), but a new connection isn't kept as long for its first request.
+    void closeForRoom()
+    {
+        m_stream.readPending();
+        if (m_closed || inUse()) {
+            return;
+        }
+        m_closed = true;
+        m_stream.closeWhenSent();
+        m_server.closeForRoom(m_number);
+    }
+
+    bool inUse() const
+    {
+        return m_answering || m_reader.started() || sending();
+    }
+
+    bool idleFor(milliseconds time) const
+    {
+        return m_server.m_loop.now() - m_since >= time;
+    }
+
+    void enterIdle()
+    {
+        if (!m_idlePlace) {
+            m_idlePlace = m_server.m_idle.insert(m_server.m_idle.end(), this);
+        }
+    }
+
+    void leaveIdle()
+    {
+        if (m_idlePlace) {
+            m_server.m_idle.erase(*std::exchange(m_idlePlace, std::nullopt));
+        }
+    }
+
+    void abort()
+    {
+        m_stream.abort();
+    }
+
+    bool isOpen() const
+    {
+        return m_stream.isOpen();
+    }
+
     void sweep(monotonic_time now, const client_limits &limits)
     {
         if (m_answering || sending()) {
@@ -129,6 +184,7 @@
     void received()
     {
         m_hasSent = true;
+        leaveIdle();
         if (m_answering) {
             if (m_stream.input().size() > maxPipelinedBytes) {
                 ended();
@@ -192,13 +248,15 @@
         m_answering = false;
         m_request = 0;
         m_since = m_server.m_loop.now();
-        const bool keep = m_keepAlive && !m_server.m_draining;
+        const bool keep = m_keepAlive && !m_server.m_draining && !m_server.allInUse();
         m_stream.write(std::visit(reply_encoder {keep ? daisystile::client_connection::keep : daisystile::client_connection::close, m_bodyless}, reply));
         if (!keep) {
             close();
             return;
         }
-        if (!m_stream.input().empty()) {
+        if (m_stream.input().empty()) {
+            enterIdle();
+        } else {
             m_server.m_loop.post([this, &server = m_server, number = m_number] {
                 if (server.m_connections.contains(number)) {
                     readNext();
@@ -244,16 +302,22 @@
     // The client has sent at least one byte.
     bool m_hasSent = false;
     bool m_closed = false;
+    std::optional<std::list<client_connection *>::iterator> m_idlePlace;
     // Declared last, so that it is destroyed before the members that its callbacks use.
     tcp_stream m_stream;
 };
 
-client_server::client_server(reactor &loop, forwarder &requests, metrics &registry)
+client_server::client_server(reactor &loop, forwarder &requests, metrics &registry, std::size_t maxConnections)
     : m_loop(loop),
       m_requests(requests),
       m_openConnections(registry.gauge("daisystile_client_connections", "Connections of clients that are open")),
-      m_malformed(registry.counter("daisystile_malformed_requests_total", "Requests that could not be read"))
+      m_malformed(registry.counter("daisystile_malformed_requests_total", "Requests that could not be read")),
+      m_closedForRoom(registry.counter("daisystile_client_connections_closed_for_room_total", "Idle connections closed for new ones")),
+      m_limitReached(registry.counter("daisystile_client_connection_limit_reached_total", "Times the limit of client connections was reached")),
+      m_maxConnections(maxConnections)
 {
+    registry.gauge("daisystile_descriptors_allowed", "Open descriptors that the process may have").set(static_cast<double>(allowedDescriptors()));
+    registry.gauge("daisystile_client_connections_allowed", "Connections of clients that may be open").set(static_cast<double>(maxConnections));
     sweep();
 }
 
@@ -262,6 +326,7 @@
 leaf::result<void> client_server::listen(const ip_address &address)
 {
     BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, address, [this](int handle) { accepted(handle); }));
+    m_listener->acceptIf([this] { return makeRoom(); });
     return {};
 }
 
@@ -275,12 +340,88 @@
     const auto number = m_next++;
     m_connections.emplace(number, std::make_unique<client_connection>(*this, number, handle));
     m_openConnections.set(static_cast<double>(m_connections.size()));
+    if (m_connections.size() > m_maxConnections - m_maxConnections / freePartDivisor) {
+        noteLimitReached();
+        closeLongestIdle();
+    }
+}
+
+std::shared_ptr<void> client_server::countDescriptor()
+{
+    *m_usedDescriptors += 1;
+    return {nullptr, [used = m_usedDescriptors](void *) {
+                *used -= 1;
+            }};
+}
+
+bool client_server::makeRoom()
+{
+    if (*m_usedDescriptors < m_maxConnections) {
+        return true;
+    }
+    noteLimitReached();
+    closeLongestIdle();
+    while (*m_usedDescriptors >= m_maxConnections && !m_closing.empty()) {
+        m_closing.front()->abort();
+        m_closing.pop_front();
+    }
+    return *m_usedDescriptors < m_maxConnections;
+}
+
+// A client that reads its answer slowly is in use, though its connection is in the list.
+void client_server::closeLongestIdle()
+{
+    for (int i = 0; i < idleChecksPerAccept && !m_idle.empty(); ++i) {
+        auto *longest = m_idle.front();
+        if (!longest->idleFor(minIdleForRoom)) {
+            return;
+        }
+        if (!longest->inUse()) {
+            longest->closeForRoom();
+            return;
+        }
+        m_idle.splice(m_idle.end(), m_idle, m_idle.begin());
+    }
+}
+
+void client_server::closeForRoom(connection_number number)
+{
+    const auto found = m_connections.find(number);
+    found->second->leaveIdle();
+    m_closing.push_back(std::move(found->second));
+    m_connections.erase(found);
+    m_closedForRoom.add();
+}
+
+bool client_server::allInUse() const
+{
+    return *m_usedDescriptors >= m_maxConnections && m_idle.empty();
+}
+
+void client_server::noteLimitReached()
+{
+    if (std::exchange(m_atLimit, true)) {
+        return;
+    }
+    m_limitReached.add();
+    DAISYSTILE_LOG(WARNING, "clients") << "Client connections have reached their limit." << field("open", m_connections.size())
+                                       << field("allowed", m_maxConnections) << field("idle", m_idle.size())
+                                       << field("descriptors_allowed", allowedDescriptors());
+}
+
+void client_server::noteLimitLeft()
+{
+    if (m_atLimit && static_cast<double>(m_connections.size()) < limitLeftShare * static_cast<double>(m_maxConnections)) {
+        m_atLimit = false;
+        DAISYSTILE_LOG(INFO, "clients") << "Client connections are below their limit again." << field("open", m_connections.size());
+    }
 }
 
 void client_server::retire(connection_number number)
 {
     const auto found = m_connections.find(number);
     if (found != m_connections.end()) {
+        found->second->leaveIdle();
         m_retired.push_back(std::move(found->second));
         m_connections.erase(found);
     }
@@ -289,6 +430,8 @@
 void client_server::sweep()
 {
     m_retired.clear();
+    std::erase_if(m_closing, [](const auto &connection) { return !connection->isOpen(); });
+    noteLimitLeft();
     const auto now = m_loop.now();
     const auto limits = m_requests.view()->routes ? m_requests.view()->routes->configuration().limits : client_limits {};
     std::vector<connection_number> numbers;
--- a/Source/Forward/client_server.h
+++ b/Source/Forward/client_server.h
@@ -2,16 +2,19 @@
 
 #include "forwarder.h"
 
+#include <deque>
+#include <list>
 #include <memory>
 #include <unordered_map>
 
 namespace daisystile {
 
-/// HTTP server for clients: reads requests one at a time, writes their answers and enforces the configured limits.
+/// HTTP server for clients: reads requests one at a time, writes their answers and enforces the configured limits. Near its
+/// largest number of connections it closes those that have been idle longest for new ones; while all are in use it accepts none.
 class client_server
 {
 public:
-    client_server(reactor &loop, forwarder &requests, metrics &registry);
+    client_server(reactor &loop, forwarder &requests, metrics &registry, std::size_t maxConnections = clientDescriptors(allowedDescriptors()));
     ~client_server();
     client_server(const client_server &) = delete;
     client_server &operator=(const client_server &) = delete;
@@ -32,6 +35,14 @@
     using connection_number = std::uint64_t;
 
     void accepted(int handle);
+    /// Whether one more connection may be accepted, after closing an idle one if need be.
+    bool makeRoom();
+    void closeLongestIdle();
+    void closeForRoom(connection_number number);
+    bool allInUse() const;
+    void noteLimitReached();
+    void noteLimitLeft();
+    std::shared_ptr<void> countDescriptor();
     void sweep();
     void retire(connection_number number);
 
@@ -39,8 +50,18 @@
     forwarder &m_requests;
     metric_gauge m_openConnections;
     metric_counter m_malformed;
+    metric_counter m_closedForRoom;
+    metric_counter m_limitReached;
+    std::size_t m_maxConnections;
+    // Descriptors of connections, also of those that are closed here but not yet by the peer.
+    std::shared_ptr<std::size_t> m_usedDescriptors = std::make_shared<std::size_t>(0);
+    bool m_atLimit = false;
     std::unique_ptr<tcp_listener> m_listener;
     std::unordered_map<connection_number, std::unique_ptr<client_connection>> m_connections;
+    // Without a request, the longest idle first.
+    std::list<client_connection *> m_idle;
+    // Closed for new ones, the oldest first; their descriptors are freed early if need be.
+    std::deque<std::unique_ptr<client_connection>> m_closing;
     // Destroyed on the next sweep, because they may be retired from within their own callbacks.
     std::vector<std::unique_ptr<client_connection>> m_retired;
     connection_number m_next = 1;
--- a/Tests/Forward/client_server_test.cxx
+++ b/Tests/Forward/client_server_test.cxx
@@ -45,6 +45,14 @@
         return count > 0 ? std::string(bytes.data(), static_cast<std::size_t>(count)) : std::string();
     }
 
+    // Whether the server has closed the connection.
+    bool closed()
+    {
+        const ACE_Time_Value noWait = ACE_Time_Value::zero;
+        char byte = 0;
+        return m_stream.recv(&byte, 1, &noWait) == 0;
+    }
+
 private:
     ACE_SOCK_Stream m_stream;
 };
@@ -55,7 +63,7 @@
 protected:
     client_server_test()
         : m_requests(m_loop, settings(), m_registry),
-          m_clients(m_loop, m_requests, m_registry)
+          m_clients(m_loop, m_requests, m_registry, maxConnections)
     {
     }
 
@@ -69,6 +77,8 @@
             [] { return false; }));
     }
 
+    static constexpr std::size_t maxConnections = 64;
+
     static entry_settings settings()
     {
         entry_settings settings;
@@ -131,3 +141,51 @@
     runFor(milliseconds {50});
     EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503"));
 }
+
+// Idle connections kept new callers out until the descriptors of the process were used up.
+TEST_F(client_server_test, closesTheLongestIdleConnectionForANewOne)
+{
+    std::vector<std::unique_ptr<blocking_client>> clients;
+    const auto connect = [&] {
+        clients.push_back(std::make_unique<blocking_client>(m_clients.address()));
+        clients.back()->send(request);
+        runFor(milliseconds {5});
+        EXPECT_TRUE(clients.back()->received().starts_with("HTTP/1.1 503"));
+    };
+    // An eighth is kept free.
+    for (std::size_t i = 0; i < maxConnections - maxConnections / 8; ++i) {
+        connect();
+    }
+    runFor(milliseconds {150});
+    clients[0]->send(request);
+    runFor(milliseconds {5});
+    EXPECT_TRUE(clients[0]->received().starts_with("HTTP/1.1 503")) << "no longer the longest idle";
+    connect();
+    runFor(milliseconds {20});
+    EXPECT_TRUE(clients[1]->closed());
+    EXPECT_FALSE(clients[0]->closed());
+    EXPECT_FALSE(clients[2]->closed());
+}
+
+TEST_F(client_server_test, acceptsNoConnectionWhileAllAreInUse)
+{
+    std::vector<std::unique_ptr<blocking_client>> clients;
+    for (std::size_t i = 0; i < maxConnections; ++i) {
+        clients.push_back(std::make_unique<blocking_client>(m_clients.address()));
+        clients.back()->send(request.substr(0, request.size() / 2));
+    }
+    blocking_client late(m_clients.address());
+    late.send(request);
+    runFor(milliseconds {200});
+    EXPECT_EQ(late.received(), "");
+    EXPECT_EQ(m_clients.busyConnections(), maxConnections);
+    clients[0]->send(request.substr(request.size() / 2));
+    runFor(milliseconds {20});
+    EXPECT_TRUE(clients[0]->received().starts_with("HTTP/1.1 503"));
+    clients[0].reset();
+    runFor(milliseconds {200});
+    EXPECT_TRUE(late.received().starts_with("HTTP/1.1 503"));
+    for (std::size_t i = 1; i < clients.size(); ++i) {
+        EXPECT_FALSE(clients[i]->closed()) << i;
+    }
+}
