Process: Accept the connections of http_server with its own listener

libmicrohttpd accepts without pause while there is no descriptor, and readiness could use up those of the clients: 600 idle connections to the readiness address, limit 300, gave 503 to callers and took 0.72 of a core.

http_server starts libmicrohttpd without a listening socket and hands it connections that a tcp_listener accepted; at its limit it accepts none. The address is no longer shared through SO_REUSEPORT, which libmicrohttpd set: one that is taken is an error, as at the other addresses.

--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -83,7 +83,10 @@
         }
         BOOST_LEAF_CHECK(clients.listen(settings.clients));
         BOOST_LEAF_ASSIGN(readiness,
-            http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) { answer(request, respond); }));
+            http_server::listen(control,
+                settings.readiness,
+                [this](const http_request &request, const http_responder &respond) { answer(request, respond); },
+                {.connections = static_cast<unsigned>(operatorDescriptors(allowedDescriptors()))}));
         return entry_process::addresses {clients.address(), readiness->address()};
     }
 
--- a/Source/Process/http_server.cxx
+++ b/Source/Process/http_server.cxx
@@ -1,10 +1,10 @@
 #include "http_server.h"
 
-#include "log.h"
+#include "tcp_stream.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
-#include <unistd.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 
@@ -55,6 +55,7 @@
     ~implementation()
     {
         *alive = false;
+        listener.reset();
         if (daemon == nullptr) {
             return;
         }
@@ -67,6 +68,21 @@
         MHD_stop_daemon(daemon);
     }
 
+    // libmicrohttpd closes a connection that it doesn't take.
+    void accepted(int handle)
+    {
+        sockaddr_in peer {};
+        socklen_t size = sizeof peer;
+        getpeername(handle, reinterpret_cast<sockaddr *>(&peer), &size);
+        MHD_add_connection(daemon, handle, reinterpret_cast<const sockaddr *>(&peer), size);
+        scheduleRun();
+    }
+
+    unsigned connections() const
+    {
+        return MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+    }
+
     static MHD_Result collectQuery(void *target, enum MHD_ValueKind, const char *key, const char *value)
     {
         static_cast<http_request *>(target)->query[key] = value == nullptr ? "" : value;
@@ -221,6 +237,7 @@
     http_server_limits limits;
     MHD_Daemon *daemon = nullptr;
     int epollHandle = -1;
+    std::unique_ptr<tcp_listener> listener;
     ip_address boundAddress;
     timer_id timer = 0;
     bool runScheduled = false;
@@ -239,20 +256,17 @@
     server->m_implementation = std::make_unique<implementation>(loop, std::move(handler), limits);
     auto &self = *server->m_implementation;
 
-    sockaddr_in socketAddress {};
-    socketAddress.sin_family = AF_INET;
-    socketAddress.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.host.c_str(), &socketAddress.sin_addr) != 1) {
+    in_addr parsed {};
+    if (inet_pton(AF_INET, address.host.c_str(), &parsed) != 1) {
         return leaf::new_error(process_error {process_failure::address_malformed, toString(address)});
     }
-    self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+    // libmicrohttpd would accept again and again without pause while there is no descriptor for a connection.
+    self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET,
         0,
         nullptr,
         nullptr,
         &implementation::onRequestData,
         &self,
-        MHD_OPTION_SOCK_ADDR,
-        &socketAddress,
         MHD_OPTION_NOTIFY_COMPLETED,
         &implementation::onRequestCompleted,
         &self,
@@ -260,15 +274,15 @@
         limits.connections,
         MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(limits.idle.count()),
-        MHD_OPTION_LISTENING_ADDRESS_REUSE,
-        1U,
         MHD_OPTION_END);
     if (self.daemon == nullptr) {
-        return leaf::new_error(process_error {process_failure::address_in_use, toString(address)});
+        return leaf::new_error(process_error {process_failure::out_of_descriptors, toString(address)});
     }
     self.epollHandle = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-    self.boundAddress = {address.host, MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_BIND_PORT)->port};
     loop.watch(self.epollHandle, {.read = true, .write = false}, [&self] { self.runNow(); });
+    BOOST_LEAF_ASSIGN(self.listener, tcp_listener::listen(loop, address, [&self](int handle) { self.accepted(handle); }));
+    self.listener->acceptIf([&self] { return self.connections() < self.limits.connections; });
+    self.boundAddress = {address.host, self.listener->address().port};
     return server;
 }
 
@@ -284,19 +298,13 @@
 
 unsigned http_server::openConnections() const
 {
-    return MHD_get_daemon_info(m_implementation->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+    return m_implementation->connections();
 }
 
 void http_server::stopListening()
 {
-    if (m_implementation->quiesced) {
-        return;
-    }
     m_implementation->quiesced = true;
-    const int listening = MHD_quiesce_daemon(m_implementation->daemon);
-    if (listening >= 0) {
-        close(listening);
-    }
+    m_implementation->listener.reset();
 }
 
 } // namespace daisystile
--- a/Tests/Promises/descriptor_promises_test.cxx
+++ b/Tests/Promises/descriptor_promises_test.cxx
@@ -123,6 +123,40 @@
 
 } // namespace
 
+// Idle connections took all descriptors; accepting in vain took a whole core, and neither readiness nor callers got an answer.
+TEST_F(descriptor_shortage, idleConnectionsBeyondTheLimitKeepNobodyOut)
+{
+    constexpr milliseconds span {2000};
+    constexpr double idleShare = 0.25;
+    const idle_connections idle(m_fleet.clientsAddress(0), 2 * static_cast<int>(descriptorLimit));
+    const auto since = monotonicNow();
+    const auto before = processorSeconds(m_fleet.daemonProcess(0));
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_TRUE(m_fleet.daemonReady(0)) << i;
+        EXPECT_EQ(callOnNewConnection(), 200) << i;
+    }
+    m_fleet.control().waitUntil([&] { return monotonicNow() - since >= span; });
+    const double passed = std::chrono::duration<double>(monotonicNow() - since).count();
+    EXPECT_LT((processorSeconds(m_fleet.daemonProcess(0)) - before) / passed, idleShare);
+    EXPECT_EQ(logLines("listener: "), 0U) << "the shortage doesn't come up";
+    EXPECT_EQ(logLines("Client connections have reached their limit."), 1U);
+}
+
+// Readiness had no limit of its own, and its server accepted in vain without pause.
+TEST_F(descriptor_shortage, idleConnectionsToReadinessKeepNoCallerOut)
+{
+    constexpr milliseconds span {1000};
+    constexpr double idleShare = 0.25;
+    const idle_connections idle(m_fleet.readinessAddress(0), 2 * static_cast<int>(descriptorLimit));
+    const auto since = monotonicNow();
+    const auto before = processorSeconds(m_fleet.daemonProcess(0));
+    EXPECT_EQ(callOnNewConnection(), 200);
+    m_fleet.control().waitUntil([&] { return monotonicNow() - since >= span; });
+    EXPECT_EQ(callOnNewConnection(), 200);
+    const double passed = std::chrono::duration<double>(monotonicNow() - since).count();
+    EXPECT_LT((processorSeconds(m_fleet.daemonProcess(0)) - before) / passed, idleShare);
+}
+
 // Sockets got the numbers of standard descriptors that were closed, and log lines went to a peer.
 TEST_F(descriptor_shortage, closedStandardDescriptorsAreNotUsedForSockets)
 {
