Process, Forward: Tell a shortage of one's own from a peer's refusal

A daemon without a descriptor or port for a connection took the server at its other end for gone: server_end_check reported its end, which blames the request and can quarantine it, and the failure counted against the server.

tcp_stream reports local_shortage. The attempt has not run, the server's statistics stay as they are, and the check says nothing about an end.

With the old value the new tests fail: "ended" is true for a server that listens. With the change they pass. Connections of libcurl (store, servers of the callers' API) are not told apart yet.

--- a/Source/Forward/backend_connection.cxx
+++ b/Source/Forward/backend_connection.cxx
@@ -125,6 +125,10 @@
         m_notify.closedWhileIdle(*this);
         return;
     }
+    if (how == stream_end::local_shortage) {
+        finish(exchange_broken {.mayHaveRun = false, .reason = "no descriptor or port for a connection", .localShortage = true});
+        return;
+    }
     if (!m_sent) {
         finish(exchange_broken {false, "connection refused"});
         return;
--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -28,6 +28,8 @@
     bool connectionLost = false;
     /// The server's process ended meanwhile.
     bool serverEnded = false;
+    /// This process could open no connection, which says nothing about the server.
+    bool localShortage = false;
 };
 
 using exchange_result = std::variant<exchange_answer, exchange_broken>;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -579,7 +579,7 @@
 attempt_end forwarder::evaluateAttempt(const running_attempt &attempt, attempt_id id, exchange_result &exchange)
 {
     if (const auto *broken = std::get_if<exchange_broken>(&exchange)) {
-        m_pool.failed(attempt.server, id, 1);
+        m_pool.failed(attempt.server, id, broken->localShortage ? 0 : 1);
         return broken->mayHaveRun ? attempt_end::failed : attempt_end::unreached;
     }
     const auto &answer = std::get<exchange_answer>(exchange).answer;
--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -90,10 +90,11 @@
         const ACE_Time_Value noWait = ACE_Time_Value::zero;
         const bool pending = connector.connect(stream, target, &noWait) != 0;
         if (pending && !wouldBlock(errno) && errno != ETIME) {
+            const auto reason = isShortage(errno) || errno == EADDRNOTAVAIL ? stream_end::local_shortage : stream_end::connect_failed;
             stream.close();
-            loop.post([weak = weak_from_this()] {
+            loop.post([weak = weak_from_this(), reason] {
                 if (const auto self = weak.lock()) {
-                    self->end(stream_end::connect_failed);
+                    self->end(reason);
                 }
             });
             return;
--- a/Source/Process/tcp_stream.h
+++ b/Source/Process/tcp_stream.h
@@ -12,6 +12,8 @@
 
 enum class stream_end {
     connect_failed,
+    /// This process has no descriptor, port or memory for a connection; nothing was sent to the peer.
+    local_shortage,
     /// The peer closed the connection in order; all of its data was received.
     closed,
     reset,
--- a/Tests/Forward/server_end_check_test.cxx
+++ b/Tests/Forward/server_end_check_test.cxx
@@ -1,4 +1,5 @@
 #include <Forward/forward.h>
+#include <no_more_descriptors.h>
 #include <open_listener.h>
 
 #include <cerrno>
@@ -50,3 +51,18 @@
         close(handle);
     }
 }
+
+// A daemon without descriptors took each server whose connection had broken for ended, and blamed the request.
+TEST(server_end_check, addressThatCannotBeTriedSaysNothing)
+{
+    const open_listener listener(4);
+    reactor loop;
+    std::optional<bool> result;
+    const no_more_descriptors shortage;
+    server_end_check check(loop, listener.listenAddress(), [&](bool ended) {
+        result = ended;
+        loop.stop();
+    });
+    loop.run();
+    EXPECT_EQ(result, false);
+}
--- a/Tests/Process/tcp_stream_test.cxx
+++ b/Tests/Process/tcp_stream_test.cxx
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <chrono>
+#include <optional>
 #include <thread>
 
 using namespace daisystile;
@@ -105,3 +106,23 @@
     ASSERT_EQ(handles.size(), 1U);
     close(handles[0]);
 }
+
+// A process without descriptors took the servers that it could not connect to for ended.
+TEST(tcp_stream, tellsAShortageOfItsOwnFromARefusal)
+{
+    const open_listener listener(1);
+    reactor loop;
+    std::optional<stream_end> end;
+    const no_more_descriptors shortage;
+    tcp_stream stream(loop,
+        listener.listenAddress(),
+        {.opened = {},
+            .received = [] {},
+            .ended =
+                [&](stream_end how) {
+                    end = how;
+                    loop.stop();
+                }});
+    loop.run();
+    EXPECT_EQ(end, stream_end::local_shortage);
+}
