--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -135,9 +135,11 @@
     {
         address_opener::callbacks notify;
         notify.open = [this]() -> leaf::result<void> {
-            BOOST_LEAF_ASSIGN(readiness, http_server::listen(control, settings.readiness, [this](const http_request &request, const http_responder &respond) {
-                answer(request, respond);
-            }));
+            BOOST_LEAF_ASSIGN(readiness,
+                http_server::listen(control,
+                    settings.readiness,
+                    [this](const http_request &request, const http_responder &respond) { answer(request, respond); },
+                    {.connections = static_cast<unsigned>(operatorDescriptors(allowedDescriptors()))}));
             return {};
         };
         notify.opened = [this] {
--- a/Source/Process/http_server.cxx
+++ b/Source/Process/http_server.cxx
@@ -1,11 +1,10 @@
 #include "http_server.h"
 
-#include "listening_socket.h"
-#include "log.h"
+#include "tcp_stream.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
-#include <unistd.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -57,6 +56,7 @@
     ~implementation()
     {
         *alive = false;
+        listener.reset();
         if (daemon == nullptr) {
             return;
         }
@@ -69,6 +69,21 @@
         MHD_stop_daemon(daemon);
     }
 
+    // libmicrohttpd closes a connection that it doesn't take.
+    void accepted(int handle)
+    {
+        sockaddr_in peer {};
+        socklen_t size = sizeof peer;
+        getpeername(handle, reinterpret_cast<sockaddr *>(&peer), &size);
+        MHD_add_connection(daemon, handle, reinterpret_cast<const sockaddr *>(&peer), size);
+        scheduleRun();
+    }
+
+    unsigned connections() const
+    {
+        return MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+    }
+
     static MHD_Result collectQuery(void *target, enum MHD_ValueKind, const char *key, const char *value)
     {
         static_cast<http_request *>(target)->query[key] = value == nullptr ? "" : value;
@@ -223,6 +238,7 @@
     http_server_limits limits;
     MHD_Daemon *daemon = nullptr;
     int epollHandle = -1;
+    std::unique_ptr<tcp_listener> listener;
     ip_address boundAddress;
     timer_id timer = 0;
     bool runScheduled = false;
@@ -241,15 +257,16 @@
     server->m_implementation = std::make_unique<implementation>(loop, std::move(handler), limits);
     auto &self = *server->m_implementation;
 
-    BOOST_LEAF_AUTO(listening, openListeningSocket(address, SOMAXCONN));
-    self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+    BOOST_LEAF_ASSIGN(self.listener, tcp_listener::listen(loop, address, [&self](int handle) { self.accepted(handle); }));
+    self.listener->acceptIf([&self] { return self.connections() < self.limits.connections; });
+    self.boundAddress = {address.host, self.listener->address().port};
+    // libmicrohttpd would accept again and again without pause while there is no descriptor for a connection.
+    self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET,
         0,
         nullptr,
         nullptr,
         &implementation::onRequestData,
         &self,
-        MHD_OPTION_LISTEN_SOCKET,
-        listening,
         MHD_OPTION_NOTIFY_COMPLETED,
         &implementation::onRequestCompleted,
         &self,
@@ -259,13 +276,9 @@
         static_cast<unsigned>(limits.idle.count()),
         MHD_OPTION_END);
     if (self.daemon == nullptr) {
-        const int error = errno;
-        close(listening);
-        return leaf::new_error(
-            process_error {error == EMFILE || error == ENFILE ? process_failure::out_of_descriptors : process_failure::library_failed, toString(address)});
+        return leaf::new_error(process_error {process_failure::out_of_descriptors, toString(address)});
     }
     self.epollHandle = MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-    self.boundAddress = addressOfSocket(listening);
     loop.watch(self.epollHandle, {.read = true, .write = false}, [&self] { self.runNow(); });
     return server;
 }
@@ -282,19 +295,13 @@
 
 unsigned http_server::openConnections() const
 {
-    return MHD_get_daemon_info(m_implementation->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+    return m_implementation->connections();
 }
 
 void http_server::stopListening()
 {
-    if (m_implementation->quiesced) {
-        return;
-    }
     m_implementation->quiesced = true;
-    const int listening = MHD_quiesce_daemon(m_implementation->daemon);
-    if (listening >= 0) {
-        close(listening);
-    }
+    m_implementation->listener.reset();
 }
 
 } // namespace daisystile
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -4,6 +4,7 @@
 
 #include "address_opener.h"
 #include "clock.h"
+#include "descriptors.h"
 #include "hash.h"
 #include "http_client.h"
 #include "http_message.h"
--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -206,6 +206,7 @@
 
 int main(int argc, char **argv)
 {
+    openStandardDescriptors();
     blockTerminationSignals();
     const auto options = parseOptions(argc, argv);
     // The output of a check is for a person.
