Connection: Leave the ports of links between daemons free for listeners

What callers saw: a daemon that could not listen, because a daemon of the same host had got that port for an outgoing connection; links between daemons last longest of all of these, and were the one kind that still kept its port.

Cause: peer_link opens its connection by itself, not through tcp_stream or libcurl, where SO_REUSEADDR is set since.

--- a/Source/Connection/peer_link.cxx
+++ b/Source/Connection/peer_link.cxx
@@ -56,6 +56,7 @@
             });
             return;
         }
+        sharePort(stream.get_handle());
         start(stream.get_handle());
     }
 
--- a/Tests/Connection/peer_network_test.cxx
+++ b/Tests/Connection/peer_network_test.cxx
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <open_listener.h>
 #include <sys/socket.h>
 
 using namespace daisystile;
@@ -138,3 +139,27 @@
     std::string_view payload;
     EXPECT_FALSE(reader.next(payload));
 }
+
+// A link between two daemons could keep a third one of the same host from listening.
+TEST(peer_link, leavesItsPortFreeForAListener)
+{
+    reactor loop;
+    const open_listener server(4);
+    const peer_link link(loop,
+        server.listenAddress(),
+        {{{"a"}, {1}}, "key"},
+        {[](const auto &) {},
+            [](std::string_view) {},
+            [](const auto &) {
+            }});
+    sockaddr_in peer {};
+    socklen_t size = sizeof peer;
+    const int accepted = accept(server.handle, reinterpret_cast<sockaddr *>(&peer), &size);
+    ASSERT_GE(accepted, 0);
+    const auto opened = openListeningSocket({"127.0.0.1", ntohs(peer.sin_port)}, 1);
+    EXPECT_TRUE(opened);
+    if (opened) {
+        close(*opened);
+    }
+    close(accepted);
+}
