--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -111,8 +111,9 @@
     address_opener::callbacks openClients()
     {
         address_opener::callbacks notify;
-        notify.open = [this] {
-            return clients.listen(settings.clients);
+        // A reload replaces the settings on the control thread.
+        notify.open = [this, address = settings.clients] {
+            return clients.listen(address);
         };
         notify.opened = [this] {
             reachable = true;
