Tests: Load cold servers for five seconds after readiness, too

The load now lasts five seconds from the store's return and five from readiness on, as it did before readiness waited for the list of daemons.

--- a/Tests/Promises/cold_promises_test.cxx
+++ b/Tests/Promises/cold_promises_test.cxx
@@ -94,8 +94,9 @@
     }
     m_fleet->setStoreDown(false);
     // Also while the daemons aren't ready: clients may come all the same.
-    run(seconds {9}, milliseconds {4}, {0, 1, 2, 3});
+    run(seconds {5}, milliseconds {4}, {0, 1, 2, 3});
     ASSERT_TRUE(m_fleet->waitUntilReady());
+    run(seconds {5}, milliseconds {4}, {0, 1, 2, 3});
     expectWithinBound(0);
     expectWithinBound(1);
     EXPECT_GT(m_served, 0U) << "the fleet is known some seconds after the store's return";
