Process: Close the longest idle connection of an HTTP server for a new one

What callers saw: with as many idle connections to the readiness address as it takes (20 of 300 descriptors, 258 of 4,100), no probe was answered until their idle time of 30 s had passed, so the host counted as not ready.

Cause: since its connections have a limit of their own, the server accepted nothing at that limit.

Change: the server keeps the order in which its connections became idle, each step in constant time, and ends the longest idle one when a new one comes at the limit; one with a request is never ended. Readiness, operators' and callers' API share this server.

--- a/Source/Process/http_server.cxx
+++ b/Source/Process/http_server.cxx
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include "idle_order.h"
 #include "tcp_stream.h"
 
 #include <arpa/inet.h>
@@ -70,6 +71,29 @@
     }
 
     // libmicrohttpd closes a connection that it doesn't take.
+    static void onConnectionChanged(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode change)
+    {
+        auto &idle = static_cast<implementation *>(self)->idleConnections;
+        if (change == MHD_CONNECTION_NOTIFY_STARTED) {
+            idle.add(handleOf(connection));
+        } else {
+            idle.remove(handleOf(connection));
+        }
+    }
+
+    // libmicrohttpd closes a connection of which it reads the end.
+    bool makeRoom()
+    {
+        if (connections() < limits.connections) {
+            return true;
+        }
+        if (const auto longest = idleConnections.takeLongest()) {
+            shutdown(*longest, SHUT_RDWR);
+            runNow();
+        }
+        return connections() < limits.connections;
+    }
+
     void accepted(int handle)
     {
         sockaddr_in peer {};
@@ -102,7 +126,12 @@
         return static_cast<implementation *>(self)->handleRequestData(connection, url, method, data, size, state);
     }
 
-    static void onRequestCompleted(void *self, MHD_Connection *, void **state, MHD_RequestTerminationCode)
+    static int handleOf(MHD_Connection *connection)
+    {
+        return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    }
+
+    static void onRequestCompleted(void *self, MHD_Connection *connection, void **state, MHD_RequestTerminationCode)
     {
         auto *entry = static_cast<shared_exchange *>(*state);
         if (entry == nullptr) {
@@ -110,6 +139,7 @@
         }
         (*entry)->ended = true;
         static_cast<implementation *>(self)->openExchanges -= 1;
+        static_cast<implementation *>(self)->idleConnections.add(handleOf(connection));
         delete entry;
         *state = nullptr;
     }
@@ -149,6 +179,7 @@
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &entry->request);
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &entry->request);
         openExchanges += 1;
+        idleConnections.remove(handleOf(connection));
         *state = new shared_exchange(std::move(entry));
     }
 
@@ -239,6 +270,7 @@
     MHD_Daemon *daemon = nullptr;
     int epollHandle = -1;
     std::unique_ptr<tcp_listener> listener;
+    idle_order idleConnections;
     ip_address boundAddress;
     timer_id timer = 0;
     bool runScheduled = false;
@@ -258,7 +290,7 @@
     auto &self = *server->m_implementation;
 
     BOOST_LEAF_ASSIGN(self.listener, tcp_listener::listen(loop, address, [&self](int handle) { self.accepted(handle); }));
-    self.listener->acceptIf([&self] { return self.connections() < self.limits.connections; });
+    self.listener->acceptIf([&self] { return self.makeRoom(); });
     self.boundAddress = {address.host, self.listener->address().port};
     // libmicrohttpd would accept again and again without pause while there is no descriptor for a connection.
     self.daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET,
@@ -270,6 +302,9 @@
         MHD_OPTION_NOTIFY_COMPLETED,
         &implementation::onRequestCompleted,
         &self,
+        MHD_OPTION_NOTIFY_CONNECTION,
+        &implementation::onConnectionChanged,
+        &self,
         MHD_OPTION_CONNECTION_LIMIT,
         limits.connections,
         MHD_OPTION_CONNECTION_TIMEOUT,
--- a/Tests/Promises/descriptor_promises_test.cxx
+++ b/Tests/Promises/descriptor_promises_test.cxx
@@ -91,6 +91,11 @@
         return statusOf(m_fleet.control().call(std::move(call)));
     }
 
+    int readinessOnNewConnection()
+    {
+        return statusOf(m_fleet.control().call({.address = m_fleet.readinessAddress(0), .path = "/v1/readyz", .timeout = seconds {1}, .newConnection = true}));
+    }
+
     std::size_t logLines(const std::string &part)
     {
         m_fleet.drainOutput();
@@ -142,7 +147,7 @@
     EXPECT_EQ(logLines("Client connections have reached their limit."), 1U);
 }
 
-// Readiness had no limit of its own, and its server accepted in vain without pause.
+// Readiness had no limit of its own, and its server accepted in vain without pause; then its limit kept new connections out.
 TEST_F(descriptor_shortage, idleConnectionsToReadinessKeepNoCallerOut)
 {
     constexpr milliseconds span {1000};
@@ -151,8 +156,10 @@
     const auto since = monotonicNow();
     const auto before = processorSeconds(m_fleet.daemonProcess(0));
     EXPECT_EQ(callOnNewConnection(), 200);
+    EXPECT_EQ(readinessOnNewConnection(), 200);
     m_fleet.control().waitUntil([&] { return monotonicNow() - since >= span; });
     EXPECT_EQ(callOnNewConnection(), 200);
+    EXPECT_EQ(readinessOnNewConnection(), 200);
     const double passed = std::chrono::duration<double>(monotonicNow() - since).count();
     EXPECT_LT((processorSeconds(m_fleet.daemonProcess(0)) - before) / passed, idleShare);
 }
