daisystiled: Read settings that can't be used again for two seconds

Cause: the file was read once, though what can't be used at that moment may be whole a moment later.

Before: settings_promises.startsOnceAFileThatIsBeingReplacedIsWhole got status 2 twice.

Both front doors read this way.

Not mended: a reload takes a half written file that parses, with defaults for what is missing, until the next reading.

--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -35,6 +35,9 @@
 constexpr const char *settingsVariable = "DAISYSTILE_NODE_FILE";
 constexpr const char *plainFrontDoor = "plain";
 
+constexpr milliseconds maxSettingsWait {2000};
+constexpr milliseconds settingsRetry {100};
+
 } // namespace
 
 // The platform sends SIGHUP when settings change, also to a process that has just started, so the signals wait from before the first
@@ -127,14 +130,20 @@
     return stopped();
 }
 
-static std::optional<entry_settings> reloadSettings(const std::string &file, settings_findings &findings)
+template<class Settings> using settings_parser = settings_reading<Settings> (*)(std::string_view text, std::string_view fileName);
+
+template<class Settings> static settings_reading<Settings> readSettings(const std::string &file, settings_parser<Settings> parse)
 {
     const auto text = readFile(file);
     if (!text) {
-        findings.report({{{file, 0, "", "a file that can be read", "none"}}});
-        return std::nullopt;
+        return {std::nullopt, {{{file, 0, "", "a file that can be read", "none"}}}};
     }
-    auto reading = readEntrySettings(*text, file);
+    return parse(*text, file);
+}
+
+static std::optional<entry_settings> reloadSettings(const std::string &file, settings_findings &findings)
+{
+    auto reading = readSettings(file, readEntrySettings);
     findings.report(reading.findings);
     return std::move(reading.settings);
 }
@@ -151,12 +160,9 @@
     return error ? failedStart(*error) : stopped();
 }
 
-static process_end rejectSettings(const std::string &mistakes, const daemon_options &options)
+static process_end rejectSettings(const std::string &mistakes)
 {
     std::cerr << mistakes;
-    if (options.checkOnly) {
-        return {exitSettingsInvalid, {}};
-    }
     std::istringstream lines(mistakes);
     for (std::string line; std::getline(lines, line);) {
         DAISYSTILE_LOG(ERROR, "daemon") << "Settings can't be used." << field("mistake", line);
@@ -174,13 +180,31 @@
     return {0, {}};
 }
 
-template<class Settings> static process_end checkAndServe(settings_reading<Settings> reading, const daemon_options &options)
+// The platform may be replacing the file: what is absent or half written may be whole a moment later. False after a termination signal.
+template<class Settings> static bool awaitSettings(settings_reading<Settings> &reading, const std::string &file, settings_parser<Settings> parse)
 {
+    DAISYSTILE_LOG(WARNING, "daemon") << "Settings can't be used yet; trying again." << field("file", file)
+                                      << field("wait_ms", static_cast<std::uint64_t>(maxSettingsWait.count()));
+    for (auto waited = milliseconds {0}; !reading.settings && waited < maxSettingsWait; waited += settingsRetry) {
+        if (terminationWithin(settingsRetry)) {
+            return false;
+        }
+        reading = readSettings(file, parse);
+    }
+    return true;
+}
+
+template<class Settings> static process_end checkOrServe(const daemon_options &options, settings_parser<Settings> parse)
+{
+    auto reading = readSettings(options.config, parse);
     if (options.checkOnly) {
         return check(reading, options.config);
     }
+    if (!reading.settings && !awaitSettings(reading, options.config, parse)) {
+        return stopped();
+    }
     if (!reading.settings) {
-        return rejectSettings(toString(reading.findings), options);
+        return rejectSettings(toString(reading.findings));
     }
     settings_findings findings;
     findings.report(reading.findings);
@@ -189,14 +213,10 @@
 
 static process_end run(const daemon_options &options)
 {
-    const auto text = readFile(options.config);
-    if (!text) {
-        return rejectSettings(options.config + ": settings file can't be read\n", options);
-    }
     if (options.frontDoor == plainFrontDoor) {
-        return checkAndServe(readEntrySettings(*text, options.config), options);
+        return checkOrServe(options, readEntrySettings);
     }
-    return checkAndServe(readDaemonSettings(*text, options.config), options);
+    return checkOrServe(options, readDaemonSettings);
 }
 
 static log_destination logDestination(const daemon_options &options)
--- a/Tests/Promises/settings_promises_test.cxx
+++ b/Tests/Promises/settings_promises_test.cxx
@@ -156,6 +156,24 @@
     EXPECT_NE(errors().find("well-formed TOML"), std::string::npos) << errors();
 }
 
+// A start while the platform replaced the file ended with status 2.
+TEST_F(settings_promises, startsOnceAFileThatIsBeingReplacedIsWhole)
+{
+    const auto settings = fillTemplate(platformTemplate(), m_fields);
+    for (const auto &half : {std::string(), settings.substr(0, 200)}) {
+        m_log.clear();
+        start(half);
+        EXPECT_TRUE(waitForLog("Settings can't be used yet; trying again.")) << m_log;
+        writeSettings(settings);
+        EXPECT_TRUE(becomesReady()) << "status " << m_daemon->waitExit(maxExitWait).value_or(-1) << "\n" << errors();
+    }
+    m_log.clear();
+    start("id = ");
+    EXPECT_TRUE(waitForLog("Settings can't be used yet; trying again.")) << m_log;
+    m_daemon->signal(SIGTERM);
+    EXPECT_EQ(m_daemon->waitExit(maxExitWait), 0) << "it needn't wait to the end";
+}
+
 // Each reading of the file, one in 10 s, repeated the warning, and so did a changed address.
 TEST_F(settings_promises, reloadsAsItStartsAndSaysOnceWhatItTakesWithinBounds)
 {
