daisystiled: Say again that the settings file can't be read

Cause: reads the file in one place and worded the finding anew; the test looks for the words that operators had. The test is as it was.

--- a/Source/daisystiled.cxx
+++ b/Source/daisystiled.cxx
@@ -136,7 +136,7 @@
 {
     const auto text = readFile(file);
     if (!text) {
-        return {std::nullopt, {{{file, 0, "", "a file that can be read", "none"}}}};
+        return {std::nullopt, {{{file, 0, "", "settings", "nothing: settings file can't be read"}}}};
     }
     return parse(*text, file);
 }
