Tests: Read the clock after the time that it is compared with

Cause: two tests of backend_pool compare availableFrom(), which reads the clock, with m_loop.now() in one expression. The order in which a compiler evaluates the two is its own choice; here it reads the second first, and the first is then some nanoseconds later. Change: take the first value before the second is read. The comparison and its bound are as before.

--- a/Tests/Forward/backend_pool_test.cxx
+++ b/Tests/Forward/backend_pool_test.cxx
@@ -138,7 +138,8 @@
     sendToFirst();
     EXPECT_FALSE(firstTakesRequests());
     EXPECT_GE(m_pool->availableFrom(m_service, {{m_second.id()}}), before + milliseconds {300});
-    EXPECT_LE(m_pool->availableFrom(m_service, {}), m_loop.now()) << "the other server has not asked for a pause";
+    const auto other = m_pool->availableFrom(m_service, {});
+    EXPECT_LE(other, m_loop.now()) << "the other server has not asked for a pause";
     EXPECT_EQ(m_pool->counts().paused, 1U);
     runUntil([this] { return firstTakesRequests(); });
     EXPECT_TRUE(firstTakesRequests());
@@ -178,7 +179,8 @@
     const auto now = m_loop.now();
     EXPECT_GT(m_pool->availableFrom(m_service, {{m_second.id()}}), now);
     EXPECT_LT(m_pool->availableFrom(m_service, {{m_second.id()}}), now + milliseconds {500});
-    EXPECT_LE(m_pool->availableFrom(m_service, {}), m_loop.now()) << "the other server limits nothing";
+    const auto other = m_pool->availableFrom(m_service, {});
+    EXPECT_LE(other, m_loop.now()) << "the other server limits nothing";
     runUntil([this] { return firstTakesRequests(); });
     m_first.setExtraHeaders("");
     sendToFirst();
