Route, platform: Read client accounts, versions of servers and new bounds

Cause: roll-outs, client accounts and limits on clients' memory are built side by side; each needs fields of the configuration, of server entries and of the settings that nothing reads yet. Change: client_account with digests of keys, urgency and quota; anonymous routes; software_version of a server; the bounds of exposure, revocation and quota, memory_mb. A request has an urgency and may have an account of its own. Nothing acts on them yet.

--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr number_range ratioRange {0, 10};
+constexpr number_range shareRange {0, 1};
+constexpr number_range memoryRangeMb {1, 1e6};
 constexpr number_range strengthRange {minStrength, maxStrength};
 constexpr number_range slackRange {0, 1e6};
 constexpr number_range graceRangeMs {100, 600000};
@@ -19,6 +21,23 @@
     reader.duration("retry_window_s", "retry_window_ms", bounds.retryWindow, windowRangeMs);
     reader.number("cold_factor", bounds.coldFactor, ratioRange);
     reader.number("cold_slack", bounds.coldSlack, slackRange);
+    reader.number("exposure_share", bounds.exposureShare, shareRange);
+    reader.number("exposure_slack", bounds.exposureSlack, slackRange);
+    reader.integer("rollback_ms", bounds.rollbackTime, windowRangeMs);
+    reader.boolean("strict_revocation", bounds.strictRevocation);
+    reader.integer("revocation_ms", bounds.revocationTime, windowRangeMs);
+    reader.duration("quota_window_s", "quota_window_ms", bounds.quotaWindow, windowRangeMs);
+    reader.number("quota_overage", bounds.quotaOverage, ratioRange);
+    reader.number("quota_slack", bounds.quotaSlack, slackRange);
+    reader.integer("configuration_ms", bounds.configurationTime, windowRangeMs);
+}
+
+void readMemory(table_reader &reader, std::uint64_t &bytes)
+{
+    std::uint32_t megabytes = 0;
+    reader.integer("memory_mb", megabytes, memoryRangeMb);
+    constexpr std::uint64_t bytesPerMegabyte = 1U << 20U;
+    bytes = megabytes * bytesPerMegabyte;
 }
 
 void readSettings(table_reader &reader, entry_settings &settings)
@@ -31,6 +50,7 @@
     reader.address("peers", settings.peers, presence::expected);
     reader.address("queries", settings.queries, presence::optional);
     reader.number("strength", settings.strength, strengthRange);
+    readMemory(reader, settings.memoryBytes);
     reader.boolean("bootstrap", settings.bootstrap);
     reader.address("store", settings.store);
     reader.duration("grace_s", "grace_ms", settings.grace, graceRangeMs);
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -2,6 +2,7 @@
 
 #include <Version/version.h>
 
+#include <cstdint>
 #include <string_view>
 
 namespace daisystile {
@@ -18,6 +19,21 @@
     /// Requests that a cold backend server may get in a second: its configured rate times the factor, plus the slack.
     double coldFactor = 1.5;
     double coldSlack = 5;
+    /// Requests that the servers of a new version may get until it is found good: this share of the requests for their service
+    /// since the order, plus the slack.
+    double exposureShare = 0.1;
+    double exposureSlack = 50;
+    /// Time from the answer that shows a new version to be bad until it gets no more requests.
+    milliseconds rollbackTime {5000};
+    /// Whether a key must stop working within the revocation time also at daemons that hear of nothing.
+    bool strictRevocation = false;
+    milliseconds revocationTime {5000};
+    /// Requests of a client account that may run in each window: its quota times 1 plus the overage, plus the slack.
+    milliseconds quotaWindow {5000};
+    double quotaOverage = 0.1;
+    double quotaSlack = 20;
+    /// Time from the confirmation of a configuration until it is in force everywhere.
+    milliseconds configurationTime {5000};
 
     bool operator==(const fleet_bounds &) const = default;
 };
@@ -38,6 +54,8 @@
     ip_address queries;
     /// Processor share of this daemon, in cores.
     double strength = 1;
+    /// Memory that the process may use; 0 if it isn't known.
+    std::uint64_t memoryBytes = 0;
     ip_address store;
     /// Whether the whole deployment is starting for the first time.
     bool bootstrap = false;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -203,6 +203,7 @@
     request->received = m_loop.readySince();
     request->deadline = request->received + head.timeLeft.value_or(defaultTimeLeft);
     request->objective = matchedRoute->objective;
+    request->urgency = matchedRoute->urgency;
     request->reply = std::move(reply);
     return request;
 }
@@ -328,7 +329,7 @@
     }
     // The daemon that delegates parts has use for any of them.
     terms.minServices = isPartOfQuery(*request) ? 1 : request->state.terms.minParts;
-    terms.urgency = request->matchedRoute->urgency;
+    terms.urgency = request->urgency;
     terms.draw = std::uniform_real_distribution<>()(m_random);
     const auto now = m_loop.now();
     terms.maxWait = timeLeft(now, request->state.terms.latestStart);
@@ -459,7 +460,7 @@
         auto &part = request.parts[action.part];
         part.waitingSince = part.waitingSince.value_or(m_loop.now());
         request.waited = true;
-        m_unplaced.push_back({part.service, request.matchedRoute->urgency, {request.number, action.part, *part.waitingSince}});
+        m_unplaced.push_back({part.service, request.urgency, {request.number, action.part, *part.waitingSince}});
         scheduleWake();
     }
     return no_server_available {action.part, action.purpose};
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -65,6 +65,10 @@
     request_digest digest;
     std::shared_ptr<const routing_snapshot> view;
     const route *matchedRoute = nullptr;
+    /// The client account whose key the request bears, if there is one.
+    std::optional<account_name> account;
+    /// The account's, or else the route's.
+    urgency_rank urgency;
     monotonic_time received;
     monotonic_time deadline;
     /// Time within which an answer is of full use, counted from its arrival here.
--- a/Source/Process/secret.cxx
+++ b/Source/Process/secret.cxx
@@ -4,21 +4,24 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
-#include <array>
-
 namespace daisystile {
 
 static constexpr std::size_t sha256Bytes = 32;
 
-std::string sha256Hex(std::string_view text)
+sha256_digest sha256(std::string_view text)
 {
-    std::array<unsigned char, sha256Bytes> digest {};
+    sha256_digest digest;
     unsigned size = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    EVP_Digest(text.data(), text.size(), digest.bytes.data(), &size, EVP_sha256(), nullptr);
+    return digest;
+}
+
+std::string sha256Hex(std::string_view text)
+{
     static constexpr std::string_view digits = "0123456789abcdef";
     std::string hex;
     hex.reserve(2 * sha256Bytes);
-    for (const unsigned char byte : digest) {
+    for (const unsigned char byte : sha256(text).bytes) {
         hex += digits[byte >> 4U];
         hex += digits[byte & 15U];
     }
--- a/Source/Process/secret.h
+++ b/Source/Process/secret.h
@@ -1,10 +1,22 @@
 #pragma once
 
+#include <array>
+#include <compare>
 #include <string>
 #include <string_view>
 
 namespace daisystile {
 
+/// SHA-256, as raw bytes.
+struct sha256_digest
+{
+    std::array<unsigned char, 32> bytes {};
+
+    auto operator<=>(const sha256_digest &) const = default;
+};
+
+sha256_digest sha256(std::string_view text);
+
 /// SHA-256 in lower-case hexadecimal; contracts and settings store tokens only in this form.
 std::string sha256Hex(std::string_view text);
 /// HMAC-SHA-256, 32 raw bytes.
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -2,6 +2,7 @@
 
 /// Public header of the route library: routes, backend servers, and side-effect-free decisions on where and when a request is sent.
 
+#include "client_account.h"
 #include "crash_suspects.h"
 #include "delegate_health.h"
 #include "evacuation_gate.h"
@@ -18,4 +19,5 @@
 #include "server_availability.h"
 #include "server_entry.h"
 #include "server_limit.h"
+#include "urgency_rank.h"
 #include "work_queue.h"
--- a/Source/Route/routing.h
+++ b/Source/Route/routing.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "client_account.h"
+
 #include <Process/process.h>
 
 #include <cstdint>
@@ -15,8 +17,6 @@
 using route_name = strong_value<struct route_name_tag, std::string>;
 /// Version of the routing configuration as a whole; increases with each change.
 using routing_version = strong_value<struct routing_version_tag, std::uint64_t>;
-/// Rank of a route's requests; 0 is the most urgent.
-using urgency_rank = strong_value<struct urgency_rank_tag, std::uint32_t>;
 
 enum class retry_policy {
     /// May run more than once.
@@ -67,6 +67,8 @@
     /// Maximum number of backend servers that one request may run on, for each shard.
     unsigned maxAttempts = 1;
     route_target target;
+    /// Whether its requests need no key where there are client accounts.
+    bool anonymous = false;
 };
 
 /// Configuration of one service's backend servers.
@@ -96,6 +98,8 @@
     std::vector<route> routes;
     std::map<service_name, service_configuration> services;
     client_limits limits;
+    /// Empty if clients need no keys.
+    std::vector<client_account> accounts;
 };
 
 /// Immutable lookup table for the routes of one configuration.
--- a/Source/Route/server_entry.h
+++ b/Source/Route/server_entry.h
@@ -10,6 +10,9 @@
 
 namespace daisystile {
 
+/// Version of the software of a backend server.
+using software_version = strong_value<struct software_version_tag, std::string>;
+
 /// A backend server's registration.
 struct server_entry
 {
@@ -24,6 +27,8 @@
     milliseconds coldLeft {0};
     /// Start time of this server process, in ms of Unix time; a later process with the same id is another server.
     std::uint64_t born = 0;
+    /// Empty if it states none.
+    software_version software;
 
     bool operator==(const server_entry &) const = default;
 };
--- a/Tests/Forward/settings_forms_test.cxx
+++ b/Tests/Forward/settings_forms_test.cxx
@@ -57,7 +57,10 @@
     EXPECT_EQ(settings.strength, 0.25);
     EXPECT_TRUE(settings.bootstrap);
     EXPECT_EQ(settings.grace, milliseconds {6000});
-    EXPECT_EQ(settings.bounds, (fleet_bounds {.retryRatio = 0.2, .retrySlack = 56, .retryWindow = milliseconds {10000}, .coldFactor = 1.5, .coldSlack = 5}));
+    EXPECT_EQ(settings.memoryBytes, 260U << 20U);
+    fleet_bounds bounds {.retryRatio = 0.2, .retrySlack = 56, .retryWindow = milliseconds {10000}, .coldFactor = 1.5, .coldSlack = 5};
+    bounds.configurationTime = milliseconds {3000};
+    EXPECT_EQ(settings.bounds, bounds);
 }
 
 // A daemon ended at each start for one of these.
--- a/Tests/Platform/translation_test.cxx
+++ b/Tests/Platform/translation_test.cxx
@@ -35,6 +35,22 @@
     }
 }
 
+TEST(readRoutingConfiguration, parsesClientAccounts)
+{
+    const auto read =
+        readRoutingConfiguration(R"({"version":7,"routes":[{"hostname":"h","path_prefix":"/a/","service":"s","allow_anonymous":true}],"services":[],
+        "tenants":[{"name":"a1","api_keys":["k1","k2"],"priority":2,"rate_per_s":48,"burst":12},{"name":"a2","rate_per_s":0,"burst":3}]})");
+    const auto &configuration = std::get<routing_configuration>(read);
+    EXPECT_TRUE(configuration.routes[0].anonymous);
+    const auto &accounts = configuration.accounts;
+    EXPECT_EQ(accounts.at(0).name.value, "a1");
+    EXPECT_EQ(accounts.at(0).keys, (std::vector<sha256_digest> {sha256("k1"), sha256("k2")}));
+    EXPECT_EQ(accounts.at(0).urgency, urgency_rank {2});
+    EXPECT_EQ(accounts.at(0).quota, (account_quota {48, 12}));
+    EXPECT_EQ(accounts.at(1).urgency, std::nullopt);
+    EXPECT_EQ(accounts.at(1).quota, std::nullopt);
+}
+
 TEST(readServerEntry, parsesAnEntryAndRejectsMalformedOnes)
 {
     const std::string good =
