Platform, Forward: Order what is known of the store by era and revision

Cause: a store that comes back from a copy gives out revisions again. An evacuation that was written with such a revision wasn't followed (120 requests in 3 s, 5.5 s later), and servers that had reported draining got requests (40, 5 s later). Change: store_revision is (era, number); versions of objects, listings, watches and relayed updates are ordered by it. Answers of an earlier era count as failed, writes on condition of an earlier version conflict. A new era reads all anew, keeps what is missing for the grace time, keeps draining servers draining and the configuration in force, and writes the daemon's entry and the peer key again.

--- a/Source/Forward/fleet_registry.cxx
+++ b/Source/Forward/fleet_registry.cxx
@@ -56,6 +56,7 @@
 {
     std::map<std::string, seen_entry> entries;
     std::map<std::string, std::string> invalid;
+    m_peerKeyListed = false;
     for (const auto &object : list.objects) {
         if (object.key == peerKeyEntry) {
             readPeerKey(object);
@@ -74,17 +75,30 @@
             }
         }
     }
+    keepLostEntries(list, entries, now);
     logNewInvalid(invalid);
     m_invalid = std::move(invalid);
     m_entries = std::move(entries);
 }
 
+void fleet_registry::keepLostEntries(const object_list &list, std::map<std::string, seen_entry> &entries, monotonic_time now)
+{
+    if (list.revision.era > m_era && !m_entries.empty()) {
+        m_restoredSince = now;
+    }
+    m_era = std::max(m_era, list.revision.era);
+    if (m_restoredSince && now - *m_restoredSince < m_limits.restoreGrace) {
+        entries.insert(m_entries.begin(), m_entries.end());
+    }
+}
+
 // A key that was read stays if its entry is overwritten.
 void fleet_registry::readPeerKey(const platform_object &object)
 {
     auto key = textOf(parseForeignJson(object.value), "key");
     if (!key.empty()) {
         m_peerKey = std::move(key);
+        m_peerKeyListed = true;
     }
 }
 
@@ -145,6 +159,11 @@
     return m_peerKey;
 }
 
+bool fleet_registry::peerKeyListed() const
+{
+    return m_peerKeyListed;
+}
+
 std::string fleet_registry::peerKeyText(const std::string &key)
 {
     return nlohmann::json {{"key", key}}.dump();
--- a/Source/Forward/fleet_registry.h
+++ b/Source/Forward/fleet_registry.h
@@ -3,6 +3,7 @@
 #include <platform/platform.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
     unsigned missedUntilAbsent = 3;
     /// Number of missed refreshes after which any daemon may remove the entry.
     unsigned missedUntilRemoved = 12;
+    /// How long daemons are kept that a store lacks which has come back from a copy; they write their entries again.
+    milliseconds restoreGrace {10000};
 };
 
 /// Tracks the daemons of the fleet by entries that each one refreshes. Absence is detected here, because the store expires nothing.
@@ -42,15 +45,14 @@
 
     /// The shared key that authenticates daemons to one another, stored in an entry of its own; empty until it is known.
     const std::string &peerKey() const;
+    /// Whether the last listing had the key.
+    bool peerKeyListed() const;
     static std::string peerKeyText(const std::string &key);
 
     static constexpr const char *keyPrefix = "daisystile-daemons/";
     static constexpr const char *peerKeyEntry = "daisystile-daemons/0-peer-key";
 
 private:
-    void readPeerKey(const platform_object &object);
-    void logNewInvalid(const std::map<std::string, std::string> &invalid) const;
-
     struct seen_entry
     {
         platform_object object;
@@ -58,12 +60,19 @@
         monotonic_time changed;
     };
 
+    void readPeerKey(const platform_object &object);
+    void keepLostEntries(const object_list &list, std::map<std::string, seen_entry> &entries, monotonic_time now);
+    void logNewInvalid(const std::map<std::string, std::string> &invalid) const;
+
     fleet_registry_limits m_limits;
     fleet_daemon m_self;
     std::map<std::string, seen_entry> m_entries;
     // Versions of the entries that can't be read, by key.
     std::map<std::string, std::string> m_invalid;
     std::string m_peerKey;
+    bool m_peerKeyListed = false;
+    std::uint64_t m_era = 0;
+    std::optional<monotonic_time> m_restoredSince;
 };
 
 } // namespace daisystile
--- a/Source/Forward/fleet_runner.cxx
+++ b/Source/Forward/fleet_runner.cxx
@@ -15,6 +15,9 @@
 // after its return.
 constexpr milliseconds initialRetryDelay {250};
 constexpr milliseconds maxRetryDelay {2000};
+// All daemons write their entries again when the store has come back from a copy.
+constexpr milliseconds minRewriteSpan {1000};
+constexpr milliseconds rewriteSpanPerDaemon {5};
 
 // Not an error if another daemon has removed the entry or its owner has rewritten it.
 void logUnlessGone(const std::string &key, const remove_result &result)
@@ -124,6 +127,14 @@
     m_relayed = false;
 }
 
+void fleet_runner::writeAgain()
+{
+    const auto span = std::max<milliseconds>(minRewriteSpan, rewriteSpanPerDaemon * m_daemons.size());
+    std::uniform_int_distribution<milliseconds::rep> delay(0, span.count());
+    m_loop.cancelTimer(std::exchange(m_refresh, 0));
+    scheduleRefresh(milliseconds {delay(m_random)});
+}
+
 void fleet_runner::refreshEntry()
 {
     if (m_leaving) {
@@ -227,14 +238,16 @@
     }
 }
 
-// The first daemon writes the key. If it doesn't appear in the next listings, the others try too, one more per listing.
+// The first daemon writes the key, the known one if a store that came back from a copy lacks it. If it doesn't appear in the next listings, the others try too,
+// one more per listing.
 void fleet_runner::writePeerKey()
 {
     const auto own = std::find_if(m_daemons.begin(), m_daemons.end(), [this](const auto &daemon) { return daemon.id == m_self.id; }) - m_daemons.begin();
-    if (!m_registry.peerKey().empty() || own >= static_cast<std::ptrdiff_t>(m_listings)) {
+    if (m_registry.peerKeyListed() || own >= static_cast<std::ptrdiff_t>(m_listings)) {
         return;
     }
-    m_store.put(fleet_registry::peerKeyEntry, fleet_registry::peerKeyText(sha256Hex(randomBytes(32))), if_absent {}, [](const write_result &result) {
+    const auto key = m_registry.peerKey().empty() ? sha256Hex(randomBytes(32)) : m_registry.peerKey();
+    m_store.put(fleet_registry::peerKeyEntry, fleet_registry::peerKeyText(key), if_absent {}, [](const write_result &result) {
         if (std::holds_alternative<object_written>(result)) {
             DAISYSTILE_LOG(INFO, "fleet") << "Wrote the peer key.";
         } else if (!std::holds_alternative<write_conflict>(result)) {
--- a/Source/Forward/fleet_runner.h
+++ b/Source/Forward/fleet_runner.h
@@ -36,6 +36,8 @@
     /// Replaces the list by another daemon's; there are no own listings until useOwnListings().
     void takeRelayed(std::vector<fleet_daemon> daemons);
     void useOwnListings();
+    /// The store has come back from a copy, which may lack what this daemon wrote.
+    void writeAgain();
 
 private:
     void offer(ip_address fleet_daemon::*address, const ip_address &offered);
--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -3,7 +3,6 @@
 #include "retry_delay.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <string_view>
 
@@ -11,11 +10,9 @@
 
 namespace {
 
-std::uint64_t revisionOf(const platform_object &object)
+store_revision revisionOf(const platform_object &object)
 {
-    std::uint64_t revision = 0;
-    std::from_chars(object.etag.data(), object.etag.data() + object.etag.size(), revision);
-    return revision;
+    return parseRevision(object.etag);
 }
 
 } // namespace
@@ -38,7 +35,7 @@
         return onChecked(checked->result);
     }
     if (const auto *update = std::get_if<mirror_relayed>(&event)) {
-        return onRelayed(*update);
+        return onRelayed(*update, now);
     }
     m_mustRead = m_mustRead || std::holds_alternative<reload_requested>(event);
     if (m_mustRead) {
@@ -50,10 +47,11 @@
 mirror_action object_mirror::onListed(const list_result &result, monotonic_time now)
 {
     const auto *list = std::get_if<object_list>(&result);
-    if (list == nullptr) {
+    if (list == nullptr || list->revision.era < m_revision.era) {
         return failed();
     }
     reached(now);
+    advance(list->revision, now);
     const auto missing = missingFrom(list->objects);
     for (const auto &key : missing) {
         remove(key, now);
@@ -61,7 +59,6 @@
     for (const auto &object : list->objects) {
         put(object);
     }
-    m_revision = list->revision;
     m_mustRead = false;
     m_changes += m_known ? 0 : 1;
     m_known = true;
@@ -75,10 +72,14 @@
         return read_all_objects {};
     }
     const auto *batch = std::get_if<watch_batch>(&result);
-    if (batch == nullptr) {
+    if (batch == nullptr || batch->revision.era < m_revision.era) {
         return failed();
     }
     reached(now);
+    if (batch->revision.era > m_revision.era) {
+        m_mustRead = true;
+        return read_all_objects {};
+    }
     for (const auto &event : batch->events) {
         if (event.deleted) {
             remove(event.object.key, now);
@@ -86,7 +87,6 @@
             put(event.object);
         }
     }
-    // A restored store may answer with an older revision; the watch continues from that one.
     m_revision = batch->revision;
     if (!batch->events.empty() && m_limits.batchDelay.count() > 0) {
         return start_timer {m_limits.batchDelay};
@@ -101,6 +101,9 @@
     if (list == nullptr) {
         return failed();
     }
+    if (list->revision.era < m_revision.era) {
+        return no_action {};
+    }
     if (!m_known || m_mustRead || !outdatedBy(*list)) {
         return no_action {};
     }
@@ -110,20 +113,27 @@
 
 // An object known at a later revision is kept, and one that is unknown although its revision is covered was removed: a
 // source that is cut off from the store may still relay removed objects.
-mirror_action object_mirror::onRelayed(const mirror_relayed &update)
+mirror_action object_mirror::onRelayed(const mirror_relayed &update, monotonic_time now)
 {
+    // Only a whole update says what is left of an earlier era.
+    const auto era = update.revision.era;
+    if (m_known && (era < m_revision.era || (era > m_revision.era && !update.whole))) {
+        return no_action {};
+    }
+    const bool restored = m_known && era > m_revision.era;
     const auto isNew = [&](const platform_object &object) {
         const auto known = m_objects.find(object.key);
-        const auto seen = known == m_objects.end() ? (m_known ? m_revision : 0) : revisionOf(known->second);
-        return revisionOf(object) > seen;
+        const auto seen = known == m_objects.end() ? (m_known ? m_revision : store_revision {}) : revisionOf(known->second);
+        return restored ? revisionOf(object).era == era || known == m_objects.end() : revisionOf(object) > seen;
     };
+    if (restored) {
+        advance(update.revision, now);
+    }
     const auto gone = update.whole ? missingFrom(update.objects) : update.removed;
     for (const auto &key : gone) {
         const auto known = m_objects.find(key);
         if (known != m_objects.end() && revisionOf(known->second) <= update.revision) {
-            m_lapsed.erase(key);
-            m_objects.erase(known);
-            m_changes += 1;
+            remove(key, now);
         }
     }
     for (const auto &object : update.objects) {
@@ -139,6 +149,9 @@
 
 bool object_mirror::outdatedBy(const object_list &list) const
 {
+    if (list.revision.era > m_revision.era) {
+        return true;
+    }
     const bool newer = std::any_of(list.objects.begin(), list.objects.end(), [&](const auto &object) {
         const auto known = m_objects.find(object.key);
         return revisionOf(object) > (known == m_objects.end() ? m_revision : revisionOf(known->second));
@@ -180,6 +193,25 @@
     m_failures = 0;
 }
 
+void object_mirror::advance(const store_revision &revision, monotonic_time now)
+{
+    if (m_known && revision.era > m_revision.era) {
+        m_restoredSince = now;
+    }
+    m_revision = revision;
+}
+
+std::optional<monotonic_time> object_mirror::removalGrace(monotonic_time now) const
+{
+    if (m_restoredSince && now < *m_restoredSince + m_limits.restoreGrace) {
+        return *m_restoredSince + m_limits.restoreGrace;
+    }
+    if (m_reachableSince && now < *m_reachableSince + m_limits.lapseGrace) {
+        return *m_reachableSince + m_limits.lapseGrace;
+    }
+    return std::nullopt;
+}
+
 void object_mirror::put(const platform_object &object)
 {
     m_lapsed.erase(object.key);
@@ -196,9 +228,8 @@
     if (!m_objects.contains(key)) {
         return;
     }
-    const bool lapsed = m_reachableSince && now < *m_reachableSince + m_limits.lapseGrace;
-    if (lapsed) {
-        m_lapsed.emplace(key, *m_reachableSince + m_limits.lapseGrace);
+    if (const auto until = removalGrace(now)) {
+        m_lapsed.emplace(key, *until);
         return;
     }
     m_lapsed.erase(key);
@@ -247,7 +278,7 @@
     m_limits.batchDelay = newDelay;
 }
 
-std::uint64_t object_mirror::revision() const
+const store_revision &object_mirror::revision() const
 {
     return m_revision;
 }
--- a/Source/Forward/object_mirror.h
+++ b/Source/Forward/object_mirror.h
@@ -34,7 +34,7 @@
     /// Whether the update has all objects, rather than those that changed.
     bool whole = false;
     /// Store revision of the update.
-    std::uint64_t revision = 0;
+    store_revision revision;
     std::vector<platform_object> objects;
     std::vector<std::string> removed;
 };
@@ -49,7 +49,7 @@
 };
 struct watch_objects
 {
-    std::uint64_t after;
+    store_revision after;
 };
 /// Deliver mirror_timer after the delay.
 struct start_timer
@@ -70,6 +70,8 @@
     milliseconds maxRetryDelay {1000};
     /// Removals seen within this time after a store outage take effect only at its end; 0 applies them at once.
     milliseconds lapseGrace {0};
+    /// The same for removals seen after the store has come back from a copy: what it has lost is about to be written again.
+    milliseconds restoreGrace {0};
 };
 
 /// Keeps a copy of the store's objects under a prefix and tolerates a store that is unreachable, slow or has compacted its history.
@@ -92,19 +94,23 @@
     std::optional<monotonic_time> dropLapsed(monotonic_time now);
     bool storeUnreachable() const;
     /// Store revision of the objects.
-    std::uint64_t revision() const;
+    const store_revision &revision() const;
     void setBatchDelay(milliseconds newDelay);
 
 private:
     mirror_action onListed(const list_result &result, monotonic_time now);
     mirror_action onWatched(const watch_result &result, monotonic_time now);
     mirror_action onChecked(const list_result &result);
-    mirror_action onRelayed(const mirror_relayed &update);
+    mirror_action onRelayed(const mirror_relayed &update, monotonic_time now);
     bool outdatedBy(const object_list &list) const;
     /// Keys of known objects that are not in the list.
     std::vector<std::string> missingFrom(const std::vector<platform_object> &objects) const;
     mirror_action failed();
     void reached(monotonic_time now);
+    /// The store is known as of this revision.
+    void advance(const store_revision &revision, monotonic_time now);
+    /// Until when a removal that is seen now is put off.
+    std::optional<monotonic_time> removalGrace(monotonic_time now) const;
     void put(const platform_object &object);
     void remove(const std::string &key, monotonic_time now);
 
@@ -112,12 +118,13 @@
     std::mt19937_64 m_random;
     std::map<std::string, platform_object> m_objects;
     std::map<std::string, monotonic_time> m_lapsed;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     std::uint64_t m_changes = 0;
     unsigned m_failures = 0;
     bool m_known = false;
     bool m_mustRead = true;
     std::optional<monotonic_time> m_reachableSince;
+    std::optional<monotonic_time> m_restoredSince;
 };
 
 } // namespace daisystile
--- a/Source/Forward/relay_choice.cxx
+++ b/Source/Forward/relay_choice.cxx
@@ -45,7 +45,7 @@
     return reach.sourceReachesStore || !reach.followsStore || !reach.reachesStore;
 }
 
-bool revision_request::due(std::uint64_t announced, std::uint64_t known)
+bool revision_request::due(const store_revision &announced, const store_revision &known)
 {
     if (announced <= known || announced <= m_requested) {
         return false;
@@ -56,7 +56,7 @@
 
 void revision_request::cancelled()
 {
-    m_requested = 0;
+    m_requested = {};
 }
 
 } // namespace daisystile
--- a/Source/Forward/relay_choice.h
+++ b/Source/Forward/relay_choice.h
@@ -47,12 +47,12 @@
 {
 public:
     /// True once for each announced revision that is newer than the known one.
-    bool due(std::uint64_t announced, std::uint64_t known);
+    bool due(const store_revision &announced, const store_revision &known);
     /// A pending read was cancelled.
     void cancelled();
 
 private:
-    std::uint64_t m_requested = 0;
+    store_revision m_requested;
 };
 
 } // namespace daisystile
--- a/Source/Forward/relay_messages.cxx
+++ b/Source/Forward/relay_messages.cxx
@@ -59,7 +59,7 @@
     return allOf(mirror.objects(), mirror.revision());
 }
 
-relayed_objects allOf(const std::map<std::string, platform_object> &objects, std::uint64_t revision)
+relayed_objects allOf(const std::map<std::string, platform_object> &objects, const store_revision &revision)
 {
     relayed_objects all;
     all.whole = true;
@@ -75,9 +75,13 @@
     return changes(mirror.objects(), mirror.revision());
 }
 
-relayed_objects sent_objects::changes(const std::map<std::string, platform_object> &objects, std::uint64_t revision)
+relayed_objects sent_objects::changes(const std::map<std::string, platform_object> &objects, const store_revision &revision)
 {
     relayed_objects changed;
+    changed.whole = std::exchange(m_era, revision.era) != revision.era;
+    if (changed.whole) {
+        m_sent.clear();
+    }
     for (auto entry = m_sent.begin(); entry != m_sent.end();) {
         const bool gone = !objects.contains(entry->first);
         if (gone) {
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -27,7 +27,7 @@
 struct relayed_objects
 {
     bool whole = false;
-    std::uint64_t revision = 0;
+    store_revision revision;
     std::vector<relayed_object> objects;
     std::vector<std::string> removed;
 
@@ -57,9 +57,11 @@
 {
     /// Whether the sender can reach the store.
     bool storeReached = true;
+    /// Era of the store that the sender knows.
+    std::uint64_t era = 0;
     /// Revision of the configuration that the sender has relayed last. A follower that holds an older one reads it from the
     /// store.
-    std::uint64_t configurationRevision = 0;
+    store_revision configurationRevision;
     relayed_objects configuration;
     relayed_objects servers;
     relayed_objects evacuations;
@@ -69,7 +71,7 @@
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(storeReached, configurationRevision, configuration, servers, evacuations, suspects, fleet);
+        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, fleet);
     }
 };
 
@@ -84,19 +86,20 @@
 
 /// All objects of a mirror, or all of these objects as of a store revision, for a new follower.
 relayed_objects allOf(const object_mirror &mirror);
-relayed_objects allOf(const std::map<std::string, platform_object> &objects, std::uint64_t revision);
+relayed_objects allOf(const std::map<std::string, platform_object> &objects, const store_revision &revision);
 
 /// Revisions of the objects of one kind as last sent, to find what has changed since.
 class sent_objects
 {
 public:
-    /// Changes since the previous call.
+    /// Changes since the previous call; all objects if the store has begun another era since.
     relayed_objects changes(const object_mirror &mirror);
-    relayed_objects changes(const std::map<std::string, platform_object> &objects, std::uint64_t revision);
+    relayed_objects changes(const std::map<std::string, platform_object> &objects, const store_revision &revision);
 
 private:
     // Revision of each object, by key.
     std::map<std::string, std::string> m_sent;
+    std::uint64_t m_era = 0;
 };
 
 } // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -27,6 +27,8 @@
 constexpr milliseconds configurationRelayInterval {500};
 constexpr milliseconds failedSourceDelay {5000};
 constexpr milliseconds storeProbeInterval {2000};
+// A source that still relays an earlier era of the store after this time isn't in touch with it.
+constexpr milliseconds maxEarlierEra {1500};
 // A daemon that has the rest waits no longer for the list of daemons: those that can't read it serve with a small share of the limits.
 constexpr milliseconds maxFleetWait {4000};
 // Each change of the servers causes a call from every daemon, so a larger fleet batches changes over a longer time.
@@ -74,9 +76,14 @@
               store,
               serverKeyPrefix,
               {settings.staleCheck, read_freshness::stale_allowed},
-              {.batchDelay = minServersBatchDelay, .lapseGrace = settings.lapseGrace},
+              {.batchDelay = minServersBatchDelay, .lapseGrace = settings.lapseGrace, .restoreGrace = settings.lapseGrace},
               [this] { serversChanged(); }),
-          evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); }),
+          evacuations(loop,
+              store,
+              evacuationKeyPrefix,
+              {settings.reachCheck, read_freshness::stale_allowed},
+              {.restoreGrace = settings.lapseGrace},
+              [this] { evacuationsChanged(); }),
           suspects(loop, store, settings, [this] { suspectsChanged(); })
     {
         view.fleet = fleet.daemons();
@@ -90,6 +97,7 @@
             each->onReachabilityChanged([this] { updateFollowers(); });
         }
         servers.onRevisionChanged([this] { serversRevisionChanged(); });
+        store.onNewEra([this] { eraBegan(); });
         fleet.start();
         loop.after(settings.bootstrap ? maxBootstrapSourceSearch : maxSourceSearch, [this] {
             if (!servers.mirror().known()) {
@@ -171,8 +179,32 @@
         loop.after(failedSourceDelay, [this] { chooseSource(); });
     }
 
+    // Revisions are given out again in an era, so what is known of the one before is read anew. What this daemon wrote may be lost.
+    void eraBegan()
+    {
+        eraKnownSince = loop.now();
+        reloadAll();
+        fleet.writeAgain();
+    }
+
+    // Other calls of this daemon may have told it of an era before its source learned of it.
+    bool ofCurrentEra(const relay_update &update)
+    {
+        store.learnEra(update.era);
+        if (update.era == store.era()) {
+            return true;
+        }
+        if (loop.now() - eraKnownSince > maxEarlierEra) {
+            sourceFailed();
+        }
+        return false;
+    }
+
     void applyUpdate(relay_update update)
     {
+        if (!ofCurrentEra(update)) {
+            return;
+        }
         if (!isUsable({servers.following(), !servers.mirror().storeUnreachable(), update.storeReached})) {
             sourceFailed();
             return;
@@ -193,7 +225,7 @@
 
     // A process that has just started reads the configuration from the store, because its source may have been paused and
     // may relay an old one. While the store can't be reached, it takes what the source has.
-    void takeConfiguration(relayed_objects relayed, std::uint64_t announcedRevision)
+    void takeConfiguration(relayed_objects relayed, const store_revision &announcedRevision)
     {
         if (!relayed.objects.empty()) {
             heldConfiguration = toMirror(std::move(relayed));
@@ -241,17 +273,29 @@
     }
 
     // 0 until a configuration is known.
-    std::uint64_t configurationRevision() const
+    store_revision configurationRevision() const
     {
         const auto &objects = configuration.mirror().objects();
         const auto found = objects.find(configurationKey);
-        return found == objects.end() ? 0 : std::strtoull(found->second.etag.c_str(), nullptr, 10);
+        return found == objects.end() ? store_revision {} : parseRevision(found->second.etag);
+    }
+
+    // A store that has come back from a copy may hold an older version for a moment; followers get the one in force.
+    std::map<std::string, platform_object> configurationToRelay() const
+    {
+        auto objects = configuration.mirror().objects();
+        const auto found = objects.find(configurationKey);
+        if (found != objects.end() && !configurationInForce.empty()) {
+            found->second.value = configurationInForce;
+        }
+        return objects;
     }
 
     relay_update updateHead() const
     {
         relay_update update;
         update.storeReached = !servers.mirror().storeUnreachable() && !configuration.mirror().storeUnreachable() && !evacuations.mirror().storeUnreachable();
+        update.era = store.era();
         update.configurationRevision = relayedConfigurationRevision;
         return update;
     }
@@ -288,7 +332,7 @@
             return std::nullopt;
         }
         auto update = updateHead();
-        update.configuration = allOf(configuration.mirror());
+        update.configuration = allOf(configurationToRelay(), configuration.mirror().revision());
         update.servers = allOf(servers.mirror());
         update.evacuations = allOf(evacuationsInForce, evacuations.mirror().revision());
         update.suspects = allOf(suspects.objects().mirror());
@@ -303,7 +347,7 @@
         }
         relayed_objects changedConfiguration;
         if (loop.now() - configurationRelayedAt >= configurationRelayInterval) {
-            changedConfiguration = sentConfiguration.changes(configuration.mirror());
+            changedConfiguration = sentConfiguration.changes(configurationToRelay(), configuration.mirror().revision());
         }
         if (!changedConfiguration.objects.empty()) {
             configurationRelayedAt = loop.now();
@@ -356,6 +400,7 @@
         DAISYSTILE_LOG(INFO, "store") << "Configuration in force." << field("version", next.version.value) << field("routes", next.routes.size())
                                       << field("revision", found->second.etag);
         view.routes = std::make_shared<route_table>(std::move(next));
+        configurationInForce = found->second.value;
         publishView();
     }
 
@@ -364,6 +409,8 @@
         std::string etag;
         std::optional<server_entry> entry;
         monotonic_time readAt;
+        // It was draining before the store came back from a copy in which it isn't.
+        bool drainKept = false;
     };
 
     void serversChanged()
@@ -386,7 +433,7 @@
     {
         for (const auto &[key, before] : serversSeen) {
             if (!now.contains(key)) {
-                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key)) << field("revision", servers.mirror().revision())
+                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key)) << field("revision", toString(servers.mirror().revision()))
                                                 << field("learned_from", learnedFrom());
             }
         }
@@ -419,10 +466,34 @@
             return {object.etag, std::nullopt, loop.now()};
         }
         auto &entry = std::get<server_entry>(read);
+        const bool drainKept = !entry.draining && drainedBefore(key, object, entry);
+        entry.draining = entry.draining || drainKept;
         DAISYSTILE_LOG(INFO, "servers") << "Backend server changed." << field("server", entry.id.value) << field("service", entry.service.value)
                                         << field("state", entry.draining ? "draining" : "ready") << field("revision", object.etag)
                                         << field("learned_from", learnedFrom());
-        return {object.etag, std::move(entry), loop.now()};
+        const auto readAt = coldSince(key, entry);
+        return {object.etag, std::move(entry), readAt, drainKept};
+    }
+
+    // An entry that is read again from a copy states the warm-up time of when it was written.
+    monotonic_time coldSince(const std::string &key, const server_entry &entry) const
+    {
+        const auto before = serversSeen.find(key);
+        const bool same =
+            before != serversSeen.end() && before->second.entry && before->second.entry->born == entry.born && before->second.entry->coldLeft == entry.coldLeft;
+        return same ? before->second.readAt : loop.now();
+    }
+
+    // The store may have lost that a server is draining. Its process still ends, and it says so again.
+    bool drainedBefore(const std::string &key, const platform_object &object, const server_entry &entry) const
+    {
+        const auto before = serversSeen.find(key);
+        if (before == serversSeen.end() || !before->second.entry) {
+            return false;
+        }
+        const bool restored = parseRevision(object.etag).era > parseRevision(before->second.etag).era;
+        const auto &known = *before->second.entry;
+        return (restored || before->second.drainKept) && known.draining && known.born == entry.born && known.address == entry.address;
     }
 
     void evacuationsChanged()
@@ -432,7 +503,9 @@
             domains.insert({nameOf(key)});
         }
         // A source relays nothing of the evacuations that is ahead of the servers.
-        const auto serversRevision = servers.following() ? servers.mirror().revision() : std::numeric_limits<std::uint64_t>::max();
+        const auto serversRevision = servers.following()
+            ? servers.mirror().revision()
+            : store_revision {std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max()};
         gate.evacuationsRead(domains, evacuations.mirror().revision(), serversRevision);
         applyEvacuations();
         readServersForGate();
@@ -474,7 +547,7 @@
         evacuationsInForce = std::move(inForce);
         view.evacuated = gate.evacuated();
         DAISYSTILE_LOG(INFO, "store") << "Evacuated failure domains changed." << field("count", view.evacuated.size())
-                                      << field("revision", evacuations.mirror().revision()) << field("servers_revision", servers.mirror().revision())
+                                      << field("revision", toString(evacuations.mirror().revision())) << field("servers_revision", toString(servers.mirror().revision()))
                                       << field("waiting_for_servers", gate.waiting() ? "true" : "false");
         publishView();
     }
@@ -570,7 +643,10 @@
     // A relayed configuration that may not be taken yet.
     std::optional<mirror_relayed> heldConfiguration;
     monotonic_time configurationRelayedAt;
-    std::uint64_t relayedConfigurationRevision = 0;
+    store_revision relayedConfigurationRevision;
+    // Text of the version in force.
+    std::string configurationInForce;
+    monotonic_time eraKnownSince;
     monotonic_time lastHeartbeat;
     bool verifying = false;
     bool fleetAwaited = false;
--- a/Source/Forward/suspect_board.cxx
+++ b/Source/Forward/suspect_board.cxx
@@ -116,7 +116,7 @@
       m_self(settings.id),
       m_key(keyPrefix + settings.id.value),
       m_changed(std::move(changed)),
-      m_objects(loop, store, keyPrefix, {listingInterval, read_freshness::stale_allowed}, {}, [this] { objectsChanged(); }),
+      m_objects(loop, store, keyPrefix, {listingInterval, read_freshness::stale_allowed}, {.restoreGrace = settings.lapseGrace}, [this] { objectsChanged(); }),
       m_shared(std::make_shared<std::vector<shared_suspects>>())
 {
     m_loop.after(abandonedCheck, [this] { removeAbandoned(); });
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -21,5 +21,6 @@
 #include "reactor.h"
 #include "recent_latencies.h"
 #include "secret.h"
+#include "store_revision.h"
 #include "tcp_stream.h"
 #include "termination_signals.h"
--- a/Source/Route/evacuation_gate.cxx
+++ b/Source/Route/evacuation_gate.cxx
@@ -4,7 +4,7 @@
 
 namespace daisystile {
 
-void evacuation_gate::evacuationsRead(const std::set<failure_domain_name> &domains, std::uint64_t revision, std::uint64_t serversRevision)
+void evacuation_gate::evacuationsRead(const std::set<failure_domain_name> &domains, const store_revision &revision, const store_revision &serversRevision)
 {
     for (const auto &domain : m_evacuated) {
         if (!domains.contains(domain)) {
@@ -19,7 +19,7 @@
     serversRead(serversRevision);
 }
 
-void evacuation_gate::serversRead(std::uint64_t revision)
+void evacuation_gate::serversRead(const store_revision &revision)
 {
     std::erase_if(m_ending, [&](const auto &each) { return each.second <= revision || m_evacuated.contains(each.first); });
 }
--- a/Source/Route/evacuation_gate.h
+++ b/Source/Route/evacuation_gate.h
@@ -2,7 +2,6 @@
 
 #include "server_entry.h"
 
-#include <cstdint>
 #include <map>
 #include <set>
 
@@ -15,9 +14,9 @@
 {
 public:
     /// The domains evacuated as of a store revision, and the revision as of which the servers are known.
-    void evacuationsRead(const std::set<failure_domain_name> &domains, std::uint64_t revision, std::uint64_t serversRevision);
+    void evacuationsRead(const std::set<failure_domain_name> &domains, const store_revision &revision, const store_revision &serversRevision);
     /// The servers are known as of this revision.
-    void serversRead(std::uint64_t revision);
+    void serversRead(const store_revision &revision);
 
     /// The domains whose servers get nothing: those evacuated, and those that wait for news of their servers.
     std::set<failure_domain_name> evacuated() const;
@@ -28,7 +27,7 @@
 private:
     std::set<failure_domain_name> m_evacuated;
     // Domains whose evacuation has ended, with the store revision at which that was seen.
-    std::map<failure_domain_name, std::uint64_t> m_ending;
+    std::map<failure_domain_name, store_revision> m_ending;
 };
 
 } // namespace daisystile
--- a/Source/Version/config_sync.h
+++ b/Source/Version/config_sync.h
@@ -155,7 +155,7 @@
 };
 struct watch_head
 {
-    std::uint64_t after = 0;
+    store_revision after;
 };
 struct stop_watch
 {
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -25,7 +25,7 @@
 
     mirror_action removed(const std::string &key, std::uint64_t revision)
     {
-        return m_mirror.decide(mirror_watched {watch_batch {{{revision, object(key, revision), true}}, revision}}, m_now);
+        return m_mirror.decide(mirror_watched {watch_batch {{{{revision}, object(key, revision), true}}, {revision}}}, m_now);
     }
 
     mirror_action lost()
@@ -41,11 +41,11 @@
 {
     EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(reload_requested {}, m_now)));
     EXPECT_FALSE(m_mirror.known());
-    EXPECT_EQ(std::get<watch_objects>(listed({object("a", 3)}, 7)).after, 7U);
+    EXPECT_EQ(std::get<watch_objects>(listed({object("a", 3)}, 7)).after, store_revision {7});
     EXPECT_TRUE(m_mirror.known());
     EXPECT_EQ(std::get<start_timer>(removed("a", 9)).delay, milliseconds {100});
     EXPECT_TRUE(m_mirror.objects().empty());
-    EXPECT_EQ(std::get<watch_objects>(m_mirror.decide(mirror_timer {}, m_now)).after, 9U);
+    EXPECT_EQ(std::get<watch_objects>(m_mirror.decide(mirror_timer {}, m_now)).after, store_revision {9});
 }
 
 TEST_F(object_mirror_test, reloadsAfterCompaction)
@@ -99,7 +99,7 @@
     removed("b", 9);
     EXPECT_EQ(m_mirror.objects().size(), 2U);
     m_now += seconds {1};
-    m_mirror.decide(mirror_watched {watch_batch {{{10, object("a", 10), false}}, 10}}, m_now);
+    m_mirror.decide(mirror_watched {watch_batch {{{{10}, object("a", 10), false}}, {10}}}, m_now);
     m_now += seconds {2};
     m_mirror.dropLapsed(m_now);
     EXPECT_EQ(m_mirror.objects().size(), 1U);
@@ -126,15 +126,15 @@
 
 TEST_F(object_mirror_test, appliesRelayedUpdatesButNotOlderOnes)
 {
-    m_mirror.decide(mirror_relayed {true, 9, {object("a", 3), object("b", 8)}, {}}, m_now);
+    m_mirror.decide(mirror_relayed {true, {9}, {object("a", 3), object("b", 8)}, {}}, m_now);
     EXPECT_TRUE(m_mirror.known());
     EXPECT_EQ(m_mirror.objects().size(), 2U);
-    m_mirror.decide(mirror_relayed {false, 6, {object("b", 5)}, {"b"}}, m_now);
+    m_mirror.decide(mirror_relayed {false, {6}, {object("b", 5)}, {"b"}}, m_now);
     EXPECT_EQ(m_mirror.objects().at("b").etag, "8");
-    m_mirror.decide(mirror_relayed {true, 12, {object("b", 8), object("c", 11)}, {}}, m_now);
+    m_mirror.decide(mirror_relayed {true, {12}, {object("b", 8), object("c", 11)}, {}}, m_now);
     EXPECT_FALSE(m_mirror.objects().contains("a"));
     EXPECT_TRUE(m_mirror.objects().contains("c"));
-    EXPECT_EQ(m_mirror.revision(), 12U);
+    EXPECT_EQ(m_mirror.revision(), store_revision {12});
 }
 
 // A daemon that is cut off from the store relays old objects to daemons that have newer ones; removed objects must not
@@ -143,8 +143,8 @@
 {
     listed({object("a", 3), object("b", 4)}, 7);
     removed("a", 9);
-    m_mirror.decide(mirror_relayed {true, 8, {object("a", 3), object("b", 4)}, {}}, m_now);
+    m_mirror.decide(mirror_relayed {true, {8}, {object("a", 3), object("b", 4)}, {}}, m_now);
     EXPECT_FALSE(m_mirror.objects().contains("a"));
-    m_mirror.decide(mirror_relayed {false, 10, {object("a", 10)}, {}}, m_now);
+    m_mirror.decide(mirror_relayed {false, {10}, {object("a", 10)}, {}}, m_now);
     EXPECT_TRUE(m_mirror.objects().contains("a")) << "registered again";
 }
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -64,13 +64,13 @@
 TEST(revision_request, isDueAgainAfterACancelledRead)
 {
     revision_request request;
-    EXPECT_TRUE(request.due(28, 27));
-    EXPECT_FALSE(request.due(28, 27)) << "the read is under way";
+    EXPECT_TRUE(request.due({28}, {27}));
+    EXPECT_FALSE(request.due({28}, {27})) << "the read is under way";
     request.cancelled();
-    EXPECT_TRUE(request.due(28, 27));
-    EXPECT_FALSE(request.due(28, 28));
-    EXPECT_TRUE(request.due(29, 28));
-    EXPECT_FALSE(request.due(27, 28));
+    EXPECT_TRUE(request.due({28}, {27}));
+    EXPECT_FALSE(request.due({28}, {28}));
+    EXPECT_TRUE(request.due({29}, {28}));
+    EXPECT_FALSE(request.due({27}, {28}));
 }
 
 TEST(sent_objects, returnsEachChangeOnce)
@@ -86,7 +86,7 @@
     EXPECT_EQ(second.removed, std::vector<std::string> {"a"});
     ASSERT_EQ(second.objects.size(), 1U);
     EXPECT_EQ(second.objects[0].value, "z");
-    EXPECT_EQ(second.revision, 8U);
+    EXPECT_EQ(second.revision, store_revision {8});
     EXPECT_TRUE(allOf(mirror).whole);
     EXPECT_EQ(allOf(mirror).objects.size(), 1U);
 }
@@ -94,12 +94,12 @@
 TEST(relay_update, roundTripsAndRejectsTruncatedBytes)
 {
     relay_update update {
-        .configurationRevision = 9, .servers = {true, 7, {{"servers/a", "3", "{}"}}, {"servers/b"}}, .fleet = {{"d1", "port", "1.1.1.1:2", "", 0.5}}};
+        .configurationRevision = {9}, .servers = {true, {7}, {{"servers/a", "3", "{}"}}, {"servers/b"}}, .fleet = {{"d1", "port", "1.1.1.1:2", "", 0.5}}};
     const auto bytes = encodeRelayUpdate(update);
     const auto read = decodeRelayUpdate(bytes);
     ASSERT_TRUE(read);
     EXPECT_EQ(read->servers.objects.at(0).key, "servers/a");
-    EXPECT_EQ(read->configurationRevision, 9U);
+    EXPECT_EQ(read->configurationRevision, store_revision {9});
     const auto fleet = toFleet(read->fleet);
     ASSERT_EQ(fleet.size(), 1U);
     EXPECT_EQ(fleet[0].peers.port, 2);
@@ -115,7 +115,7 @@
     reactor loop;
     bool known = false;
     relay_server server(
-        loop, {{{"p1"}, {1}}, "a key of the daemons"}, [&] { return known ? std::optional(relay_update {.configurationRevision = 1}) : std::nullopt; });
+        loop, {{{"p1"}, {1}}, "a key of the daemons"}, [&] { return known ? std::optional(relay_update {.configurationRevision = {1}}) : std::nullopt; });
     const ip_address address {"127.0.0.1", 0};
     std::unique_ptr<tcp_listener> probe = tcp_listener::listen(loop, address, [](int) {}).value();
     const auto free = probe->address();
@@ -123,7 +123,7 @@
     bool listens = false;
     server.listen(free, [&](bool listensNow) { listens = listensNow; });
     ASSERT_TRUE(listens);
-    std::vector<std::uint64_t> revisions;
+    std::vector<store_revision> revisions;
     bool failed = false;
     relay_client client(loop,
         free,
--- a/Tests/Platform/platform_client_test.cxx
+++ b/Tests/Platform/platform_client_test.cxx
@@ -120,7 +120,7 @@
     EXPECT_EQ(requestedAfter, (std::vector<std::string> {"", "b"}));
     ASSERT_EQ(list.objects.size(), 2U);
     EXPECT_EQ(list.objects[1].key, "kind/c");
-    EXPECT_EQ(list.revision, 9U) << "a watch has to continue from the first page";
+    EXPECT_EQ(list.revision, store_revision {9}) << "a watch has to continue from the first page";
 }
 
 TEST_F(platform_client_test, watchesForEvents)
@@ -128,21 +128,21 @@
     m_reply = http_response {
         .body =
             R"({"events":[{"removed":false,"object":{"meta":{"name":"a","revision":4},"spec":"y"}},{"removed":true,"object":{"meta":{"name":"b","revision":5}}},{"removed":true}],"current_rev":5})"};
-    const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("kind/", 3, callback); }));
+    const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("kind/", {3}, callback); }));
     EXPECT_EQ(m_lastRequest.query["watch"], "3");
-    EXPECT_EQ(batch.revision, 5U);
+    EXPECT_EQ(batch.revision, store_revision {5});
     ASSERT_EQ(batch.events.size(), 2U);
     EXPECT_EQ(batch.events.at(0).object.value, "y");
     EXPECT_TRUE(batch.events.at(1).deleted);
     m_reply = http_response {.status = 410};
-    EXPECT_TRUE(std::holds_alternative<watch_compacted>(run<watch_result>([&](auto callback) { m_client->watch("kind/", 3, callback); })));
+    EXPECT_TRUE(std::holds_alternative<watch_compacted>(run<watch_result>([&](auto callback) { m_client->watch("kind/", {3}, callback); })));
 }
 
 TEST_F(platform_client_test, reportsAMalformedReplyAsUnavailable)
 {
     for (const auto *body : {"", "{", "[]", R"({"events":7,"current_rev":1})", R"([{"key":7}])", "null", R"({"events":[],"current_rev":"x"})"}) {
         m_reply = http_response {.body = body};
-        const auto watched = run<watch_result>([&](auto callback) { m_client->watch("a/", 3, callback); });
+        const auto watched = run<watch_result>([&](auto callback) { m_client->watch("a/", {3}, callback); });
         EXPECT_TRUE(std::holds_alternative<platform_unavailable>(watched)) << body;
         const auto listed = run<list_result>([&](auto callback) { m_client->list("a/", read_freshness::newest, callback); });
         EXPECT_TRUE(std::holds_alternative<platform_unavailable>(listed)) << body;
@@ -158,7 +158,7 @@
     const auto list = std::get<object_list>(run<list_result>([&](auto callback) { m_client->list("servers/", read_freshness::newest, callback); }));
     EXPECT_EQ(list.objects.at(0).value, nested);
     m_reply = http_response {.body = R"({"events":[{"removed":false,"object":)" + object + R"(}],"current_rev":5})"};
-    const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("servers/", 3, callback); }));
+    const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("servers/", {3}, callback); }));
     EXPECT_EQ(batch.events.at(0).object.value, nested);
     m_reply = http_response {.body = object};
     EXPECT_EQ(std::get<platform_object>(run<read_result>([&](auto callback) { m_client->get("servers/a", callback); })).value, nested);
@@ -181,7 +181,7 @@
         EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({"a"}, spoiled)));
         m_reply = http_response {.body = R"({"events":[{"object":{"meta":{"name":"a","revision":1},"spec":)" + spoiled
                 + R"(}},{"object":{"meta":{"name":"b","revision":2}},"removed":true}],"current_rev":9})"};
-        const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("servers/", 3, callback); }));
+        const auto batch = std::get<watch_batch>(run<watch_result>([&](auto callback) { m_client->watch("servers/", {3}, callback); }));
         ASSERT_EQ(batch.events.size(), 2U) << spoiled;
         EXPECT_EQ(batch.events[0].object.value, spoiled);
         EXPECT_TRUE(batch.events[1].deleted);
--- a/Tests/Version/config_sync_test.cxx
+++ b/Tests/Version/config_sync_test.cxx
@@ -183,7 +183,7 @@
         for (const auto &action : daemon.sync->decide(event, m_now)) {
             std::visit([&](const auto &kind) { perform(index, kind); }, action);
         }
-        checkInvariants(daemon, list == nullptr ? 0 : list->revision);
+        checkInvariants(daemon, list == nullptr ? 0 : list->revision.number);
     }
 
     void checkInvariants(daemon_state &daemon, std::uint64_t listedNumber)
@@ -262,7 +262,7 @@
     void perform(unsigned from, const watch_head &action)
     {
         m_daemons[from].watching = true;
-        m_daemons[from].watchedRevision = action.after;
+        m_daemons[from].watchedRevision = action.after.number;
     }
 
     void perform(unsigned from, const stop_watch &)
