Tests: Compare relayed revisions by their type

Cause: the era part made revisions of relayed configurations a type of their own; this comparison was left behind. Change: the expectation is written in that type. Result: relay_test builds; the values compared are the same.

--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -143,5 +143,5 @@
     loop.after(seconds {10}, [&] { loop.stop(); });
     loop.run();
     EXPECT_TRUE(failed);
-    EXPECT_EQ(revisions, (std::vector<std::uint64_t> {1, 7})) << "nothing before it was known, and the whole first";
+    EXPECT_EQ(revisions, (std::vector<store_revision> {{1}, {7}})) << "nothing before it was known, and the whole first";
 }
