Route, Forward: Serve requests by client accounts' keys, and only while they are known to be valid

Change: key_directory finds the account by the digest of the key; request_authorization decides; the client's own statements are removed and the account's name is passed on, also with delegated queries. A configuration is known to be the newest as of when the store was asked for a listing of it; followers ask their source and count from their question. Strict revocation serves keyed requests within the revocation time of that, and says not ready beyond it.

--- a/Source/Forward/delegation_client.cxx
+++ b/Source/Forward/delegation_client.cxx
@@ -159,6 +159,7 @@
     entry->delegate = target->daemon.id;
     entry->query = makeDelegatedQuery(number, version, request.message);
     entry->query.shards.assign(parts.begin(), parts.end());
+    entry->query.account = request.account.value_or(account_name {}).value;
     entry->deadline = request.deadline;
     entry->answerBy = request.received + request.objective - (parts.empty() ? returnMargin : partsReturnMargin);
     entry->done = std::move(done);
--- a/Source/Forward/delegation_messages.h
+++ b/Source/Forward/delegation_messages.h
@@ -64,10 +64,12 @@
     std::int64_t timeLeftMs = 0;
     /// Time until an incomplete answer is better than a late one.
     std::int64_t answerWithinMs = 0;
+    /// The client account, which the daemon that delegates has found by its key; empty if there is none.
+    std::string account;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(delegation, configurationVersion, method, target, headers, body, shards, timeLeftMs, answerWithinMs);
+        archive(delegation, configurationVersion, method, target, headers, body, shards, timeLeftMs, answerWithinMs, account);
     }
 };
 
--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -150,7 +150,9 @@
     const auto delegation = query.delegation;
     const auto version = query.configurationVersion;
     const milliseconds timeLeft {query.timeLeftMs};
-    const delegated_terms terms {.shards = {query.shards.begin(), query.shards.end()}, .answerWithin = milliseconds {query.answerWithinMs}};
+    const delegated_terms terms {.shards = {query.shards.begin(), query.shards.end()},
+        .answerWithin = milliseconds {query.answerWithinMs},
+        .account = query.account.empty() ? std::nullopt : std::optional(account_name {query.account})};
     auto message = toRequestMessage(std::move(query));
     auto head = readRequestHead(message);
     const auto &routes = m_requests.view()->routes;
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -46,6 +46,7 @@
               [this] { reload(); })
     {
         delegations.onListening([this](bool listens) { control.post([this, listens] { store.offerQueries(listens); }); });
+        store.onConfigurationNewest([this](monotonic_time askedAt) { traffic.post([this, askedAt] { requests.setConfigurationNewestAt(askedAt); }); });
         requests.onSuspectsChanged(
             [this](std::vector<suspect_record> records) { control.post([this, records = std::move(records)] { store.shareSuspects(records); }); });
     }
--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -64,6 +64,17 @@
 
 } // namespace
 
+configuration_age configurationAge(const fleet_bounds &bounds, std::optional<monotonic_time> newestAt)
+{
+    // Clocks of daemons and of the store don't run at quite the same rate.
+    constexpr milliseconds clockMargin {100};
+    configuration_age age {.newestAt = newestAt, .maxForUnknownKeys = bounds.configurationTime};
+    if (bounds.strictRevocation) {
+        age.maxForKeys = bounds.revocationTime - clockMargin;
+    }
+    return age;
+}
+
 settings_reading<entry_settings> readEntrySettings(std::string_view text, std::string_view fileName)
 {
     return readTable<entry_settings>(text, fileName, readSettings);
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <Route/route.h>
 #include <Version/version.h>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace daisystile {
@@ -38,6 +40,9 @@
     bool operator==(const fleet_bounds &) const = default;
 };
 
+/// How old a configuration may be to decide about keys, by the bounds; it was the newest one at that time.
+configuration_age configurationAge(const fleet_bounds &bounds, std::optional<monotonic_time> newestAt);
+
 /// Settings of a daemon with the plain HTTP front end.
 struct entry_settings
 {
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -13,9 +13,12 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 constexpr int statusNotFound = 404;
+constexpr int statusUnauthorized = 401;
 
 constexpr milliseconds defaultTimeLeft {10000};
 
+// A proof that the configuration is the newest is usually back by then.
+constexpr milliseconds proofWait {500};
 // A query over fewer shards costs less to run than to delegate.
 constexpr std::size_t minDelegatedParts = 4;
 // The daemon to which a part was delegated sends the hedges.
@@ -47,6 +50,7 @@
                       countLimitChange(change);
                   }}),
       m_coordinators(settings),
+      m_keyRefusals(registry),
       m_budgets(m_coordinators),
       m_delegations(loop, settings.id, m_metrics),
       m_guard(loop,
@@ -163,7 +167,7 @@
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     const auto request = makeRequest(std::move(message), head, std::move(reply));
-    return request ? start(request) : 0;
+    return request && authorizeClient(request) ? start(request) : 0;
 }
 
 request_number
@@ -174,10 +178,50 @@
         return 0;
     }
     request->peerTerms = terms;
+    request->account = terms.account;
+    if (const auto *account = terms.account ? m_view->routes->account(*terms.account) : nullptr) {
+        request->urgency = account->urgency.value_or(request->urgency);
+    }
     request->objective = std::min(request->objective, terms.answerWithin);
     return start(request);
 }
 
+void forwarder::setConfigurationNewestAt(monotonic_time askedAt)
+{
+    m_configurationNewestAt = askedAt;
+}
+
+// The time is read after the request, so that a pause of this process between the two can't make the configuration look newer.
+bool forwarder::authorizeClient(const request_pointer &request)
+{
+    const auto &routes = *request->view->routes;
+    if (!routes.keys().keysNeeded()) {
+        return true;
+    }
+    const auto key = readStatedKey(request->message);
+    removeStatedIdentity(request->message);
+    auto access = authorize(routes, *request->matchedRoute, key, configurationAge(m_settings.bounds, m_configurationNewestAt), m_loop.now());
+    if (const auto *reason = std::get_if<key_refusal>(&access)) {
+        refuseKey(request, *reason);
+        return false;
+    }
+    auto &granted = std::get<request_access>(access);
+    request->account = std::move(granted.account);
+    request->urgency = granted.urgency;
+    return true;
+}
+
+void forwarder::refuseKey(const request_pointer &request, key_refusal reason)
+{
+    m_keyRefusals.add(reason, request->matchedRoute->name, m_loop.now());
+    if (reason != key_refusal::not_current) {
+        request->reply(local_reply {statusUnauthorized, std::nullopt});
+        return;
+    }
+    const double draw = std::uniform_real_distribution<>()(m_random);
+    request->reply(local_reply {statusUnavailable, clientRetryAfter(timeLeft(m_loop.now(), request->deadline), proofWait, draw)});
+}
+
 forwarder::request_pointer forwarder::makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     if (!m_view->routes) {
@@ -426,7 +470,7 @@
         budgetFor(part.service).addRequest(now);
     }
     const bool bodyless = request->message.method == "HEAD";
-    auto bytes = serverRequest(request->message, left, server->entry.id);
+    auto bytes = serverRequest(request->message, left, server->entry.id, request->account);
     const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, latencyStats.hedgeDelay());
     m_attempts.emplace(id,
         running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id, request->digest});
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -5,6 +5,7 @@
 #include "delegation_client.h"
 #include "entry_settings.h"
 #include "forward_metrics.h"
+#include "key_refusal_log.h"
 #include "retry_budgets.h"
 #include "routing_snapshot.h"
 #include "running_request.h"
@@ -27,6 +28,8 @@
     void update(const std::shared_ptr<const routing_snapshot> &view);
     const std::shared_ptr<const routing_snapshot> &view() const;
     void setBounds(const fleet_bounds &bounds);
+    /// The configuration in force was the newest one when the store was asked at this time.
+    void setConfigurationNewestAt(monotonic_time askedAt);
     /// Requests in quarantine, with its remaining time.
     std::vector<std::pair<suspect_record, milliseconds>> quarantined() const;
     /// An operator lifts the quarantine of a request, on all daemons. False if it isn't known.
@@ -55,6 +58,9 @@
 
     /// Null after the request was answered because there is no route for it.
     request_pointer makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
+    /// False if the request was refused because of its key.
+    bool authorizeClient(const request_pointer &request);
+    void refuseKey(const request_pointer &request, key_refusal reason);
     request_number start(const request_pointer &request);
     /// Refuses a request that is quarantined for the time left.
     void refuseQuarantined(const request_pointer &request, milliseconds left);
@@ -105,6 +111,8 @@
     forward_metrics m_metrics;
     backend_pool m_pool;
     coordinator_table m_coordinators;
+    std::optional<monotonic_time> m_configurationNewestAt;
+    key_refusal_log m_keyRefusals;
     retry_budgets m_budgets;
     delegation_client m_delegations;
     std::function<void(std::vector<suspect_record>)> m_shareSuspects = [](const auto &) {
--- a/Source/Forward/mirror_runner.cxx
+++ b/Source/Forward/mirror_runner.cxx
@@ -83,6 +83,11 @@
     m_revisionChanged = std::move(callback);
 }
 
+void mirror_runner::onVerified(std::function<void(monotonic_time)> callback)
+{
+    m_verified = std::move(callback);
+}
+
 void mirror_runner::step(const mirror_event &event)
 {
     const bool wasUnreachable = m_mirror.storeUnreachable();
@@ -144,9 +149,10 @@
 void mirror_runner::start(const read_all_objects &)
 {
     endCalls();
-    m_store.list(m_prefix, read_freshness::newest, [this, call = m_call](list_result result) {
+    m_store.list(m_prefix, read_freshness::newest, [this, call = m_call, askedAt = m_loop.now()](const list_result &result) {
         if (call == m_call) {
-            step(mirror_listed {std::move(result)});
+            step(mirror_listed {result});
+            listed(result, askedAt);
         }
     });
 }
@@ -171,13 +177,25 @@
     if (m_watch == 0) {
         return;
     }
-    m_store.list(m_prefix, m_verification.freshness, [this, call = m_call](list_result result) {
-        if (call == m_call) {
-            step(mirror_checked {std::move(result)});
+    m_store.list(m_prefix, m_verification.freshness, [this, call = m_call, askedAt = m_loop.now()](const list_result &result) {
+        if (call != m_call) {
+            return;
+        }
+        step(mirror_checked {result});
+        if (m_verification.freshness == read_freshness::newest) {
+            listed(result, askedAt);
         }
     });
 }
 
+// A listing that was outdated, or that shows the mirror to be, has made it read all objects anew.
+void mirror_runner::listed(const list_result &result, monotonic_time askedAt)
+{
+    if (std::holds_alternative<object_list>(result) && m_mirror.upToDate()) {
+        m_verified(askedAt);
+    }
+}
+
 void mirror_runner::dropLapsed()
 {
     const auto before = m_mirror.changes();
--- a/Source/Forward/mirror_runner.h
+++ b/Source/Forward/mirror_runner.h
@@ -45,6 +45,8 @@
     void onReachabilityChanged(std::function<void()> callback);
     /// Called when the objects are known as of another store revision, whether or not any of them has changed.
     void onRevisionChanged(std::function<void()> callback);
+    /// Called when the objects are known to be what the store held when it was asked at this time.
+    void onVerified(std::function<void(monotonic_time)> callback);
 
 private:
     void step(const mirror_event &event);
@@ -56,6 +58,8 @@
     void check();
     void dropLapsed();
     void endCalls();
+    /// A listing that was asked for at this time has been applied.
+    void listed(const list_result &result, monotonic_time askedAt);
 
     reactor &m_loop;
     watch_verification m_verification;
@@ -69,6 +73,8 @@
     };
     std::function<void()> m_revisionChanged = [] {
     };
+    std::function<void(monotonic_time)> m_verified = [](monotonic_time) {
+    };
     http_call_id m_watch = 0;
     std::uint64_t m_call = 0;
     timer_id m_checkTimer = 0;
--- a/Source/Forward/relay_link.cxx
+++ b/Source/Forward/relay_link.cxx
@@ -50,7 +50,8 @@
     notify.established = [this, number](const peer_identity &) {
         sendInitial(m_followers.at(number));
     };
-    notify.frame = [](std::string_view) {
+    notify.frame = [this, number](std::string_view frame) {
+        asked(number, frame);
     };
     notify.closed = [this, number](const connection_error &) {
         // Deferred, because the link must outlive this callback.
@@ -59,6 +60,30 @@
     m_followers[number].link = std::make_unique<peer_link>(m_loop, handle, m_credentials, std::move(notify));
 }
 
+void relay_server::onAgeQuestion(std::function<std::optional<relay_update>(const age_question &)> answer)
+{
+    m_answerAge = std::move(answer);
+}
+
+// Followers send nothing else.
+void relay_server::asked(std::uint64_t number, std::string_view frame)
+{
+    auto &from = m_followers.at(number);
+    if (!m_answerAge || !from.initialSent) {
+        return;
+    }
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(question, decodeAgeQuestion(frame));
+            if (const auto update = m_answerAge(question)) {
+                from.initialSent = from.link->send(encodeRelayUpdate(*update));
+            }
+            return {};
+        },
+        [](const connection_error &error) { DAISYSTILE_LOG(WARNING, "relay") << "Malformed question: " << error << "."; },
+        [] {});
+}
+
 void relay_server::sendInitial(follower &target)
 {
     if (const auto update = m_first()) {
@@ -104,6 +129,12 @@
     m_loop.cancelTimer(m_timer);
 }
 
+void relay_client::askAge()
+{
+    const auto now = std::chrono::duration_cast<microseconds>(m_loop.now().time_since_epoch());
+    m_link->send(encodeAgeQuestion({now.count()}));
+}
+
 void relay_client::received(std::string_view frame)
 {
     m_lastReceived = m_loop.now();
--- a/Source/Forward/relay_link.h
+++ b/Source/Forward/relay_link.h
@@ -18,6 +18,9 @@
     /// The callback returns the initial update for a new follower, or nothing until one is available.
     relay_server(reactor &loop, peer_credentials credentials, std::function<std::optional<relay_update>()> first);
 
+    /// The callback answers a follower's question, or returns nothing.
+    void onAgeQuestion(std::function<std::optional<relay_update>(const age_question &)> answer);
+
     /// Listens as soon as the address is free. Tells whether it listens: false once it has to wait, then true.
     void listen(const ip_address &address, std::function<void(bool)> listens);
     /// Established links stay.
@@ -33,10 +36,12 @@
 
     void accepted(int handle);
     void sendInitial(follower &target);
+    void asked(std::uint64_t number, std::string_view frame);
 
     reactor &m_loop;
     peer_credentials m_credentials;
     std::function<std::optional<relay_update>()> m_first;
+    std::function<std::optional<relay_update>(const age_question &)> m_answerAge;
     std::unique_ptr<tcp_listener> m_listener;
     std::unique_ptr<address_opener> m_opener;
     std::map<std::uint64_t, follower> m_followers;
@@ -56,6 +61,8 @@
 
     relay_client(reactor &loop, const ip_address &address, peer_credentials credentials, callbacks notify);
     ~relay_client();
+    /// The answer comes with an update.
+    void askAge();
     relay_client(const relay_client &) = delete;
     relay_client &operator=(const relay_client &) = delete;
 
--- a/Source/Forward/relay_messages.cxx
+++ b/Source/Forward/relay_messages.cxx
@@ -19,6 +19,20 @@
     return update;
 }
 
+std::string encodeAgeQuestion(const age_question &question)
+{
+    return encodeFields(question);
+}
+
+leaf::result<age_question> decodeAgeQuestion(std::string_view bytes)
+{
+    age_question question;
+    if (!decodeFields(bytes, question)) {
+        return leaf::new_error(connection_error {connection_failure::frame_malformed, "age question"});
+    }
+    return question;
+}
+
 mirror_relayed toMirror(relayed_objects objects)
 {
     mirror_relayed update;
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -52,6 +52,31 @@
     }
 };
 
+/// A follower's question how current its source's configuration is.
+struct age_question
+{
+    /// The follower's clock when it asked.
+    std::int64_t askedAtUs = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(askedAtUs);
+    }
+};
+
+/// The configuration with this revision was the newest one this long before the source got the question.
+struct age_answer
+{
+    std::int64_t askedAtUs = 0;
+    std::int64_t ageUs = 0;
+    store_revision configurationRevision;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(askedAtUs, ageUs, configurationRevision);
+    }
+};
+
 /// Update from a daemon that follows the store to its followers; also sent without changes, as a heartbeat.
 struct relay_update
 {
@@ -68,16 +93,21 @@
     relayed_objects suspects;
     /// All daemons of the fleet; empty if they are unchanged.
     std::vector<relayed_daemon> fleet;
+    /// Empty, or the answer to this follower's question.
+    std::vector<age_answer> configurationAge;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, fleet);
+        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, fleet, configurationAge);
     }
 };
 
 std::string encodeRelayUpdate(const relay_update &update);
 /// Errors: connection_error{frame_malformed}.
 leaf::result<relay_update> decodeRelayUpdate(std::string_view bytes);
+std::string encodeAgeQuestion(const age_question &question);
+/// Errors: connection_error{frame_malformed}.
+leaf::result<age_question> decodeAgeQuestion(std::string_view bytes);
 
 mirror_relayed toMirror(relayed_objects objects);
 
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -54,6 +54,8 @@
     std::vector<std::size_t> shards;
     /// Time until an incomplete answer is better than a late one.
     milliseconds answerWithin {0};
+    /// The client account, if there is one.
+    std::optional<account_name> account;
 };
 
 /// A client's request from its arrival to its reply.
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -46,6 +46,14 @@
     return key.substr(key.find('/') + 1);
 }
 
+// Requests with keys are served only for the revocation time after a check, which may fail once or take another way.
+milliseconds configurationCheck(const entry_settings &settings)
+{
+    constexpr int checksPerRevocationTime = 3;
+    const auto &bounds = settings.bounds;
+    return bounds.strictRevocation ? std::min(settings.freshCheck, bounds.revocationTime / checksPerRevocationTime) : settings.freshCheck;
+}
+
 std::map<std::string, std::size_t> maxValueBytes()
 {
     const auto kindOf = [](std::string_view prefix) {
@@ -71,7 +79,7 @@
                   .watchTimeout = watchTimeout,
                   .maxValueBytes = maxValueBytes()}),
           fleet(loop, store, settings, [this] { fleetUpdated(); }),
-          configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
+          configuration(loop, store, configurationKeyPrefix, {configurationCheck(settings), read_freshness::newest}, {}, [this] { configurationChanged(); }),
           servers(loop,
               store,
               serverKeyPrefix,
@@ -97,6 +105,11 @@
             each->onReachabilityChanged([this] { updateFollowers(); });
         }
         servers.onRevisionChanged([this] { serversRevisionChanged(); });
+        configuration.onVerified([this](monotonic_time askedAt) {
+            if (configurationReadable) {
+                configurationNewest(askedAt);
+            }
+        });
         store.onNewEra([this] { eraBegan(); });
         fleet.start();
         loop.after(settings.bootstrap ? maxBootstrapSourceSearch : maxSourceSearch, [this] {
@@ -200,6 +213,33 @@
         return false;
     }
 
+    // Counted from when this daemon asked its source, so that no delay of a message makes it look newer.
+    void takeAge(const age_answer &answer)
+    {
+        if (configurationReadable && configurationRevision() >= answer.configurationRevision) {
+            configurationNewest(monotonic_time {microseconds {answer.askedAtUs - answer.ageUs}});
+        }
+    }
+
+    std::optional<relay_update> answerAge(const age_question &question)
+    {
+        if (!canRelay() || !configurationReadable || !configurationNewestAt) {
+            return std::nullopt;
+        }
+        auto update = updateHead();
+        const auto age = std::chrono::ceil<microseconds>(loop.now() - *configurationNewestAt);
+        update.configurationAge.push_back({question.askedAtUs, age.count(), configurationRevision()});
+        return update;
+    }
+
+    void configurationNewest(monotonic_time askedAt)
+    {
+        if (!configurationNewestAt || askedAt > *configurationNewestAt) {
+            configurationNewestAt = askedAt;
+            newestKnown(askedAt);
+        }
+    }
+
     void applyUpdate(relay_update update)
     {
         if (!ofCurrentEra(update)) {
@@ -216,6 +256,9 @@
         suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
         takeConfiguration(std::move(update.configuration), update.configurationRevision);
         fleet.takeRelayed(toFleet(update.fleet));
+        for (const auto &answer : update.configurationAge) {
+            takeAge(answer);
+        }
         sourceReachesStore = update.storeReached;
         if (!sourceReachesStore && !probing) {
             probing = true;
@@ -267,6 +310,7 @@
             return;
         }
         relay = std::make_unique<relay_server>(loop, credentials(), [this] { return firstUpdate(); });
+        relay->onAgeQuestion([this](const age_question &question) { return answerAge(question); });
         if (!leaving) {
             relay->listen(settings.peers, [this](bool listens) { fleet.offerPeers(listens); });
         }
@@ -369,6 +413,9 @@
     {
         verifyAfterPause();
         updateFollowers();
+        if (client) {
+            client->askAge();
+        }
         loop.after(heartbeatInterval, [this] { sendHeartbeat(); });
     }
 
@@ -389,6 +436,7 @@
             return;
         }
         auto read = readRoutingConfiguration(found->second.value);
+        configurationReadable = std::holds_alternative<routing_configuration>(read);
         if (const auto *error = std::get_if<malformed_text>(&read)) {
             DAISYSTILE_LOG(ERROR, "store") << "Configuration is invalid." << field("revision", found->second.etag) << field("reason", error->reason);
             return;
@@ -433,8 +481,8 @@
     {
         for (const auto &[key, before] : serversSeen) {
             if (!now.contains(key)) {
-                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key)) << field("revision", toString(servers.mirror().revision()))
-                                                << field("learned_from", learnedFrom());
+                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key))
+                                                << field("revision", toString(servers.mirror().revision())) << field("learned_from", learnedFrom());
             }
         }
     }
@@ -547,7 +595,8 @@
         evacuationsInForce = std::move(inForce);
         view.evacuated = gate.evacuated();
         DAISYSTILE_LOG(INFO, "store") << "Evacuated failure domains changed." << field("count", view.evacuated.size())
-                                      << field("revision", toString(evacuations.mirror().revision())) << field("servers_revision", toString(servers.mirror().revision()))
+                                      << field("revision", toString(evacuations.mirror().revision()))
+                                      << field("servers_revision", toString(servers.mirror().revision()))
                                       << field("waiting_for_servers", gate.waiting() ? "true" : "false");
         publishView();
     }
@@ -604,7 +653,13 @@
     // Until the fleet is known, this daemon's share of the limits is too small for the requests that readiness would attract.
     bool ready() const
     {
-        return complete() && (fleet.known() || fleetWaitOver);
+        return complete() && (fleet.known() || fleetWaitOver) && servesKeys();
+    }
+
+    // Clients with keys would get nothing but refusals.
+    bool servesKeys() const
+    {
+        return !view.routes->keys().keysNeeded() || daisystile::servesKeys(configurationAge(settings.bounds, configurationNewestAt), loop.now());
     }
 
     bool complete() const
@@ -646,6 +701,11 @@
     store_revision relayedConfigurationRevision;
     // Text of the version in force.
     std::string configurationInForce;
+    // Whether the newest text that was read is a configuration.
+    bool configurationReadable = false;
+    std::optional<monotonic_time> configurationNewestAt;
+    std::function<void(monotonic_time)> newestKnown = [](monotonic_time) {
+    };
     monotonic_time eraKnownSince;
     monotonic_time lastHeartbeat;
     bool verifying = false;
@@ -668,6 +728,11 @@
     m_implementation->start();
 }
 
+void store_follower::onConfigurationNewest(std::function<void(monotonic_time)> callback)
+{
+    m_implementation->newestKnown = std::move(callback);
+}
+
 void store_follower::shareSuspects(std::vector<suspect_record> records)
 {
     m_implementation->suspects.share(std::move(records));
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -19,6 +19,8 @@
     store_follower(const store_follower &) = delete;
     store_follower &operator=(const store_follower &) = delete;
 
+    /// Called when the published configuration is known to have been the newest one when the store was asked at this time.
+    void onConfigurationNewest(std::function<void(monotonic_time)> callback);
     void start();
     /// Replaces what this daemon tells the others about suspected requests.
     void shareSuspects(std::vector<suspect_record> records);
--- a/Source/Process/secret.cxx
+++ b/Source/Process/secret.cxx
@@ -1,5 +1,6 @@
 #include "secret.h"
 
+#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
@@ -16,6 +17,11 @@
     return digest;
 }
 
+bool equalInConstantTime(const sha256_digest &left, const sha256_digest &right)
+{
+    return CRYPTO_memcmp(left.bytes.data(), right.bytes.data(), left.bytes.size()) == 0;
+}
+
 std::string sha256Hex(std::string_view text)
 {
     static constexpr std::string_view digits = "0123456789abcdef";
--- a/Source/Process/secret.h
+++ b/Source/Process/secret.h
@@ -16,6 +16,8 @@
 };
 
 sha256_digest sha256(std::string_view text);
+/// Takes a time that doesn't tell where the two differ.
+bool equalInConstantTime(const sha256_digest &left, const sha256_digest &right);
 
 /// SHA-256 in lower-case hexadecimal; contracts and settings store tokens only in this form.
 std::string sha256Hex(std::string_view text);
--- a/Source/Route/routing.cxx
+++ b/Source/Route/routing.cxx
@@ -6,8 +6,12 @@
 namespace daisystile {
 
 route_table::route_table(routing_configuration configuration)
-    : m_configuration(std::move(configuration))
+    : m_configuration(std::move(configuration)),
+      m_keys(m_configuration.accounts)
 {
+    for (const auto &each : m_configuration.accounts) {
+        m_accounts.emplace(each.name, &each);
+    }
     for (const auto &entry : m_configuration.routes) {
         m_byHost[normalizedHost(entry.host)].push_back(&entry);
     }
@@ -39,6 +43,17 @@
     return found == m_configuration.services.end() ? nullptr : &found->second;
 }
 
+const key_directory &route_table::keys() const
+{
+    return m_keys;
+}
+
+const client_account *route_table::account(const account_name &name) const
+{
+    const auto found = m_accounts.find(name);
+    return found == m_accounts.end() ? nullptr : found->second;
+}
+
 std::string normalizedHost(std::string_view host)
 {
     std::string result(host.substr(0, host.find(':')));
--- a/Source/Route/routing.h
+++ b/Source/Route/routing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "client_account.h"
+#include "key_directory.h"
 
 #include <Process/process.h>
 
@@ -8,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -113,11 +115,16 @@
     const routing_configuration &configuration() const;
     /// Null for a service that is not in the configuration.
     const service_configuration *terms(const service_name &service) const;
+    const key_directory &keys() const;
+    /// Null for an account that is not in the configuration.
+    const client_account *account(const account_name &name) const;
 
 private:
     routing_configuration m_configuration;
     // By host in lower case, sorted by descending prefix length.
     std::map<std::string, std::vector<const route *>, std::less<>> m_byHost;
+    std::unordered_map<account_name, const client_account *> m_accounts;
+    key_directory m_keys;
 };
 
 /// Host name from a Host header, in lower case and without the port.
