Route, Forward: Keep client accounts' quotas over the fleet

Change: keepers, one for each failure domain, claim parts of the quotas in one object of the store that is written on condition of its version; parts add up to 1 at most and hold for a lease. A keeper's buckets hand out tokens to the daemons of its domain, which hold some in advance. Requests beyond the quota get 429, those for which no keeper answers 503.

--- a/Source/Forward/delegation_messages.h
+++ b/Source/Forward/delegation_messages.h
@@ -114,7 +114,62 @@
     }
 };
 
-using delegation_message = std::variant<query_offer, offer_reply, delegated_query, delegation_cancelled, delegated_answer, delegated_failure>;
+/// A daemon's tokens of one client account.
+struct account_tokens
+{
+    std::string account;
+    std::uint32_t arrived = 0;
+    std::uint32_t held = 0;
+    std::uint32_t wanted = 0;
+    std::uint32_t givenBack = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(account, arrived, held, wanted, givenBack);
+    }
+};
+
+/// Asks a keeper for tokens of accounts' quotas.
+struct tokens_question
+{
+    /// The asking daemon's clock.
+    std::int64_t askedAtUs = 0;
+    std::vector<account_tokens> accounts;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(askedAtUs, accounts);
+    }
+};
+
+struct granted_tokens
+{
+    std::string account;
+    std::uint32_t tokens = 0;
+    /// Time until there are more, if there were fewer than were asked for.
+    std::int64_t retryAfterMs = 0;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(account, tokens, retryAfterMs);
+    }
+};
+
+struct tokens_answer
+{
+    std::int64_t askedAtUs = 0;
+    /// How long the tokens may be used after the question was asked; 0 if the keeper has no claim on any quota now.
+    std::int64_t validForUs = 0;
+    std::vector<granted_tokens> accounts;
+
+    template<class Archive> void serialize(Archive &archive)
+    {
+        archive(askedAtUs, validForUs, accounts);
+    }
+};
+
+using delegation_message =
+    std::variant<query_offer, offer_reply, delegated_query, delegation_cancelled, delegated_answer, delegated_failure, tokens_question, tokens_answer>;
 
 std::string encodeDelegation(const delegation_message &message);
 /// Errors: connection_error{frame_malformed}.
--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -36,9 +36,10 @@
 
 } // namespace
 
-delegation_server::delegation_server(reactor &loop, forwarder &requests, const entry_settings &settings)
+delegation_server::delegation_server(reactor &loop, forwarder &requests, quota_keeper &quotas, const entry_settings &settings)
     : m_loop(loop),
       m_requests(requests),
+      m_quotas(quotas),
       m_address(settings.queries),
       m_credentials {{settings.id, {stableHash(randomBytes(8))}}, {}}
 {
@@ -94,7 +95,8 @@
 {
     const auto number = m_next++;
     peer_link::callbacks notify;
-    notify.established = [](const peer_identity &) {
+    notify.established = [this, number](const peer_identity &peer) {
+        m_links.at(number).id = peer.id;
     };
     notify.frame = [this, number](std::string_view frame) {
         received(number, frame);
@@ -181,6 +183,16 @@
     }
 }
 
+// A daemon asks on one connection at a time, and drops what it holds when it opens another.
+void delegation_server::handle(link_number number, const tokens_question &question)
+{
+    auto &from = m_links.at(number);
+    if (!std::exchange(from.asksTokens, true)) {
+        m_quotas.connected(from.id);
+    }
+    send(number, m_quotas.answer(from.id, question));
+}
+
 template<class Message> void delegation_server::handle(link_number number, const Message &)
 {
     DAISYSTILE_LOG(WARNING, "delegation") << "Unexpected message." << field("link", number);
--- a/Source/Forward/delegation_server.h
+++ b/Source/Forward/delegation_server.h
@@ -2,6 +2,7 @@
 
 #include "delegation_messages.h"
 #include "forwarder.h"
+#include "quota_keeper.h"
 
 #include <Connection/connection.h>
 
@@ -14,7 +15,7 @@
 class delegation_server
 {
 public:
-    delegation_server(reactor &loop, forwarder &requests, const entry_settings &settings);
+    delegation_server(reactor &loop, forwarder &requests, quota_keeper &quotas, const entry_settings &settings);
 
     /// Tells whether it listens: false once it has to wait for its address, then true.
     void onListening(std::function<void(bool)> listens);
@@ -32,6 +33,9 @@
     {
         std::unique_ptr<peer_link> link;
         std::map<delegation_id, request_number> running;
+        daemon_id id;
+        /// It has asked for tokens of quotas on this connection.
+        bool asksTokens = false;
     };
 
     void accepted(int handle);
@@ -40,6 +44,7 @@
     void handle(link_number number, const query_offer &offer);
     void handle(link_number number, delegated_query query);
     void handle(link_number number, const delegation_cancelled &cancelled);
+    void handle(link_number number, const tokens_question &question);
     /// Any other message is one that only this daemon sends.
     template<class Message> void handle(link_number number, const Message &message);
     void answer(link_number number, delegation_id delegation, const client_reply &reply);
@@ -50,6 +55,7 @@
 
     reactor &m_loop;
     forwarder &m_requests;
+    quota_keeper &m_quotas;
     ip_address m_address;
     peer_credentials m_credentials;
     std::unique_ptr<tcp_listener> m_listener;
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -37,7 +37,7 @@
           readSettingsAgain(std::move(settingsReader)),
           requests(traffic, settings, registry),
           clients(traffic, requests, registry),
-          delegations(traffic, requests, settings),
+          delegations(traffic, requests, requests.quotaKeeper(), settings),
           quarantine(control, traffic, requests, settings.operatorTokenDigest),
           store(control, settings, [this](std::shared_ptr<const routing_snapshot> view) { publish(std::move(view)); }),
           signals(
@@ -47,10 +47,25 @@
     {
         delegations.onListening([this](bool listens) { control.post([this, listens] { store.offerQueries(listens); }); });
         store.onConfigurationNewest([this](monotonic_time askedAt) { traffic.post([this, askedAt] { requests.setConfigurationNewestAt(askedAt); }); });
+        connectQuotas();
         requests.onSuspectsChanged(
             [this](std::vector<suspect_record> records) { control.post([this, records = std::move(records)] { store.shareSuspects(records); }); });
     }
 
+    // Claims are held on the control thread, which talks to the store, and used on the traffic thread.
+    void connectQuotas()
+    {
+        requests.quotaKeeper().onWanted(
+            [this](quota_parts parts) { control.post([this, parts = std::move(parts)]() mutable { store.wantQuotas(std::move(parts)); }); });
+        requests.quotas().onKeeping([this](bool keeper) { control.post([this, keeper] { store.keepQuotas(keeper); }); });
+        store.onQuotaClaims([this](claimed_quotas claims, std::function<void()> applied) {
+            traffic.post([this, claims = std::move(claims), applied = std::move(applied)]() mutable {
+                requests.quotaKeeper().setClaims(std::move(claims));
+                control.post(std::move(applied));
+            });
+        });
+    }
+
     // Also detects changes of the settings file that are not followed by SIGHUP.
     void watchSettings()
     {
--- a/Source/Forward/forward_metrics.cxx
+++ b/Source/Forward/forward_metrics.cxx
@@ -34,6 +34,8 @@
       timedOut(outcome(registry, "timed_out")),
       failed(outcome(registry, "failed")),
       clientsGone(outcome(registry, "client_gone")),
+      overQuota(registry.counter("daisystile_quota_refusals_total", "Requests refused because of their account's quota", {{"cause", "exceeded"}})),
+      quotaUnknown(registry.counter("daisystile_quota_refusals_total", "Requests refused because of their account's quota", {{"cause", "unknown"}})),
       firstAttempts(attempt(registry, "first")),
       retries(attempt(registry, "retry")),
       hedges(attempt(registry, "hedge")),
--- a/Source/Forward/forward_metrics.h
+++ b/Source/Forward/forward_metrics.h
@@ -15,6 +15,9 @@
     metric_counter timedOut;
     metric_counter failed;
     metric_counter clientsGone;
+    /// Requests refused because their account's quota is used up, or because no keeper of quotas could be asked.
+    metric_counter overQuota;
+    metric_counter quotaUnknown;
     metric_counter firstAttempts;
     metric_counter retries;
     metric_counter hedges;
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -14,6 +14,7 @@
 constexpr int statusGatewayTimeout = 504;
 constexpr int statusNotFound = 404;
 constexpr int statusUnauthorized = 401;
+constexpr int statusTooManyRequests = 429;
 
 constexpr milliseconds defaultTimeLeft {10000};
 
@@ -51,6 +52,8 @@
                   }}),
       m_coordinators(settings),
       m_keyRefusals(registry),
+      m_quotaKeeper(loop),
+      m_quotas(loop, settings, m_quotaKeeper),
       m_budgets(m_coordinators),
       m_delegations(loop, settings.id, m_metrics),
       m_guard(loop,
@@ -70,6 +73,8 @@
     m_coordinators.update(*view);
     m_pool.update(view, m_coordinators);
     m_delegations.update(*view);
+    m_quotaKeeper.update(view->routes);
+    m_quotas.update(*view);
     m_guard.learn(*view->suspects, m_settings.id);
     openDelegateLinks();
     updateCapacity();
@@ -153,6 +158,16 @@
     m_shareSuspects = std::move(share);
 }
 
+quota_keeper &forwarder::quotaKeeper()
+{
+    return m_quotaKeeper;
+}
+
+quota_client &forwarder::quotas()
+{
+    return m_quotas;
+}
+
 const std::shared_ptr<const routing_snapshot> &forwarder::view() const
 {
     return m_view;
@@ -167,7 +182,7 @@
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     const auto request = makeRequest(std::move(message), head, std::move(reply));
-    return request && authorizeClient(request) ? start(request) : 0;
+    return request && authorizeClient(request) ? startWithinQuota(request) : 0;
 }
 
 request_number
@@ -222,6 +237,41 @@
     request->reply(local_reply {statusUnavailable, clientRetryAfter(timeLeft(m_loop.now(), request->deadline), proofWait, draw)});
 }
 
+request_number forwarder::startWithinQuota(const request_pointer &request)
+{
+    // A client whose request is refused has most of its objective left to try again.
+    constexpr int objectiveToWait = 4;
+    constexpr milliseconds maxWait {100};
+    const auto *account = request->account ? request->view->routes->account(*request->account) : nullptr;
+    if (account == nullptr || !account->quota) {
+        return start(request);
+    }
+    m_requests.emplace(request->number, request);
+    m_quotas.take(account->name, std::min(request->objective / objectiveToWait, maxWait), [this, request](const quota_outcome &outcome) {
+        quotaDecided(request, outcome);
+    });
+    return request->state.ended ? 0 : request->number;
+}
+
+void forwarder::quotaDecided(const request_pointer &request, const quota_outcome &outcome)
+{
+    if (!m_requests.contains(request->number)) {
+        return;
+    }
+    if (outcome.decision == quota_decision::granted) {
+        start(request);
+        return;
+    }
+    const bool exceeded = outcome.decision == quota_decision::exceeded;
+    logRequestEnd(*request, exceeded ? "over_quota" : "quota_unknown", m_loop.now());
+    (exceeded ? m_metrics.overQuota : m_metrics.quotaUnknown).add();
+    m_metrics.refused.add();
+    // Clients that are refused together return one after another.
+    const double draw = std::uniform_real_distribution<>()(m_random);
+    const auto spread = std::chrono::duration_cast<milliseconds>(outcome.retryAfter * draw);
+    finish(request, local_reply {exceeded ? statusTooManyRequests : statusUnavailable, outcome.retryAfter + spread});
+}
+
 forwarder::request_pointer forwarder::makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
 {
     if (!m_view->routes) {
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -6,6 +6,8 @@
 #include "entry_settings.h"
 #include "forward_metrics.h"
 #include "key_refusal_log.h"
+#include "quota_client.h"
+#include "quota_keeper.h"
 #include "retry_budgets.h"
 #include "routing_snapshot.h"
 #include "running_request.h"
@@ -30,6 +32,8 @@
     void setBounds(const fleet_bounds &bounds);
     /// The configuration in force was the newest one when the store was asked at this time.
     void setConfigurationNewestAt(monotonic_time askedAt);
+    quota_keeper &quotaKeeper();
+    quota_client &quotas();
     /// Requests in quarantine, with its remaining time.
     std::vector<std::pair<suspect_record, milliseconds>> quarantined() const;
     /// An operator lifts the quarantine of a request, on all daemons. False if it isn't known.
@@ -61,6 +65,9 @@
     /// False if the request was refused because of its key.
     bool authorizeClient(const request_pointer &request);
     void refuseKey(const request_pointer &request, key_refusal reason);
+    /// Starts the request once there is a token of its account's quota.
+    request_number startWithinQuota(const request_pointer &request);
+    void quotaDecided(const request_pointer &request, const quota_outcome &outcome);
     request_number start(const request_pointer &request);
     /// Refuses a request that is quarantined for the time left.
     void refuseQuarantined(const request_pointer &request, milliseconds left);
@@ -113,6 +120,8 @@
     coordinator_table m_coordinators;
     std::optional<monotonic_time> m_configurationNewestAt;
     key_refusal_log m_keyRefusals;
+    quota_keeper m_quotaKeeper;
+    quota_client m_quotas;
     retry_budgets m_budgets;
     delegation_client m_delegations;
     std::function<void(std::vector<suspect_record>)> m_shareSuspects = [](const auto &) {
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -92,7 +92,8 @@
               {settings.reachCheck, read_freshness::stale_allowed},
               {.restoreGrace = settings.lapseGrace},
               [this] { evacuationsChanged(); }),
-          suspects(loop, store, settings, [this] { suspectsChanged(); })
+          suspects(loop, store, settings, [this] { suspectsChanged(); }),
+          quotas(loop, store, settings, [this](claimed_quotas claims, std::function<void()> applied) { claimed(std::move(claims), std::move(applied)); })
     {
         view.fleet = fleet.daemons();
         view.fleetKnown = fleet.known();
@@ -684,6 +685,8 @@
     // The evacuations that the gate has in force, also those that have ended and wait.
     std::map<std::string, platform_object> evacuationsInForce;
     suspect_board suspects;
+    quota_board quotas;
+    quota_board::claims_consumer claimed;
     incarnation incarnationId {stableHash(randomBytes(8))};
     failed_sources failed;
     std::optional<fleet_daemon> source;
@@ -733,6 +736,21 @@
     m_implementation->newestKnown = std::move(callback);
 }
 
+void store_follower::onQuotaClaims(quota_board::claims_consumer consumer)
+{
+    m_implementation->claimed = std::move(consumer);
+}
+
+void store_follower::wantQuotas(quota_parts parts)
+{
+    m_implementation->quotas.want(std::move(parts));
+}
+
+void store_follower::keepQuotas(bool keeper)
+{
+    m_implementation->quotas.keep(keeper);
+}
+
 void store_follower::shareSuspects(std::vector<suspect_record> records)
 {
     m_implementation->suspects.share(std::move(records));
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -3,6 +3,7 @@
 #include "entry_settings.h"
 #include "fleet_registry.h"
 #include "object_mirror.h"
+#include "quota_board.h"
 #include "routing_snapshot.h"
 
 #include <functional>
@@ -21,6 +22,11 @@
 
     /// Called when the published configuration is known to have been the newest one when the store was asked at this time.
     void onConfigurationNewest(std::function<void(monotonic_time)> callback);
+    /// Called with this daemon's claims on accounts' quotas, to be applied on the traffic thread.
+    void onQuotaClaims(quota_board::claims_consumer consumer);
+    void wantQuotas(quota_parts parts);
+    /// Whether daemons ask this one first for tokens of quotas.
+    void keepQuotas(bool keeper);
     void start();
     /// Replaces what this daemon tells the others about suspected requests.
     void shareSuspects(std::vector<suspect_record> records);
--- /dev/null
+++ b/Source/Route/quota_claims.cxx
@@ -0,0 +1,197 @@
+#include "quota_claims.h"
+
+#include <algorithm>
+#include <set>
+
+namespace daisystile {
+
+namespace {
+
+// Clocks of two hosts differ in rate by less than this share.
+constexpr double clockDrift = 0.02;
+// A claim isn't changed for less than this part of a quota.
+constexpr double leastChange = 0.02;
+// A claim is kept until this share of it is enough.
+constexpr double keptShare = 0.7;
+// Sums of claims are compared with 1 despite rounding.
+constexpr double rounding = 1e-9;
+
+double partOf(const quota_parts &parts, const account_name &account)
+{
+    const auto found = parts.find(account);
+    return found == parts.end() ? 0 : found->second;
+}
+
+} // namespace
+
+quota_claimer::quota_claimer(daemon_id self, quota_claim_times times)
+    : m_self(std::move(self)),
+      m_times(times)
+{
+}
+
+void quota_claimer::read(const quota_claims &claims, std::uint64_t era, monotonic_time now)
+{
+    noteRestored(claims, era, now);
+    m_stored = claims;
+    m_read = true;
+    m_pending.reset();
+    std::map<daemon_id, seen_keeper> seen;
+    for (const auto &[id, keeper] : claims.keepers) {
+        const auto before = m_seen.find(id);
+        const bool same = before != m_seen.end() && before->second.beat == keeper.beat;
+        seen[id] = same ? before->second : seen_keeper {keeper.beat, now};
+    }
+    m_seen = std::move(seen);
+    const auto own = claims.keepers.find(m_self);
+    limitUse(own == claims.keepers.end() ? quota_parts {} : own->second.claimed);
+    m_beat = std::max(m_beat, own == claims.keepers.end() ? 0 : own->second.beat);
+}
+
+void quota_claimer::readNone(std::uint64_t era, monotonic_time now)
+{
+    read({{}, era, true}, era, now);
+}
+
+// Once for each era: this keeper has seen an earlier one, or the object was written in one, or others say that they have noticed.
+void quota_claimer::noteRestored(const quota_claims &claims, std::uint64_t era, monotonic_time now)
+{
+    const bool begun = m_era && era > *m_era;
+    const bool writtenBefore = claims.era < era && !claims.keepers.empty();
+    m_era = era;
+    if ((begun || writtenBefore || !claims.settled) && m_settlingEra != era) {
+        m_settlingEra = era;
+        m_settling = true;
+        m_settledAt = now + m_times.lease;
+    }
+}
+
+void quota_claimer::want(quota_parts parts)
+{
+    m_wanted = std::move(parts);
+}
+
+void quota_claimer::limitUse(const quota_parts &parts)
+{
+    for (auto &[account, part] : m_inUse) {
+        part = std::min(part, partOf(parts, account));
+    }
+}
+
+// A keeper is gone if it has stated nothing new for a lease, as seen by this daemon's clock.
+void quota_claimer::removeExpired(quota_claims &claims, monotonic_time now) const
+{
+    const auto longest = std::chrono::duration_cast<monotonic_time::duration>(m_times.lease * (1 + clockDrift));
+    std::erase_if(claims.keepers, [&](const auto &each) {
+        const auto seen = m_seen.find(each.first);
+        return each.first != m_self && seen != m_seen.end() && now - seen->second.since > longest;
+    });
+}
+
+std::optional<unsigned> quota_claimer::freePlace(const quota_claims &claims) const
+{
+    std::set<unsigned> taken;
+    for (const auto &[id, keeper] : claims.keepers) {
+        taken.insert(keeper.place);
+    }
+    for (unsigned place = 0; place < maxQuotaKeepers; ++place) {
+        if (!taken.contains(place)) {
+            return place;
+        }
+    }
+    return std::nullopt;
+}
+
+// What all want is shared in proportion where it is more than there is. What others still claim can't be taken.
+quota_parts quota_claimer::fairParts(const quota_claims &others) const
+{
+    quota_parts parts;
+    const auto stored = m_stored.keepers.find(m_self);
+    for (const auto &[account, wanted] : m_wanted) {
+        double wantedByOthers = 0;
+        double claimedByOthers = 0;
+        for (const auto &[id, keeper] : others.keepers) {
+            wantedByOthers += id == m_self ? 0 : partOf(keeper.wanted, account);
+            claimedByOthers += id == m_self ? 0 : partOf(keeper.claimed, account);
+        }
+        const double fair = wanted + wantedByOthers > 1 ? wanted / (wanted + wantedByOthers) : wanted;
+        const double before = stored == m_stored.keepers.end() ? 0 : partOf(stored->second.claimed, account);
+        const bool enough = fair <= before && fair >= before * keptShare && before + wantedByOthers <= 1;
+        const double part = std::min(enough ? before : fair, std::max(0.0, 1 - claimedByOthers - rounding));
+        if (part > 0) {
+            parts[account] = std::abs(part - before) < leastChange && part <= 1 - claimedByOthers && before > 0 ? std::min(before, 1 - claimedByOthers) : part;
+        }
+    }
+    return parts;
+}
+
+bool quota_claimer::due(monotonic_time now) const
+{
+    if (now - m_renewedAt >= m_times.renewal) {
+        return true;
+    }
+    return now >= m_changeFrom
+        && std::any_of(m_wanted.begin(), m_wanted.end(), [this](const auto &each) { return each.second > partOf(m_inUse, each.first) + leastChange; });
+}
+
+std::optional<quota_claims> quota_claimer::next(monotonic_time now)
+{
+    if (!m_read || m_pending) {
+        return std::nullopt;
+    }
+    auto claims = m_stored;
+    removeExpired(claims, now);
+    const auto stored = m_stored.keepers.find(m_self);
+    const auto place = stored == m_stored.keepers.end() ? freePlace(claims) : std::optional(stored->second.place);
+    if (!place) {
+        return std::nullopt;
+    }
+    m_beat += 1;
+    keeper_claims own {*place, m_beat, fairParts(claims), m_wanted};
+    // What is given up isn't used from now on, whatever becomes of the write.
+    limitUse(own.claimed);
+    m_pending = own;
+    claims.keepers[m_self] = std::move(own);
+    claims.era = m_era.value_or(0);
+    m_settling = m_settling && now < m_settledAt;
+    claims.settled = !m_settling;
+    return claims;
+}
+
+void quota_claimer::written(monotonic_time begunAt, monotonic_time now)
+{
+    if (!m_pending) {
+        return;
+    }
+    auto claimed = std::move(m_pending->claimed);
+    m_pending.reset();
+    m_read = false;
+    m_renewedAt = begunAt;
+    m_leaseEnd = begunAt + m_times.lease;
+    const bool more = std::any_of(claimed.begin(), claimed.end(), [this](const auto &each) { return each.second > partOf(m_inUse, each.first); });
+    m_changeFrom = now + (more ? m_times.change : m_times.fruitless);
+    if (m_settling) {
+        limitUse(claimed);
+    } else {
+        m_inUse = std::move(claimed);
+    }
+}
+
+void quota_claimer::notWritten()
+{
+    m_pending.reset();
+    m_read = false;
+}
+
+const quota_parts &quota_claimer::inUse(monotonic_time now) const
+{
+    static const quota_parts none;
+    return now < m_leaseEnd ? m_inUse : none;
+}
+
+monotonic_time quota_claimer::leaseEnd() const
+{
+    return m_leaseEnd;
+}
+
+} // namespace daisystile
