Tests: Restore a copy of the store in the platform stand-in

Cause: no test could play a store that comes back from a copy. Change: all answers of the stand-in state Store-Era; POST /control/restore takes it away for away_ms and back by age_ms; later revisions are given out again and a watch from one that it doesn't have gets 410.

--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -20,6 +20,7 @@
 static const std::string hostsPath = "/hosts/";
 static const std::string controlObjectsPath = "/control/objects/";
 static const std::string hostsKind = "hosts";
+static const std::string eraHeader = "Store-Era";
 
 /// The "KIND" or "KIND/NAME" part of the request path; empty outside the object API.
 static std::string pathKey(const http_request &request)
@@ -118,8 +119,11 @@
 
 http_handler platform_standin::objectApi()
 {
-    return [this](http_request request, http_responder respond) {
-        receive(std::move(request), std::move(respond));
+    return [this](http_request request, const http_responder &respond) {
+        receive(std::move(request), [this, respond](http_response response) {
+            response.headers.push_back({eraHeader, std::to_string(m_store.era())});
+            respond(std::move(response));
+        });
     };
 }
 
@@ -335,6 +339,7 @@
 
 void platform_standin::notifyWatches()
 {
+    m_revisions[m_loop.now()] = m_store.revision();
     for (auto entry = m_watches.begin(); entry != m_watches.end();) {
         const auto events = m_store.eventsAfter(entry->prefix, entry->after);
         if (events && events->empty()) {
@@ -391,6 +396,9 @@
         m_store.compact();
         return jsonResponse(json::object());
     }
+    if (request.path == "/control/restore" && request.method == "POST") {
+        return restoreCopy(request);
+    }
     if (request.path == "/control/counters" && request.method == "GET") {
         return countersResponse();
     }
@@ -471,6 +479,25 @@
     return jsonResponse(json::object());
 }
 
+// The store is away from now on and comes back as it was some time ago.
+http_response platform_standin::restoreCopy(const http_request &request)
+{
+    const auto body = parseJson(request.body);
+    if (!body || !body->is_object()) {
+        return problemResponse(400, "a JSON object is expected");
+    }
+    const milliseconds age {body->value("age_ms", std::uint64_t {0})};
+    const milliseconds away {body->value("away_ms", std::uint64_t {0})};
+    const auto later = m_revisions.upper_bound(m_loop.now() - age);
+    const auto revision = later == m_revisions.begin() ? 0 : std::prev(later)->second;
+    m_revisions.erase(later, m_revisions.end());
+    m_store.restore(revision);
+    m_faults.outage = outage_kind::reset;
+    closeWatches([](const pending_watch &) { return true; });
+    m_loop.after(away, [this] { m_faults.outage = outage_kind::none; });
+    return jsonResponse({{"era", m_store.era()}, {"revision", revision}});
+}
+
 http_response platform_standin::countersResponse() const
 {
     json calls {{"get", 0}, {"put", 0}, {"delete", 0}, {"list", 0}, {"watch", 0}, {"hosts", 0}};
--- a/Tests/StandIns/platform_standin.h
+++ b/Tests/StandIns/platform_standin.h
@@ -82,6 +82,7 @@
     http_response serveHosts(const http_request &request);
     http_response control(const http_request &request);
     http_response setFaults(const http_request &request);
+    http_response restoreCopy(const http_request &request);
     http_response countersResponse() const;
 
     reactor &m_loop;
@@ -90,6 +91,8 @@
     platform_faults m_faults;
     counters m_counters;
     std::list<pending_watch> m_watches;
+    /// The store's revision by the time of the change.
+    std::map<monotonic_time, std::uint64_t> m_revisions;
     std::mt19937_64 m_random {1};
 };
 
--- a/Tests/StandIns/platform_store.cxx
+++ b/Tests/StandIns/platform_store.cxx
@@ -1,5 +1,7 @@
 #include "platform_store.h"
 
+#include <algorithm>
+
 namespace daisystile {
 
 // Older events are compacted, so that memory stays bounded in long runs.
@@ -28,12 +30,17 @@
 std::string platform_store::appendEvent(const std::string &key, std::optional<std::string> value)
 {
     m_revision += 1;
+    const auto *before = find(key);
+    m_undo.push_back({m_revision, key, before == nullptr ? std::nullopt : std::optional(*before)});
     auto etag = '"' + std::to_string(m_revision) + '"';
     m_events.push_back({m_revision, key, etag, std::move(value)});
     if (m_events.size() > maximumEvents) {
         m_compactedUpTo = m_events.front().revision;
         m_events.pop_front();
     }
+    if (m_undo.size() > maximumEvents) {
+        m_undo.pop_front();
+    }
     return etag;
 }
 
@@ -55,10 +62,12 @@
     if (!conditionsHold(key, conditions)) {
         return write_error::precondition_failed;
     }
-    if (m_objects.erase(key) == 0) {
+    if (find(key) == nullptr) {
         return std::string();
     }
-    return appendEvent(key, std::nullopt);
+    auto etag = appendEvent(key, std::nullopt);
+    m_objects.erase(key);
+    return etag;
 }
 
 const stored_object *platform_store::find(const std::string &key) const
@@ -83,7 +92,7 @@
 
 std::optional<std::vector<store_event>> platform_store::eventsAfter(const std::string &prefix, std::uint64_t after) const
 {
-    if (after < m_compactedUpTo) {
+    if (after < m_compactedUpTo || after > m_revision) {
         return std::nullopt;
     }
     std::vector<store_event> found;
@@ -95,6 +104,28 @@
     return found;
 }
 
+std::uint64_t platform_store::era() const
+{
+    return m_era;
+}
+
+void platform_store::restore(std::uint64_t revision)
+{
+    for (; !m_undo.empty() && m_undo.back().revision > revision; m_undo.pop_back()) {
+        const auto &step = m_undo.back();
+        m_objects.erase(step.key);
+        if (step.before) {
+            m_objects.emplace(step.key, *step.before);
+        }
+    }
+    while (!m_events.empty() && m_events.back().revision > revision) {
+        m_events.pop_back();
+    }
+    m_revision = std::min(m_revision, revision);
+    m_compactedUpTo = std::min(m_compactedUpTo, m_revision);
+    m_era += 1;
+}
+
 void platform_store::compact()
 {
     m_events.clear();
--- a/Tests/StandIns/platform_store.h
+++ b/Tests/StandIns/platform_store.h
@@ -13,7 +13,7 @@
 struct stored_object
 {
     std::string key;
-    /// The revision in quotes, as in an ETag header. Revisions are never reused.
+    /// The revision in quotes, as in an ETag header. Revisions are reused only after restore().
     std::string etag;
     std::string value;
 };
@@ -54,16 +54,31 @@
     std::vector<stored_object> list(const std::string &prefix) const;
     std::uint64_t revision() const;
 
-    /// Empty if part of the requested history has been compacted.
+    /// Rises by one with each restore().
+    std::uint64_t era() const;
+    /// Goes back to what it held at an earlier revision; later revisions are given out again.
+    void restore(std::uint64_t revision);
+
+    /// Empty if part of the requested history has been compacted, or if it hasn't come so far.
     std::optional<std::vector<store_event>> eventsAfter(const std::string &prefix, std::uint64_t after) const;
     void compact();
 
 private:
+    /// What a key held before a change.
+    struct undo_step
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::optional<stored_object> before;
+    };
+
     bool conditionsHold(const std::string &key, const write_conditions &conditions) const;
     std::string appendEvent(const std::string &key, std::optional<std::string> value);
 
     std::map<std::string, stored_object> m_objects;
     std::deque<store_event> m_events;
+    std::deque<undo_step> m_undo;
+    std::uint64_t m_era = 1;
     std::uint64_t m_revision = 0;
     std::uint64_t m_compactedUpTo = 0;
 };
--- a/Tests/StandIns/platform_store_test.cxx
+++ b/Tests/StandIns/platform_store_test.cxx
@@ -35,6 +35,27 @@
     EXPECT_TRUE(store.eventsAfter("a/", store.revision())->empty());
 }
 
+TEST(platform_store, givesLaterRevisionsOutAgainAfterACopyIsRestored)
+{
+    platform_store store;
+    store.put("a/1", "x", {});
+    store.put("a/2", "y", {});
+    const auto copied = store.revision();
+    store.put("a/1", "z", {});
+    store.remove("a/2", {});
+    store.put("a/3", "w", {});
+    const auto latest = store.revision();
+    store.restore(copied);
+    EXPECT_EQ(store.era(), 2U);
+    EXPECT_EQ(store.find("a/1")->value, "x");
+    EXPECT_EQ(store.find("a/2")->value, "y");
+    EXPECT_EQ(store.find("a/3"), nullptr);
+    EXPECT_FALSE(store.eventsAfter("a/", latest).has_value()) << "it hasn't come so far";
+    store.put("a/2", "other", {});
+    EXPECT_EQ(store.revision(), copied + 1);
+    EXPECT_EQ(store.eventsAfter("a/", copied)->size(), 1U);
+}
+
 TEST(host_list, showsChangesAfterTheLagAndNoneWhileFrozen)
 {
     host_list hosts;
