--- a/Source/Forward/object_mirror.cxx
+++ b/Source/Forward/object_mirror.cxx
@@ -203,13 +203,14 @@
 
 std::optional<monotonic_time> object_mirror::removalGrace(monotonic_time now) const
 {
-    if (m_restoredSince && now < *m_restoredSince + m_limits.restoreGrace) {
-        return *m_restoredSince + m_limits.restoreGrace;
+    std::optional<monotonic_time> until;
+    if (m_restoredSince) {
+        until = *m_restoredSince + m_limits.restoreGrace;
     }
-    if (m_reachableSince && now < *m_reachableSince + m_limits.lapseGrace) {
-        return *m_reachableSince + m_limits.lapseGrace;
+    if (m_reachableSince) {
+        until = std::max(until.value_or(*m_reachableSince), *m_reachableSince + m_limits.lapseGrace);
     }
-    return std::nullopt;
+    return until && now < *until ? until : std::nullopt;
 }
 
 void object_mirror::put(const platform_object &object)
@@ -229,7 +230,8 @@
         return;
     }
     if (const auto until = removalGrace(now)) {
-        m_lapsed.emplace(key, *until);
+        // The store may come back once more before the object has been written again.
+        m_lapsed.insert_or_assign(key, *until);
         return;
     }
     m_lapsed.erase(key);
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -276,13 +276,27 @@
         }
         const bool mayTake = configuration.mirror().known() || configuration.mirror().storeUnreachable();
         if (heldConfiguration && mayTake) {
-            configuration.takeRelayed(*std::exchange(heldConfiguration, std::nullopt));
+            const auto taken = *std::exchange(heldConfiguration, std::nullopt);
+            configuration.takeRelayed(taken);
+            takeVersionInForce(taken);
         }
         if (configurationRequest.due(announcedRevision, configurationRevision())) {
             configuration.reload();
         }
     }
 
+    // A daemon that started since the store has come back may have read an older version there than its source has in force.
+    void takeVersionInForce(const mirror_relayed &relayed)
+    {
+        for (const auto &object : relayed.objects) {
+            const auto known = configuration.mirror().objects().find(object.key);
+            const bool applied = known != configuration.mirror().objects().end() && known->second.value == object.value;
+            if (object.key == configurationKey && !applied && object.value != configurationInForce) {
+                putInForce(object);
+            }
+        }
+    }
+
     // The store may be unreachable from the source only.
     void probeStore()
     {
@@ -429,28 +443,32 @@
         }
     }
 
-    // The current configuration is never replaced by an older version.
     void configurationChanged()
     {
         const auto found = configuration.mirror().objects().find(configurationKey);
-        if (found == configuration.mirror().objects().end()) {
-            return;
+        if (found != configuration.mirror().objects().end()) {
+            configurationReadable = putInForce(found->second);
         }
-        auto read = readRoutingConfiguration(found->second.value);
-        configurationReadable = std::holds_alternative<routing_configuration>(read);
+    }
+
+    // The current configuration is never replaced by an older version. Returns whether the object is a configuration.
+    bool putInForce(const platform_object &object)
+    {
+        auto read = readRoutingConfiguration(object.value);
         if (const auto *error = std::get_if<malformed_text>(&read)) {
-            DAISYSTILE_LOG(ERROR, "store") << "Configuration is invalid." << field("revision", found->second.etag) << field("reason", error->reason);
-            return;
+            DAISYSTILE_LOG(ERROR, "store") << "Configuration is invalid." << field("revision", object.etag) << field("reason", error->reason);
+            return false;
         }
         auto &next = std::get<routing_configuration>(read);
         if (view.routes && next.version <= view.routes->configuration().version) {
-            return;
+            return true;
         }
         DAISYSTILE_LOG(INFO, "store") << "Configuration in force." << field("version", next.version.value) << field("routes", next.routes.size())
-                                      << field("revision", found->second.etag);
+                                      << field("revision", object.etag);
         view.routes = std::make_shared<route_table>(std::move(next));
-        configurationInForce = found->second.value;
+        configurationInForce = object.value;
         publishView();
+        return true;
     }
 
     struct server_seen
--- a/Tests/Forward/fleet_registry_test.cxx
+++ b/Tests/Forward/fleet_registry_test.cxx
@@ -60,6 +60,28 @@
     EXPECT_EQ(registry.daemons(start + seconds {100}).size(), 1U);
 }
 
+// Each daemon takes its share of the limits over the fleet; a fleet that looks smaller for a moment would take more than all of it.
+TEST(fleet_registry, countsDaemonsWhoseEntriesARestoredStoreLacksUntilTheyCanHaveWrittenThemAgain)
+{
+    fleet_registry registry({.restoreGrace = seconds {10}}, {{"d1"}, {"port"}});
+    const platform_object key {fleet_registry::peerKeyEntry, "1.1", fleet_registry::peerKeyText("secret")};
+    monotonic_time now {seconds {100}};
+    registry.listed({{key, entry("d2", 2), entry("d3", 3)}, {9, 1}}, now);
+    now += seconds {5};
+    registry.listed({{entry("d2", 2)}, {4, 2}}, now);
+    EXPECT_EQ(registry.daemons(now).size(), 3U);
+    EXPECT_EQ(registry.peerKey(), "secret");
+    EXPECT_FALSE(registry.peerKeyListed()) << "it has to be written again";
+    now += seconds {9};
+    registry.listed({{entry("d2", 2)}, {4, 3}}, now);
+    now += seconds {9};
+    registry.listed({{entry("d2", 2)}, {4, 3}}, now);
+    EXPECT_EQ(registry.daemons(now).size(), 3U) << "the store came back again";
+    now += seconds {1};
+    registry.listed({{entry("d2", 2)}, {4, 3}}, now);
+    EXPECT_EQ(registry.daemons(now).size(), 2U);
+}
+
 TEST(drainStep, servesUntilTheBalancerStopsAndExitsBeforeTheKill)
 {
     const milliseconds grace {6000};
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -148,3 +148,66 @@
     m_mirror.decide(mirror_relayed {false, {10}, {object("a", 10)}, {}}, m_now);
     EXPECT_TRUE(m_mirror.objects().contains("a")) << "registered again";
 }
+
+/// The mirror of a store that comes back from copies.
+class restored_mirror_test : public testing::Test
+{
+protected:
+    static platform_object object(const std::string &key, const store_revision &revision, const std::string &value)
+    {
+        return {key, toString(revision), value};
+    }
+
+    mirror_action listed(std::vector<platform_object> objects, const store_revision &revision)
+    {
+        return m_mirror.decide(mirror_listed {object_list {std::move(objects), revision}}, m_now);
+    }
+
+    std::string valueOf(const std::string &key) const
+    {
+        const auto found = m_mirror.objects().find(key);
+        return found == m_mirror.objects().end() ? "" : found->second.value;
+    }
+
+    static constexpr milliseconds grace {2500};
+    object_mirror m_mirror {{.restoreGrace = grace}, 1};
+    monotonic_time m_now {seconds {100}};
+};
+
+TEST_F(restored_mirror_test, takesTheSameRevisionOfAnotherEraForAnotherContent)
+{
+    listed({object("a", {7, 1}, "first")}, {9, 1});
+    EXPECT_TRUE(std::holds_alternative<read_all_objects>(m_mirror.decide(mirror_watched {watch_batch {{}, {8, 2}}}, m_now))) << "a watch of another era";
+    listed({object("a", {7, 2}, "second")}, {8, 2});
+    EXPECT_EQ(valueOf("a"), "second");
+    listed({object("a", {7, 1}, "first")}, {20, 1});
+    m_mirror.decide(mirror_relayed {true, {30, 1}, {object("a", {30, 1}, "old")}, {}}, m_now);
+    m_mirror.decide(mirror_watched {watch_batch {{{{21, 1}, object("a", {21, 1}, "old"), false}}, {21, 1}}}, m_now);
+    EXPECT_EQ(valueOf("a"), "second") << "knowledge of an earlier era";
+}
+
+TEST_F(restored_mirror_test, takesARelayedEraOnlyAsAWhole)
+{
+    listed({object("a", {7, 1}, "first"), object("b", {8, 1}, "kept")}, {9, 1});
+    m_mirror.decide(mirror_relayed {false, {7, 2}, {object("a", {7, 2}, "second")}, {}}, m_now);
+    EXPECT_EQ(valueOf("a"), "first") << "what is left of the rest isn't known";
+    m_mirror.decide(mirror_relayed {true, {8, 2}, {object("a", {7, 2}, "second"), object("b", {8, 1}, "older")}, {}}, m_now);
+    EXPECT_EQ(valueOf("a"), "second");
+    EXPECT_EQ(valueOf("b"), "kept");
+    EXPECT_EQ(m_mirror.revision(), (store_revision {8, 2}));
+}
+
+// The second copy lacks the object too; it is written again up to two seconds after each return.
+TEST_F(restored_mirror_test, keepsALostObjectUntilTheGraceTimeAfterTheLastReturn)
+{
+    listed({object("a", {7, 1}, "first")}, {9, 1});
+    listed({}, {5, 2});
+    m_now += seconds {2};
+    listed({}, {4, 3});
+    m_now += seconds {2};
+    m_mirror.dropLapsed(m_now);
+    EXPECT_EQ(valueOf("a"), "first") << "the second return was two seconds ago";
+    m_now += grace;
+    m_mirror.dropLapsed(m_now);
+    EXPECT_TRUE(m_mirror.objects().empty()) << "nobody wrote it again";
+}
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -91,6 +91,25 @@
     EXPECT_EQ(allOf(mirror).objects.size(), 1U);
 }
 
+TEST(sent_objects, sendsAllObjectsOfANewEra)
+{
+    object_mirror mirror({.restoreGrace = seconds {1}}, 1);
+    sent_objects sent;
+    mirror.decide(mirror_listed {object_list {{{"a", "1.1", "x"}, {"b", "1.2", "y"}}, {5, 1}}}, {});
+    sent.changes(mirror);
+    EXPECT_FALSE(sent.changes(mirror).whole);
+    mirror.decide(mirror_listed {object_list {{{"a", "2.1", "x"}}, {3, 2}}}, {});
+    const auto changed = sent.changes(mirror);
+    EXPECT_TRUE(changed.whole);
+    EXPECT_EQ(changed.revision, (store_revision {3, 2}));
+    EXPECT_EQ(changed.objects.size(), 2U) << "also what is about to be written again";
+    relay_update update {.era = 2, .servers = changed};
+    const auto read = decodeRelayUpdate(encodeRelayUpdate(update));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->era, 2U);
+    EXPECT_EQ(read->servers.revision, (store_revision {3, 2}));
+}
+
 TEST(relay_update, roundTripsAndRejectsTruncatedBytes)
 {
     relay_update update {
--- a/Tests/Platform/platform_client_test.cxx
+++ b/Tests/Platform/platform_client_test.cxx
@@ -243,6 +243,53 @@
     EXPECT_TRUE(std::holds_alternative<malformed_text>(readServerEntry({"a"}, "")));
 }
 
+TEST_F(platform_client_test, anAnswerOfAnEarlierEraIsAFailedCall)
+{
+    int began = 0;
+    m_client->onNewEra([&] { began += 1; });
+    const auto get = [this](const std::string &era) {
+        m_reply = http_response {.body = R"({"meta":{"name":"b","revision":4},"spec":{}})", .headers = {{"Store-Era", era}}};
+        return run<read_result>([&](auto callback) { m_client->get("a/b", callback); });
+    };
+    EXPECT_EQ(std::get<platform_object>(get("1")).etag, "1.4");
+    EXPECT_EQ(std::get<platform_object>(get("2")).etag, "2.4");
+    EXPECT_TRUE(std::holds_alternative<platform_unavailable>(get("1")));
+    EXPECT_EQ(m_client->era(), 2U);
+    EXPECT_EQ(began, 2);
+    m_client->learnEra(3);
+    EXPECT_TRUE(std::holds_alternative<platform_unavailable>(get("2"))) << "another daemon has read era 3";
+}
+
+// The store may have given the revision to another content since.
+TEST_F(platform_client_test, aVersionOfAnEarlierEraIsNoLongerTheObjects)
+{
+    constexpr const char *impossible = "9007199254740991";
+    m_client->learnEra(2);
+    m_reply = http_response {.status = 409, .headers = {{"Store-Era", "2"}}};
+    EXPECT_TRUE(std::holds_alternative<write_conflict>(put(if_version {"1.7"})));
+    EXPECT_NE(m_lastRequest.body.find(impossible), std::string::npos) << m_lastRequest.body;
+    run<remove_result>([&](auto callback) { m_client->remove("kind/a", if_version {"1.7"}, callback); });
+    EXPECT_EQ(m_lastRequest.query["revision"], impossible);
+    put(if_version {"2.7"});
+    EXPECT_NE(m_lastRequest.body.find(R"("revision":7)"), std::string::npos) << m_lastRequest.body;
+}
+
+TEST_F(platform_client_test, pagesOfTwoErasAreNoListing)
+{
+    int pages = 0;
+    m_server = http_server::listen(m_loop, {"127.0.0.1", 0}, [&](const http_request &, const http_responder &respond) {
+        pages += 1;
+        const bool first = pages == 1;
+        respond({.body = first ? R"({"items":[{"meta":{"name":"a","revision":1},"spec":{}}],"has_more":true,"current_rev":9})"
+                               : R"({"items":[],"has_more":false,"current_rev":9})",
+            .headers = {{"Store-Era", first ? "1" : "2"}}});
+    }).value();
+    m_client = std::make_unique<platform_client>(m_http, platform_client_settings {.platform = m_server->address(), .domain = {"d"}});
+    const auto list = run<list_result>([&](auto callback) { m_client->list("kind/", read_freshness::newest, callback); });
+    EXPECT_TRUE(std::holds_alternative<platform_unavailable>(list));
+    EXPECT_EQ(pages, 2);
+}
+
 TEST(readServerEntry, aNameThatIsNoHeaderValueNamesNoServer)
 {
     const auto *entry = R"({"service":"s","address":"127.0.0.1:9","zone":"z","capacity":1,"state":"ready","warmup_left_ms":0})";
