Tests, Forward: Play restored copies of the store to real daemons

Cause: nothing but unit tests showed what daemons do when the store comes back from a copy; a starting daemon used an older version from the store until the next update of its source. The stand-in restores a revision. A held relayed version is looked at as soon as the store has been read.

--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -448,6 +448,9 @@
         const auto found = configuration.mirror().objects().find(configurationKey);
         if (found != configuration.mirror().objects().end()) {
             configurationReadable = putInForce(found->second);
+            if (heldConfiguration) {
+                takeVersionInForce(*std::exchange(heldConfiguration, std::nullopt));
+            }
         }
     }
 
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -84,7 +84,7 @@
             addServer(shardName(shard), static_cast<std::size_t>(i));
         }
     }
-    writeConfiguration();
+    writeConfiguration(1, {});
     m_daemons.resize(static_cast<std::size_t>(m_size.daemons));
     for (std::size_t i = 0; i < m_daemons.size(); ++i) {
         const auto file = (m_folder / ("daemon-" + std::to_string(i) + ".toml")).string();
@@ -176,25 +176,25 @@
     return m_servers;
 }
 
-std::unique_ptr<plain_backend> plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain)
+plain_fleet::server plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain)
 {
     const auto id = service + "-" + std::to_string(m_nextServer++);
-    auto process = std::make_unique<plain_backend>(id, std::string(16, service.back()));
-    process->setFatalPath(m_fatalPath);
-    process->setDelay(m_delay);
-    putServer(service, domain, *process, milliseconds {0});
-    return process;
+    server entry {service, domain, std::make_unique<plain_backend>(id, std::string(16, service.back()))};
+    entry.process->setFatalPath(m_fatalPath);
+    entry.process->setDelay(m_delay);
+    putServer(entry, milliseconds {0});
+    return entry;
 }
 
-void plain_fleet::putServer(const std::string &service, const failure_domain_name &domain, const plain_backend &process, milliseconds coldLeft)
+void plain_fleet::putServer(const server &entry, milliseconds coldLeft, const std::string &state)
 {
-    putObject("servers/" + process.id(),
-        {{"service", service},
-            {"address", toString(process.address())},
-            {"zone", domain.value},
+    putObject("servers/" + entry.process->id(),
+        {{"service", entry.service},
+            {"address", toString(entry.process->address())},
+            {"zone", entry.domain.value},
             {"version", "v1"},
             {"capacity", 4},
-            {"state", "ready"},
+            {"state", state},
             {"warmup_left_ms", coldLeft.count()},
             {"sequence", ++m_sequence},
             {"born", 1}});
@@ -202,14 +202,18 @@
 
 void plain_fleet::registerServer(std::size_t index, milliseconds coldLeft)
 {
-    const auto &entry = m_servers[index];
-    putServer(entry.service, entry.domain, *entry.process, coldLeft);
+    putServer(m_servers[index], coldLeft);
+}
+
+void plain_fleet::drainServer(std::size_t index)
+{
+    putServer(m_servers[index], milliseconds {0}, "draining");
 }
 
 void plain_fleet::addServer(const std::string &service, std::size_t place)
 {
     const failure_domain_name domain {domainNames[place % static_cast<std::size_t>(m_size.serverDomains)]};
-    m_servers.push_back({service, domain, makeServer(service, domain)});
+    m_servers.push_back(makeServer(service, domain));
 }
 
 void plain_fleet::replaceServer(std::size_t index)
@@ -217,7 +221,7 @@
     auto &entry = m_servers[index];
     removeObject("servers/" + entry.process->id());
     m_endedServers.push_back(std::move(entry.process));
-    entry.process = makeServer(entry.service, entry.domain);
+    entry = makeServer(entry.service, entry.domain);
 }
 
 void plain_fleet::setFatalPath(const std::string &prefix)
@@ -274,7 +278,22 @@
     return m_control;
 }
 
-void plain_fleet::writeConfiguration()
+std::uint64_t plain_fleet::storeRevision()
+{
+    return m_control.get(m_store->address("control"), "/control/counters").value("revision", std::uint64_t {0});
+}
+
+void plain_fleet::restoreStore(std::uint64_t revision, milliseconds away)
+{
+    m_control.send("POST", m_store->address("control"), "/control/restore", {{"revision", revision}, {"away_ms", away.count()}});
+}
+
+void plain_fleet::cutDomainsFromStore(const std::vector<std::string> &domains)
+{
+    m_control.send("POST", m_store->address("control"), "/control/faults", {{"cut_domains", domains}});
+}
+
+void plain_fleet::writeConfiguration(int version, const std::string &furtherRoute)
 {
     json shards = json::array();
     json services = json::array({{{"name", "logbook"}, {"max_connections", connectionsPerServer}, {"warmup_per_s", m_size.coldRequestsPerSecond}}});
@@ -283,11 +302,14 @@
         shards.push_back(shardName(shard));
         services.push_back({{"name", shards.back()}, {"max_connections", connectionsPerServer}});
     }
+    if (!furtherRoute.empty()) {
+        routes.push_back(routeOf(furtherRoute, {{"service", "logbook"}}));
+    }
     if (m_size.shards > 0) {
         routes.push_back(routeOf("/find/", {{"fanout_services", shards}}));
     }
     putObject("config/main",
-        {{"version", 1},
+        {{"version", version},
             {"routes", routes},
             {"services", services},
             {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}});
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -83,15 +83,23 @@
     void removeObject(const std::string &key);
     /// Writes the entry of a server again, as cold for this long.
     void registerServer(std::size_t index, milliseconds coldLeft);
+    /// Writes the entry of a server that is about to end.
+    void drainServer(std::size_t index);
+    /// Writes a version of the configuration in which this route leads to the service "logbook" too.
+    void writeConfiguration(int version, const std::string &furtherRoute);
+    std::uint64_t storeRevision();
+    /// The store is away for this long and comes back from a copy that was made at the revision.
+    void restoreStore(std::uint64_t revision, milliseconds away);
+    /// Cuts the daemons of these failure domains off from the store, and no others.
+    void cutDomainsFromStore(const std::vector<std::string> &domains);
     /// Turns the store off or on.
     void setStoreDown(bool down);
     test_client &control();
 
 private:
     void addServer(const std::string &service, std::size_t place);
-    void putServer(const std::string &service, const failure_domain_name &domain, const plain_backend &process, milliseconds coldLeft);
-    std::unique_ptr<plain_backend> makeServer(const std::string &service, const failure_domain_name &domain);
-    void writeConfiguration();
+    void putServer(const server &entry, milliseconds coldLeft, const std::string &state = "ready");
+    server makeServer(const std::string &service, const failure_domain_name &domain);
     void putObject(const std::string &key, const nlohmann::json &value);
 
     layout m_size;
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -479,7 +479,7 @@
     return jsonResponse(json::object());
 }
 
-// The store is away from now on and comes back as it was some time ago.
+// The store is away from now on and comes back as it was some time ago, or at a revision.
 http_response platform_standin::restoreCopy(const http_request &request)
 {
     const auto body = parseJson(request.body);
@@ -489,8 +489,8 @@
     const milliseconds age {body->value("age_ms", std::uint64_t {0})};
     const milliseconds away {body->value("away_ms", std::uint64_t {0})};
     const auto later = m_revisions.upper_bound(m_loop.now() - age);
-    const auto revision = later == m_revisions.begin() ? 0 : std::prev(later)->second;
-    m_revisions.erase(later, m_revisions.end());
+    const auto revision = body->value("revision", later == m_revisions.begin() ? std::uint64_t {0} : std::prev(later)->second);
+    std::erase_if(m_revisions, [&](const auto &entry) { return entry.second > revision; });
     m_store.restore(revision);
     m_faults.outage = outage_kind::reset;
     closeWatches([](const pending_watch &) { return true; });
