--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -27,6 +27,8 @@
 constexpr milliseconds configurationRelayInterval {500};
 constexpr milliseconds failedSourceDelay {5000};
 constexpr milliseconds storeProbeInterval {2000};
+// A source that still relays an earlier era of the store after this time isn't in touch with it.
+constexpr milliseconds maxEarlierEra {1500};
 // A daemon that has the rest waits no longer for the list of daemons: those that can't read it serve with a small share of the limits.
 constexpr milliseconds maxFleetWait {4000};
 // Each change of the servers causes a call from every daemon, so a larger fleet batches changes over a longer time.
@@ -44,6 +46,14 @@
     return key.substr(key.find('/') + 1);
 }
 
+// Requests with keys are served only for the revocation time after a check, which may fail once or take another way.
+milliseconds configurationCheck(const entry_settings &settings)
+{
+    constexpr int checksPerRevocationTime = 3;
+    const auto &bounds = settings.bounds;
+    return bounds.strictRevocation ? std::min(settings.freshCheck, bounds.revocationTime / checksPerRevocationTime) : settings.freshCheck;
+}
+
 std::map<std::string, std::size_t> maxValueBytes()
 {
     const auto kindOf = [](std::string_view prefix) {
@@ -69,15 +79,21 @@
                   .watchTimeout = watchTimeout,
                   .maxValueBytes = maxValueBytes()}),
           fleet(loop, store, settings, [this] { fleetUpdated(); }),
-          configuration(loop, store, configurationKeyPrefix, {settings.freshCheck, read_freshness::newest}, {}, [this] { configurationChanged(); }),
+          configuration(loop, store, configurationKeyPrefix, {configurationCheck(settings), read_freshness::newest}, {}, [this] { configurationChanged(); }),
           servers(loop,
               store,
               serverKeyPrefix,
               {settings.staleCheck, read_freshness::stale_allowed},
-              {.batchDelay = minServersBatchDelay, .lapseGrace = settings.lapseGrace},
+              {.batchDelay = minServersBatchDelay, .lapseGrace = settings.lapseGrace, .restoreGrace = settings.lapseGrace},
               [this] { serversChanged(); }),
-          evacuations(loop, store, evacuationKeyPrefix, {settings.reachCheck, read_freshness::stale_allowed}, {}, [this] { evacuationsChanged(); }),
-          suspects(loop, store, settings, [this] { suspectsChanged(); })
+          evacuations(loop,
+              store,
+              evacuationKeyPrefix,
+              {settings.reachCheck, read_freshness::stale_allowed},
+              {.restoreGrace = settings.lapseGrace},
+              [this] { evacuationsChanged(); }),
+          suspects(loop, store, settings, [this] { suspectsChanged(); }),
+          quotas(loop, store, settings, [this](claimed_quotas claims, std::function<void()> applied) { claimed(std::move(claims), std::move(applied)); })
     {
         view.fleet = fleet.daemons();
         view.fleetKnown = fleet.known();
@@ -90,6 +106,12 @@
             each->onReachabilityChanged([this] { updateFollowers(); });
         }
         servers.onRevisionChanged([this] { serversRevisionChanged(); });
+        configuration.onVerified([this](monotonic_time askedAt) {
+            if (configurationReadable) {
+                configurationNewest(askedAt);
+            }
+        });
+        store.onNewEra([this] { eraBegan(); });
         fleet.start();
         loop.after(settings.bootstrap ? maxBootstrapSourceSearch : maxSourceSearch, [this] {
             if (!servers.mirror().known()) {
@@ -171,8 +193,59 @@
         loop.after(failedSourceDelay, [this] { chooseSource(); });
     }
 
+    // Revisions are given out again in an era, so what is known of the one before is read anew. What this daemon wrote may be lost.
+    void eraBegan()
+    {
+        eraKnownSince = loop.now();
+        reloadAll();
+        fleet.writeAgain();
+    }
+
+    // Other calls of this daemon may have told it of an era before its source learned of it.
+    bool ofCurrentEra(const relay_update &update)
+    {
+        store.learnEra(update.era);
+        if (update.era == store.era()) {
+            return true;
+        }
+        if (loop.now() - eraKnownSince > maxEarlierEra) {
+            sourceFailed();
+        }
+        return false;
+    }
+
+    // Counted from when this daemon asked its source, so that no delay of a message makes it look newer.
+    void takeAge(const age_answer &answer)
+    {
+        if (configurationReadable && configurationRevision() >= answer.configurationRevision) {
+            configurationNewest(monotonic_time {microseconds {answer.askedAtUs - answer.ageUs}});
+        }
+    }
+
+    std::optional<relay_update> answerAge(const age_question &question)
+    {
+        if (!canRelay() || !configurationReadable || !configurationNewestAt) {
+            return std::nullopt;
+        }
+        auto update = updateHead();
+        const auto age = std::chrono::ceil<microseconds>(loop.now() - *configurationNewestAt);
+        update.configurationAge.push_back({question.askedAtUs, age.count(), configurationRevision()});
+        return update;
+    }
+
+    void configurationNewest(monotonic_time askedAt)
+    {
+        if (!configurationNewestAt || askedAt > *configurationNewestAt) {
+            configurationNewestAt = askedAt;
+            newestKnown(askedAt);
+        }
+    }
+
     void applyUpdate(relay_update update)
     {
+        if (!ofCurrentEra(update)) {
+            return;
+        }
         if (!isUsable({servers.following(), !servers.mirror().storeUnreachable(), update.storeReached})) {
             sourceFailed();
             return;
@@ -184,6 +257,9 @@
         suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
         takeConfiguration(std::move(update.configuration), update.configurationRevision);
         fleet.takeRelayed(toFleet(update.fleet));
+        for (const auto &answer : update.configurationAge) {
+            takeAge(answer);
+        }
         sourceReachesStore = update.storeReached;
         if (!sourceReachesStore && !probing) {
             probing = true;
@@ -193,20 +269,34 @@
 
     // A process that has just started reads the configuration from the store, because its source may have been paused and
     // may relay an old one. While the store can't be reached, it takes what the source has.
-    void takeConfiguration(relayed_objects relayed, std::uint64_t announcedRevision)
+    void takeConfiguration(relayed_objects relayed, const store_revision &announcedRevision)
     {
         if (!relayed.objects.empty()) {
             heldConfiguration = toMirror(std::move(relayed));
         }
         const bool mayTake = configuration.mirror().known() || configuration.mirror().storeUnreachable();
         if (heldConfiguration && mayTake) {
-            configuration.takeRelayed(*std::exchange(heldConfiguration, std::nullopt));
+            const auto taken = *std::exchange(heldConfiguration, std::nullopt);
+            configuration.takeRelayed(taken);
+            takeVersionInForce(taken);
         }
         if (configurationRequest.due(announcedRevision, configurationRevision())) {
             configuration.reload();
         }
     }
 
+    // A daemon that started since the store has come back may have read an older version there than its source has in force.
+    void takeVersionInForce(const mirror_relayed &relayed)
+    {
+        for (const auto &object : relayed.objects) {
+            const auto known = configuration.mirror().objects().find(object.key);
+            const bool applied = known != configuration.mirror().objects().end() && known->second.value == object.value;
+            if (object.key == configurationKey && !applied && object.value != configurationInForce) {
+                putInForce(object);
+            }
+        }
+    }
+
     // The store may be unreachable from the source only.
     void probeStore()
     {
@@ -235,23 +325,36 @@
             return;
         }
         relay = std::make_unique<relay_server>(loop, credentials(), [this] { return firstUpdate(); });
+        relay->onAgeQuestion([this](const age_question &question) { return answerAge(question); });
         if (!leaving) {
             relay->listen(settings.peers, [this](bool listens) { fleet.offerPeers(listens); });
         }
     }
 
     // 0 until a configuration is known.
-    std::uint64_t configurationRevision() const
+    store_revision configurationRevision() const
     {
         const auto &objects = configuration.mirror().objects();
         const auto found = objects.find(configurationKey);
-        return found == objects.end() ? 0 : std::strtoull(found->second.etag.c_str(), nullptr, 10);
+        return found == objects.end() ? store_revision {} : parseRevision(found->second.etag);
+    }
+
+    // A store that has come back from a copy may hold an older version for a moment; followers get the one in force.
+    std::map<std::string, platform_object> configurationToRelay() const
+    {
+        auto objects = configuration.mirror().objects();
+        const auto found = objects.find(configurationKey);
+        if (found != objects.end() && !configurationInForce.empty()) {
+            found->second.value = configurationInForce;
+        }
+        return objects;
     }
 
     relay_update updateHead() const
     {
         relay_update update;
         update.storeReached = !servers.mirror().storeUnreachable() && !configuration.mirror().storeUnreachable() && !evacuations.mirror().storeUnreachable();
+        update.era = store.era();
         update.configurationRevision = relayedConfigurationRevision;
         return update;
     }
@@ -288,7 +391,7 @@
             return std::nullopt;
         }
         auto update = updateHead();
-        update.configuration = allOf(configuration.mirror());
+        update.configuration = allOf(configurationToRelay(), configuration.mirror().revision());
         update.servers = allOf(servers.mirror());
         update.evacuations = allOf(evacuationsInForce, evacuations.mirror().revision());
         update.suspects = allOf(suspects.objects().mirror());
@@ -303,7 +406,7 @@
         }
         relayed_objects changedConfiguration;
         if (loop.now() - configurationRelayedAt >= configurationRelayInterval) {
-            changedConfiguration = sentConfiguration.changes(configuration.mirror());
+            changedConfiguration = sentConfiguration.changes(configurationToRelay(), configuration.mirror().revision());
         }
         if (!changedConfiguration.objects.empty()) {
             configurationRelayedAt = loop.now();
@@ -325,6 +428,9 @@
     {
         verifyAfterPause();
         updateFollowers();
+        if (client) {
+            client->askAge();
+        }
         loop.after(heartbeatInterval, [this] { sendHeartbeat(); });
     }
 
@@ -337,26 +443,35 @@
         }
     }
 
-    // The current configuration is never replaced by an older version.
     void configurationChanged()
     {
         const auto found = configuration.mirror().objects().find(configurationKey);
-        if (found == configuration.mirror().objects().end()) {
-            return;
+        if (found != configuration.mirror().objects().end()) {
+            configurationReadable = putInForce(found->second);
+            if (heldConfiguration) {
+                takeVersionInForce(*std::exchange(heldConfiguration, std::nullopt));
+            }
         }
-        auto read = readRoutingConfiguration(found->second.value);
+    }
+
+    // The current configuration is never replaced by an older version. Returns whether the object is a configuration.
+    bool putInForce(const platform_object &object)
+    {
+        auto read = readRoutingConfiguration(object.value);
         if (const auto *error = std::get_if<malformed_text>(&read)) {
-            DAISYSTILE_LOG(ERROR, "store") << "Configuration is invalid." << field("revision", found->second.etag) << field("reason", error->reason);
-            return;
+            DAISYSTILE_LOG(ERROR, "store") << "Configuration is invalid." << field("revision", object.etag) << field("reason", error->reason);
+            return false;
         }
         auto &next = std::get<routing_configuration>(read);
         if (view.routes && next.version <= view.routes->configuration().version) {
-            return;
+            return true;
         }
         DAISYSTILE_LOG(INFO, "store") << "Configuration in force." << field("version", next.version.value) << field("routes", next.routes.size())
-                                      << field("revision", found->second.etag);
+                                      << field("revision", object.etag);
         view.routes = std::make_shared<route_table>(std::move(next));
+        configurationInForce = object.value;
         publishView();
+        return true;
     }
 
     struct server_seen
@@ -364,6 +479,8 @@
         std::string etag;
         std::optional<server_entry> entry;
         monotonic_time readAt;
+        // It was draining before the store came back from a copy in which it isn't.
+        bool drainKept = false;
     };
 
     void serversChanged()
@@ -386,8 +503,8 @@
     {
         for (const auto &[key, before] : serversSeen) {
             if (!now.contains(key)) {
-                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key)) << field("revision", servers.mirror().revision())
-                                                << field("learned_from", learnedFrom());
+                DAISYSTILE_LOG(INFO, "servers") << "Backend server is gone." << field("server", nameOf(key))
+                                                << field("revision", toString(servers.mirror().revision())) << field("learned_from", learnedFrom());
             }
         }
     }
@@ -419,10 +536,34 @@
             return {object.etag, std::nullopt, loop.now()};
         }
         auto &entry = std::get<server_entry>(read);
+        const bool drainKept = !entry.draining && drainedBefore(key, object, entry);
+        entry.draining = entry.draining || drainKept;
         DAISYSTILE_LOG(INFO, "servers") << "Backend server changed." << field("server", entry.id.value) << field("service", entry.service.value)
                                         << field("state", entry.draining ? "draining" : "ready") << field("revision", object.etag)
                                         << field("learned_from", learnedFrom());
-        return {object.etag, std::move(entry), loop.now()};
+        const auto readAt = coldSince(key, entry);
+        return {object.etag, std::move(entry), readAt, drainKept};
+    }
+
+    // An entry that is read again from a copy states the warm-up time of when it was written.
+    monotonic_time coldSince(const std::string &key, const server_entry &entry) const
+    {
+        const auto before = serversSeen.find(key);
+        const bool same =
+            before != serversSeen.end() && before->second.entry && before->second.entry->born == entry.born && before->second.entry->coldLeft == entry.coldLeft;
+        return same ? before->second.readAt : loop.now();
+    }
+
+    // The store may have lost that a server is draining. Its process still ends, and it says so again.
+    bool drainedBefore(const std::string &key, const platform_object &object, const server_entry &entry) const
+    {
+        const auto before = serversSeen.find(key);
+        if (before == serversSeen.end() || !before->second.entry) {
+            return false;
+        }
+        const bool restored = parseRevision(object.etag).era > parseRevision(before->second.etag).era;
+        const auto &known = *before->second.entry;
+        return (restored || before->second.drainKept) && known.draining && known.born == entry.born && known.address == entry.address;
     }
 
     void evacuationsChanged()
@@ -432,7 +573,9 @@
             domains.insert({nameOf(key)});
         }
         // A source relays nothing of the evacuations that is ahead of the servers.
-        const auto serversRevision = servers.following() ? servers.mirror().revision() : std::numeric_limits<std::uint64_t>::max();
+        const auto serversRevision = servers.following()
+            ? servers.mirror().revision()
+            : store_revision {std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max()};
         gate.evacuationsRead(domains, evacuations.mirror().revision(), serversRevision);
         applyEvacuations();
         readServersForGate();
@@ -474,7 +617,8 @@
         evacuationsInForce = std::move(inForce);
         view.evacuated = gate.evacuated();
         DAISYSTILE_LOG(INFO, "store") << "Evacuated failure domains changed." << field("count", view.evacuated.size())
-                                      << field("revision", evacuations.mirror().revision()) << field("servers_revision", servers.mirror().revision())
+                                      << field("revision", toString(evacuations.mirror().revision()))
+                                      << field("servers_revision", toString(servers.mirror().revision()))
                                       << field("waiting_for_servers", gate.waiting() ? "true" : "false");
         publishView();
     }
@@ -531,7 +675,13 @@
     // Until the fleet is known, this daemon's share of the limits is too small for the requests that readiness would attract.
     bool ready() const
     {
-        return complete() && (fleet.known() || fleetWaitOver);
+        return complete() && (fleet.known() || fleetWaitOver) && servesKeys();
+    }
+
+    // Clients with keys would get nothing but refusals.
+    bool servesKeys() const
+    {
+        return !view.routes->keys().keysNeeded() || daisystile::servesKeys(configurationAge(settings.bounds, configurationNewestAt), loop.now());
     }
 
     bool complete() const
@@ -556,6 +706,8 @@
     // The evacuations that the gate has in force, also those that have ended and wait.
     std::map<std::string, platform_object> evacuationsInForce;
     suspect_board suspects;
+    quota_board quotas;
+    quota_board::claims_consumer claimed;
     incarnation incarnationId {stableHash(randomBytes(8))};
     failed_sources failed;
     std::optional<fleet_daemon> source;
@@ -570,7 +722,15 @@
     // A relayed configuration that may not be taken yet.
     std::optional<mirror_relayed> heldConfiguration;
     monotonic_time configurationRelayedAt;
-    std::uint64_t relayedConfigurationRevision = 0;
+    store_revision relayedConfigurationRevision;
+    // Text of the version in force.
+    std::string configurationInForce;
+    // Whether the newest text that was read is a configuration.
+    bool configurationReadable = false;
+    std::optional<monotonic_time> configurationNewestAt;
+    std::function<void(monotonic_time)> newestKnown = [](monotonic_time) {
+    };
+    monotonic_time eraKnownSince;
     monotonic_time lastHeartbeat;
     bool verifying = false;
     bool fleetAwaited = false;
@@ -592,6 +752,26 @@
     m_implementation->start();
 }
 
+void store_follower::onConfigurationNewest(std::function<void(monotonic_time)> callback)
+{
+    m_implementation->newestKnown = std::move(callback);
+}
+
+void store_follower::onQuotaClaims(quota_board::claims_consumer consumer)
+{
+    m_implementation->claimed = std::move(consumer);
+}
+
+void store_follower::wantQuotas(quota_parts parts)
+{
+    m_implementation->quotas.want(std::move(parts));
+}
+
+void store_follower::keepQuotas(bool keeper)
+{
+    m_implementation->quotas.keep(keeper);
+}
+
 void store_follower::shareSuspects(std::vector<suspect_record> records)
 {
     m_implementation->suspects.share(std::move(records));
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -3,6 +3,7 @@
 #include "entry_settings.h"
 #include "fleet_registry.h"
 #include "object_mirror.h"
+#include "quota_board.h"
 #include "routing_snapshot.h"
 
 #include <functional>
@@ -19,6 +20,13 @@
     store_follower(const store_follower &) = delete;
     store_follower &operator=(const store_follower &) = delete;
 
+    /// Called when the published configuration is known to have been the newest one when the store was asked at this time.
+    void onConfigurationNewest(std::function<void(monotonic_time)> callback);
+    /// Called with this daemon's claims on accounts' quotas, to be applied on the traffic thread.
+    void onQuotaClaims(quota_board::claims_consumer consumer);
+    void wantQuotas(quota_parts parts);
+    /// Whether daemons ask this one first for tokens of quotas.
+    void keepQuotas(bool keeper);
     void start();
     /// Replaces what this daemon tells the others about suspected requests.
     void shareSuspects(std::vector<suspect_record> records);
