Route, Forward: Hand out quotas within their bound whatever restarts, and less refused below them

Cause: review of the core. Tokens that daemons held outlived the part that was given up; a restarted keeper used the claims of the process before it at once; a bucket refilled over a lapsed lease; a token that had expired at the keeper could be renewed by the daemon; a keeper turned away from the store was never left; claims that can't be read blocked all for good; removed claims were taken for free; used tokens counted as held until the next question, so that a replay of 79 daemons refused 85 in 100 requests below the quota. Change: parts that daemons hold tokens of stay claimed; each process is a keeper of its own; buckets know their lease; keepers without claims are left, with growing pauses, and the first one is returned to once it has claims; requests are refused at once while no keeper can be asked; unreadable claims are replaced after a lease's time; quota_overage and quota_slack are what keepers share beyond the quota.

--- a/Source/Forward/delegation_messages.h
+++ b/Source/Forward/delegation_messages.h
@@ -121,11 +121,12 @@
     std::uint32_t arrived = 0;
     std::uint32_t held = 0;
     std::uint32_t wanted = 0;
+    std::uint32_t waiting = 0;
     std::uint32_t givenBack = 0;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(account, arrived, held, wanted, givenBack);
+        archive(account, arrived, held, wanted, waiting, givenBack);
     }
 };
 
--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -116,6 +116,9 @@
     for (const auto &[delegation, request] : std::exchange(found->second.running, {})) {
         m_requests.clientLeft(request);
     }
+    if (const auto asking = m_tokenLinks.find(found->second.id); asking != m_tokenLinks.end() && asking->second == number) {
+        m_tokenLinks.erase(asking);
+    }
     // Deferred, because the link must outlive its callbacks.
     m_loop.post([this, number] { m_links.erase(number); });
 }
@@ -188,8 +191,13 @@
 {
     auto &from = m_links.at(number);
     if (!std::exchange(from.asksTokens, true)) {
+        m_tokenLinks[from.id] = number;
         m_quotas.connected(from.id);
     }
+    if (m_tokenLinks[from.id] != number) {
+        drop(number);
+        return;
+    }
     send(number, m_quotas.answer(from.id, question));
 }
 
--- a/Source/Forward/delegation_server.h
+++ b/Source/Forward/delegation_server.h
@@ -62,6 +62,8 @@
     std::unique_ptr<address_opener> m_opener;
     std::function<void(bool)> m_listens;
     std::map<link_number, delegating_daemon> m_links;
+    // The latest connection on which each daemon has asked for tokens.
+    std::map<daemon_id, link_number> m_tokenLinks;
     link_number m_next = 1;
     bool m_draining = false;
 };
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -58,10 +58,10 @@
         requests.quotaKeeper().onWanted(
             [this](quota_parts parts) { control.post([this, parts = std::move(parts)]() mutable { store.wantQuotas(std::move(parts)); }); });
         requests.quotas().onKeeping([this](bool keeper) { control.post([this, keeper] { store.keepQuotas(keeper); }); });
-        store.onQuotaClaims([this](claimed_quotas claims, std::function<void()> applied) {
+        store.onQuotaClaims([this](claimed_quotas claims, std::function<void(const quota_parts &)> applied) {
             traffic.post([this, claims = std::move(claims), applied = std::move(applied)]() mutable {
-                requests.quotaKeeper().setClaims(std::move(claims));
-                control.post(std::move(applied));
+                auto held = requests.quotaKeeper().setClaims(std::move(claims));
+                control.post([held = std::move(held), applied = std::move(applied)] { applied(held); });
             });
         });
     }
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -52,7 +52,7 @@
                   }}),
       m_coordinators(settings),
       m_keyRefusals(registry),
-      m_quotaKeeper(loop),
+      m_quotaKeeper(loop, settings.bounds),
       m_quotas(loop, settings, m_quotaKeeper),
       m_budgets(m_coordinators),
       m_delegations(loop, settings.id, m_metrics),
@@ -177,6 +177,7 @@
 {
     m_settings.bounds = bounds;
     m_pool.setBounds(bounds);
+    m_quotaKeeper.setBounds(bounds);
 }
 
 request_number forwarder::submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
@@ -248,19 +249,19 @@
     }
     m_requests.emplace(request->number, request);
     m_quotas.take(account->name, std::min(request->objective / objectiveToWait, maxWait), [this, request](const quota_outcome &outcome) {
-        quotaDecided(request, outcome);
+        return quotaDecided(request, outcome);
     });
     return request->state.ended ? 0 : request->number;
 }
 
-void forwarder::quotaDecided(const request_pointer &request, const quota_outcome &outcome)
+bool forwarder::quotaDecided(const request_pointer &request, const quota_outcome &outcome)
 {
     if (!m_requests.contains(request->number)) {
-        return;
+        return false;
     }
     if (outcome.decision == quota_decision::granted) {
         start(request);
-        return;
+        return true;
     }
     const bool exceeded = outcome.decision == quota_decision::exceeded;
     logRequestEnd(*request, exceeded ? "over_quota" : "quota_unknown", m_loop.now());
@@ -270,6 +271,7 @@
     const double draw = std::uniform_real_distribution<>()(m_random);
     const auto spread = std::chrono::duration_cast<milliseconds>(outcome.retryAfter * draw);
     finish(request, local_reply {exceeded ? statusTooManyRequests : statusUnavailable, outcome.retryAfter + spread});
+    return false;
 }
 
 forwarder::request_pointer forwarder::makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply)
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -67,7 +67,8 @@
     void refuseKey(const request_pointer &request, key_refusal reason);
     /// Starts the request once there is a token of its account's quota.
     request_number startWithinQuota(const request_pointer &request);
-    void quotaDecided(const request_pointer &request, const quota_outcome &outcome);
+    /// Returns whether the token is used.
+    bool quotaDecided(const request_pointer &request, const quota_outcome &outcome);
     request_number start(const request_pointer &request);
     /// Refuses a request that is quarantined for the time left.
     void refuseQuarantined(const request_pointer &request, milliseconds left);
--- a/Source/Forward/quota_board.cxx
+++ b/Source/Forward/quota_board.cxx
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <random>
+#include <algorithm>
 
 namespace daisystile {
 
@@ -66,9 +66,11 @@
 quota_board::quota_board(reactor &loop, platform_client &store, const entry_settings &settings, claims_consumer claimed)
     : m_loop(loop),
       m_store(store),
-      m_claimer(settings.id, {}),
-      m_claimed(std::move(claimed))
+      m_claimer({settings.id.value + "/" + std::to_string(stableHash(randomBytes(8)))}, {}),
+      m_claimed(std::move(claimed)),
+      m_firstStart(settings.bootstrap)
 {
+    m_claimer.setPlaces(limitsWithin(settings.bounds.quotaSlack, settings.bounds.quotaWindow).places);
 }
 
 void quota_board::want(quota_parts parts)
@@ -76,6 +78,7 @@
     m_wants = !parts.empty();
     m_claimer.want(std::move(parts));
     startTicking();
+    readIfDue();
 }
 
 void quota_board::keep(bool keeper)
@@ -97,11 +100,16 @@
     if (!m_ticking) {
         return;
     }
+    readIfDue();
+    m_loop.after(tickInterval, [this] { tick(); });
+}
+
+void quota_board::readIfDue()
+{
     const auto now = m_loop.now();
     if (!m_busy && now >= m_notBefore && m_claimer.due(now)) {
         readClaims();
     }
-    m_loop.after(tickInterval, [this] { tick(); });
 }
 
 void quota_board::readClaims()
@@ -110,15 +118,13 @@
     m_store.get(claimsKey, [this](const read_result &result) { claimsRead(result); });
 }
 
-// Claims that can't be read are those of another writer; nobody uses any part then until its lease ends.
 void quota_board::claimsRead(const read_result &result)
 {
     const auto now = m_loop.now();
     if (const auto *object = std::get_if<platform_object>(&result)) {
         const auto claims = parseQuotaClaims(object->value);
         if (!claims) {
-            DAISYSTILE_LOG(ERROR, "quota") << "The claims on quotas can't be read." << field("revision", object->etag);
-            finished(retryPause);
+            readUnreadable(object->etag, now);
             return;
         }
         m_version = object->etag;
@@ -126,7 +132,7 @@
         prepareWrite();
     } else if (std::holds_alternative<object_not_found>(result)) {
         m_version.clear();
-        m_claimer.readNone(m_store.era(), now);
+        m_claimer.readNone(m_store.era(), m_firstStart, now);
         prepareWrite();
     } else {
         finished(retryPause);
@@ -136,28 +142,45 @@
 // What is given up must be out of use before others can take it.
 void quota_board::prepareWrite()
 {
-    const auto begunAt = m_loop.now();
-    const auto claims = m_claimer.next(begunAt);
-    publish([this, claims, begunAt] {
-        if (claims) {
-            write(*claims, begunAt);
+    const bool begun = m_claimer.begin(m_loop.now());
+    publish([this, begun](const quota_parts &held) {
+        if (begun) {
+            write(m_claimer.next(held, m_loop.now()));
         } else {
             finished(retryPause);
         }
     });
 }
 
-void quota_board::write(const quota_claims &claims, monotonic_time begunAt)
+// Nobody can renew a lease while another writer's text is there, so all have ended when it has been there for a lease's time.
+void quota_board::readUnreadable(const std::string &version, monotonic_time now)
+{
+    if (m_unreadable != version) {
+        DAISYSTILE_LOG(ERROR, "quota") << "The claims on quotas can't be read." << field("revision", version);
+        m_unreadable = version;
+        m_unreadableSince = now;
+    }
+    if (now - m_unreadableSince <= m_claimer.longestLease()) {
+        finished(retryPause);
+        return;
+    }
+    DAISYSTILE_LOG(WARNING, "quota") << "Claims on quotas that can't be read are replaced." << field("revision", version);
+    m_version = version;
+    m_claimer.read({{}, m_store.era(), true}, m_store.era(), now);
+    prepareWrite();
+}
+
+void quota_board::write(const quota_claims &claims)
 {
     const auto condition = m_version.empty() ? write_condition(if_absent {}) : write_condition(if_version {m_version});
-    m_store.put(claimsKey, quotaClaimsText(claims), condition, [this, begunAt](const write_result &result) { claimsWritten(result, begunAt); });
+    m_store.put(claimsKey, quotaClaimsText(claims), condition, [this](const write_result &result) { claimsWritten(result); });
 }
 
-void quota_board::claimsWritten(const write_result &result, monotonic_time begunAt)
+void quota_board::claimsWritten(const write_result &result)
 {
     if (std::holds_alternative<object_written>(result)) {
-        m_claimer.written(begunAt, m_loop.now());
-        publish([] {});
+        m_claimer.written(m_loop.now());
+        publish([](const quota_parts &) {});
         finished(milliseconds {0});
         return;
     }
@@ -167,7 +190,7 @@
     finished(conflict ? milliseconds {pause} : retryPause);
 }
 
-void quota_board::publish(std::function<void()> applied)
+void quota_board::publish(std::function<void(const quota_parts &held)> applied)
 {
     m_claimed({m_claimer.inUse(m_loop.now()), m_claimer.leaseEnd()}, std::move(applied));
 }
--- a/Source/Forward/quota_board.h
+++ b/Source/Forward/quota_board.h
@@ -19,8 +19,9 @@
 class quota_board
 {
 public:
-    /// Hands the claims in force to the traffic thread; calls back on the control thread once they are applied there.
-    using claims_consumer = std::function<void(claimed_quotas, std::function<void()> applied)>;
+    /// Hands the claims in force to the traffic thread; calls back on the control thread once they are applied there, with the parts
+    /// that daemons still hold tokens of.
+    using claims_consumer = std::function<void(claimed_quotas, std::function<void(const quota_parts &held)> applied)>;
 
     quota_board(reactor &loop, platform_client &store, const entry_settings &settings, claims_consumer claimed);
 
@@ -32,12 +33,14 @@
 private:
     void startTicking();
     void tick();
+    void readIfDue();
     void readClaims();
     void claimsRead(const read_result &result);
     void prepareWrite();
-    void write(const quota_claims &claims, monotonic_time begunAt);
-    void claimsWritten(const write_result &result, monotonic_time begunAt);
-    void publish(std::function<void()> applied);
+    void readUnreadable(const std::string &version, monotonic_time now);
+    void write(const quota_claims &claims);
+    void claimsWritten(const write_result &result);
+    void publish(std::function<void(const quota_parts &held)> applied);
     void finished(milliseconds pause);
 
     reactor &m_loop;
@@ -46,6 +49,10 @@
     claims_consumer m_claimed;
     // Version of the object as it was read; empty if there is none.
     std::string m_version;
+    // An object that can't be read, and since when.
+    std::string m_unreadable;
+    monotonic_time m_unreadableSince;
+    bool m_firstStart = false;
     bool m_askedFirst = false;
     bool m_wants = false;
     bool m_ticking = false;
--- a/Source/Forward/quota_client.h
+++ b/Source/Forward/quota_client.h
@@ -45,33 +45,54 @@
     /// Called when this daemon becomes the keeper of its failure domain or is none any more.
     void onKeeping(std::function<void(bool)> callback);
 
+    /// Returns whether the token is used if one was granted; it isn't if the client has left.
+    using token_callback = std::function<bool(const quota_outcome &)>;
+
     /// Calls back once: before returning if a token is there, or within the wait.
-    void take(const account_name &account, milliseconds wait, std::function<void(quota_outcome)> done);
+    void take(const account_name &account, milliseconds wait, token_callback done);
 
 private:
     struct waiting_request
     {
         monotonic_time until;
-        std::function<void(quota_outcome)> done;
+        token_callback done;
     };
 
     struct account_state
     {
         quota_wallet wallet;
         std::deque<waiting_request> waiting;
-        // Retry time of the keeper's last refusal.
-        milliseconds retryAfter {0};
-        bool refused = false;
+        // When the keeper has said that there will be tokens, if it has refused some.
+        monotonic_time refusedUntil;
+        monotonic_time nextAsk;
+    };
+
+    struct keeper_failure
+    {
+        milliseconds pause {0};
+        monotonic_time until;
     };
 
+    void stateKeeping();
+    bool failing(const daemon_id &id, monotonic_time now) const;
+    void noteFailure(const daemon_id &id, monotonic_time now);
     void chooseKeeper();
-    void connect(const fleet_daemon &keeper);
-    void keeperFailed();
-    void received(std::string_view frame);
+    void useKeeper(const daemon_id &id, std::unique_ptr<peer_link> link);
+    std::unique_ptr<peer_link> connect(const fleet_daemon &keeper, std::uint64_t number);
+    void retire(std::unique_ptr<peer_link> link);
+    void established(std::uint64_t number);
+    void linkFailed(std::uint64_t number);
+    void keeperFailed(const char *reason);
+    void probeFirst(monotonic_time now);
+    void endProbe(bool holdsClaims);
+    std::optional<quota_outcome> refusalNow(const account_state &state, milliseconds wait, monotonic_time now) const;
+    void received(std::uint64_t number, std::string_view frame);
     void askAll();
     void send(tokens_question question);
     void handle(const tokens_answer &answer);
-    void serveWaiting(account_state &state, monotonic_time now);
+    void noteLease(bool holdsClaims, monotonic_time now);
+    static void noteRefusal(account_state &state, bool holdsClaims, milliseconds retryAfter, monotonic_time now);
+    static void serveWaiting(account_state &state, monotonic_time now);
     void expireWaiting(account_state &state, monotonic_time now);
     void tick();
 
@@ -83,9 +104,22 @@
     };
     // Daemons of the failure domain that could be its keeper, the first one preferred.
     std::vector<fleet_daemon> m_candidates;
-    std::map<daemon_id, monotonic_time> m_failedUntil;
+    // Keepers that failed, and until when they aren't tried again.
+    std::map<daemon_id, keeper_failure> m_failures;
+    unsigned m_failuresInRow = 0;
     std::optional<daemon_id> m_keeper;
+    monotonic_time m_keeperSince;
+    std::optional<monotonic_time> m_withoutLeaseSince;
+    // None to this daemon itself.
     std::unique_ptr<peer_link> m_link;
+    std::uint64_t m_linkNumber = 0;
+    // A connection to the first daemon while another one is used.
+    std::unique_ptr<peer_link> m_probe;
+    std::uint64_t m_probeNumber = 0;
+    daemon_id m_probed;
+    monotonic_time m_probeSince;
+    std::uint64_t m_lastLink = 0;
+    bool m_isKeeping = false;
     // Destroyed on the next tick, because they may be closed from within their own callbacks.
     std::vector<std::unique_ptr<peer_link>> m_retired;
     std::map<account_name, account_state> m_accounts;
--- a/Source/Forward/quota_keeper.cxx
+++ b/Source/Forward/quota_keeper.cxx
@@ -1,6 +1,7 @@
 #include "quota_keeper.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisystile {
 
@@ -8,7 +9,10 @@
 
 constexpr milliseconds tickInterval {100};
 // Claims exceed the demand by this factor, so that tokens are there before they are asked for.
-constexpr double headroom = 1.3;
+constexpr double headroom = 2;
+// Smaller changes of what this keeper could use aren't worth a message.
+constexpr double leastChange = 0.02;
+constexpr double wantedSteps = 1000;
 
 double partOf(const quota_parts &parts, const account_name &account)
 {
@@ -16,27 +20,48 @@
     return found == parts.end() ? 0 : found->second;
 }
 
+bool differ(const quota_parts &left, const quota_parts &right)
+{
+    const auto moved = [](const quota_parts &from, const quota_parts &to) {
+        return std::any_of(from.begin(), from.end(), [&to](const auto &each) { return std::abs(each.second - partOf(to, each.first)) >= leastChange; });
+    };
+    return left.empty() != right.empty() || moved(left, right) || moved(right, left);
+}
+
 } // namespace
 
-quota_keeper::quota_keeper(reactor &loop)
+quota_keeper::quota_keeper(reactor &loop, const fleet_bounds &bounds)
     : m_loop(loop)
 {
+    setBounds(bounds);
+}
+
+void quota_keeper::setBounds(const fleet_bounds &bounds)
+{
+    m_bounds = bounds;
+    m_limits = limitsWithin(bounds.quotaSlack, bounds.quotaWindow);
+    applyClaims(m_loop.now());
 }
 
 void quota_keeper::update(const std::shared_ptr<const route_table> &routes)
 {
     m_routes = routes;
-    std::erase_if(m_buckets, [this](const auto &each) {
-        const auto *account = m_routes ? m_routes->account(each.first) : nullptr;
-        return account == nullptr || !account->quota;
-    });
-    applyParts(m_loop.now());
+    applyClaims(m_loop.now());
 }
 
-void quota_keeper::setClaims(claimed_quotas claims)
+quota_parts quota_keeper::setClaims(claimed_quotas claims)
 {
+    const auto now = m_loop.now();
+    m_leaseSince = now < m_claims.until ? m_leaseSince : now;
     m_claims = std::move(claims);
-    applyParts(m_loop.now());
+    applyClaims(now);
+    quota_parts held;
+    for (const auto &[name, bucket] : m_buckets) {
+        if (const double part = bucket.partHeld(now); part > 0) {
+            held.emplace(name, part);
+        }
+    }
+    return held;
 }
 
 void quota_keeper::onWanted(std::function<void(quota_parts)> callback)
@@ -44,18 +69,26 @@
     m_wanted = std::move(callback);
 }
 
-void quota_keeper::applyParts(monotonic_time now)
+// A bucket outlives the quota of its account, because daemons may still hold tokens of it.
+quota_lease quota_keeper::leaseOf(const account_name &account) const
 {
-    m_placed = now < m_claims.until;
-    for (auto &[name, bucket] : m_buckets) {
-        const auto *account = m_routes->account(name);
-        bucket.setPart(*account->quota, partNow(name), now);
+    const auto *terms = m_routes ? m_routes->account(account) : nullptr;
+    if (terms == nullptr || !terms->quota) {
+        return {};
     }
+    return {handedOut(*terms->quota, m_bounds.quotaOverage, m_bounds.quotaWindow),
+        partOf(m_claims.parts, account),
+        m_limits.extra,
+        m_limits.extraRate,
+        m_leaseSince,
+        m_claims.until};
 }
 
-std::optional<double> quota_keeper::partNow(const account_name &account) const
+void quota_keeper::applyClaims(monotonic_time now)
 {
-    return m_placed ? std::optional(partOf(m_claims.parts, account)) : std::nullopt;
+    for (auto &[name, bucket] : m_buckets) {
+        bucket.setLease(leaseOf(name), now);
+    }
 }
 
 quota_bucket *quota_keeper::bucketOf(const account_name &account, monotonic_time now)
@@ -66,7 +99,7 @@
     }
     const auto [found, isNew] = m_buckets.try_emplace(account);
     if (isNew) {
-        found->second.setPart(*terms->quota, partNow(account), now);
+        found->second.setLease(leaseOf(account), now);
     }
     return &found->second;
 }
@@ -74,10 +107,8 @@
 tokens_answer quota_keeper::answer(const daemon_id &from, const tokens_question &question)
 {
     const auto now = m_loop.now();
-    if (m_placed != (now < m_claims.until)) {
-        applyParts(now);
-    }
     const auto valid = std::max(monotonic_time::duration {0}, m_claims.until - now);
+    bool shortOfTokens = false;
     tokens_answer answer {question.askedAtUs, std::chrono::duration_cast<microseconds>(valid).count(), {}};
     for (const auto &each : question.accounts) {
         auto *bucket = bucketOf({each.account}, now);
@@ -86,10 +117,14 @@
             continue;
         }
         bucket->giveBack(from, each.givenBack, now);
-        const auto grant = bucket->ask(from, {each.arrived, each.held, each.wanted}, m_claims.until, now);
+        const auto grant = bucket->ask(from, {each.arrived, each.held, each.wanted, each.waiting}, m_claims.until, now);
+        shortOfTokens = shortOfTokens || grant.tokens < each.wanted;
         answer.accounts.push_back({each.account, grant.tokens, grant.retryAfter.count()});
     }
-    if (!std::exchange(m_ticking, true)) {
+    if (shortOfTokens) {
+        stateWanted(now);
+    }
+    if (!m_buckets.empty() && !std::exchange(m_ticking, true)) {
         tick();
     }
     return answer;
@@ -106,10 +141,14 @@
 {
     quota_parts parts;
     for (const auto &[name, bucket] : m_buckets) {
-        const auto &quota = *m_routes->account(name)->quota;
+        const auto *account = m_routes ? m_routes->account(name) : nullptr;
+        if (account == nullptr || !account->quota) {
+            continue;
+        }
+        const auto quota = handedOut(*account->quota, m_bounds.quotaOverage, m_bounds.quotaWindow);
         const double forRate = headroom * bucket.demand(now) / quota.rate;
-        const double forHolding = quota.burst > 0 ? bucket.wanted(now) / quota.burst : 0;
-        const double part = std::min(1.0, std::max(forRate, forHolding));
+        const double forHolding = quota.burst > 0 ? bucket.held(now) / quota.burst : 0;
+        const double part = std::ceil(std::min(1.0, std::max(forRate, forHolding)) * wantedSteps) / wantedSteps;
         if (part > 0) {
             parts[name] = part;
         }
@@ -117,11 +156,19 @@
     return parts;
 }
 
+void quota_keeper::stateWanted(monotonic_time now)
+{
+    if (auto parts = wanted(now); differ(parts, m_stated)) {
+        m_stated = parts;
+        m_wanted(std::move(parts));
+    }
+}
+
 void quota_keeper::tick()
 {
     const auto now = m_loop.now();
     std::erase_if(m_buckets, [now](const auto &each) { return each.second.idle(now); });
-    m_wanted(wanted(now));
+    stateWanted(now);
     m_ticking = !m_buckets.empty();
     if (m_ticking) {
         m_loop.after(tickInterval, [this] { tick(); });
--- a/Source/Forward/quota_keeper.h
+++ b/Source/Forward/quota_keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "delegation_messages.h"
+#include "entry_settings.h"
 
 #include <Route/route.h>
 
@@ -23,11 +24,14 @@
 class quota_keeper
 {
 public:
-    explicit quota_keeper(reactor &loop);
+    quota_keeper(reactor &loop, const fleet_bounds &bounds);
+
+    void setBounds(const fleet_bounds &bounds);
 
     void update(const std::shared_ptr<const route_table> &routes);
-    void setClaims(claimed_quotas claims);
-    /// Called with the parts that this daemon has use for, whenever they change and from time to time.
+    /// Returns the parts that daemons hold tokens of, also where this daemon's claims are less.
+    quota_parts setClaims(claimed_quotas claims);
+    /// Called with the parts that this daemon has use for whenever they change.
     void onWanted(std::function<void(quota_parts)> callback);
 
     tokens_answer answer(const daemon_id &from, const tokens_question &question);
@@ -36,9 +40,10 @@
 
 private:
     quota_bucket *bucketOf(const account_name &account, monotonic_time now);
-    void applyParts(monotonic_time now);
-    std::optional<double> partNow(const account_name &account) const;
+    quota_lease leaseOf(const account_name &account) const;
+    void applyClaims(monotonic_time now);
     quota_parts wanted(monotonic_time now) const;
+    void stateWanted(monotonic_time now);
     void tick();
 
     reactor &m_loop;
@@ -47,8 +52,12 @@
     std::map<account_name, quota_bucket> m_buckets;
     std::function<void(quota_parts)> m_wanted = [](const auto &) {
     };
+    // What was stated last.
+    quota_parts m_stated;
+    fleet_bounds m_bounds;
+    quota_keeper_limits m_limits;
+    monotonic_time m_leaseSince;
     bool m_ticking = false;
-    bool m_placed = false;
 };
 
 } // namespace daisystile
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -93,7 +93,9 @@
               {.restoreGrace = settings.lapseGrace},
               [this] { evacuationsChanged(); }),
           suspects(loop, store, settings, [this] { suspectsChanged(); }),
-          quotas(loop, store, settings, [this](claimed_quotas claims, std::function<void()> applied) { claimed(std::move(claims), std::move(applied)); })
+          quotas(loop, store, settings, [this](claimed_quotas claims, std::function<void(const quota_parts &)> applied) {
+              claimed(std::move(claims), std::move(applied));
+          })
     {
         view.fleet = fleet.daemons();
         view.fleetKnown = fleet.known();
--- a/Source/Route/quota_claims.cxx
+++ b/Source/Route/quota_claims.cxx
@@ -1,6 +1,7 @@
 #include "quota_claims.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace daisystile {
@@ -9,13 +10,25 @@
 
 // Clocks of two hosts differ in rate by less than this share.
 constexpr double clockDrift = 0.02;
+// Keepers want more than they have demand for; with this share of it there is no hurry.
+constexpr double enoughShare = 0.6;
 // A claim isn't changed for less than this part of a quota.
 constexpr double leastChange = 0.02;
 // A claim is kept until this share of it is enough.
 constexpr double keptShare = 0.7;
-// Sums of claims are compared with 1 despite rounding.
+// Parts of the store's text are multiples of a step but for this much.
 constexpr double rounding = 1e-9;
 
+double roundedDown(double part)
+{
+    return std::floor(part * partSteps + rounding) / partSteps;
+}
+
+double roundedUp(double part)
+{
+    return std::ceil(part * partSteps - rounding) / partSteps;
+}
+
 double partOf(const quota_parts &parts, const account_name &account)
 {
     const auto found = parts.find(account);
@@ -24,6 +37,25 @@
 
 } // namespace
 
+// A place has its extra tokens when the window begins and gets some again in it. Small accounts need most of them as burst.
+quota_keeper_limits limitsWithin(double slack, milliseconds window)
+{
+    constexpr unsigned maxPlaces = quota_keeper_limits {}.places;
+    constexpr unsigned minPlaces = 4;
+    constexpr double wantedPerPlace = 2;
+    constexpr double heldShare = 0.8;
+    const auto affordable = static_cast<unsigned>(std::min<double>(maxPlaces, slack / wantedPerPlace));
+    const unsigned places = affordable >= minPlaces ? affordable : maxPlaces;
+    const double perPlace = std::min(wantedPerPlace, slack / places);
+    return {places, perPlace * heldShare, perPlace * (1 - heldShare) / std::chrono::duration<double>(window).count()};
+}
+
+account_quota handedOut(const account_quota &quota, double overage, milliseconds window)
+{
+    const double inWindow = quota.rate * std::chrono::duration<double>(window).count();
+    return {quota.rate, quota.burst * (1 + overage) + inWindow * std::max(0.0, overage - clockDrift)};
+}
+
 quota_claimer::quota_claimer(daemon_id self, quota_claim_times times)
     : m_self(std::move(self)),
       m_times(times)
@@ -48,9 +80,13 @@
     m_beat = std::max(m_beat, own == claims.keepers.end() ? 0 : own->second.beat);
 }
 
-void quota_claimer::readNone(std::uint64_t era, monotonic_time now)
+void quota_claimer::readNone(std::uint64_t era, bool firstStart, monotonic_time now)
 {
-    read({{}, era, true}, era, now);
+    const bool first = firstStart && !m_era;
+    if (!first && m_settledAt <= now) {
+        m_settlingEra.reset();
+    }
+    read({{}, era, first}, era, now);
 }
 
 // Once for each era: this keeper has seen an earlier one, or the object was written in one, or others say that they have noticed.
@@ -62,10 +98,15 @@
     if ((begun || writtenBefore || !claims.settled) && m_settlingEra != era) {
         m_settlingEra = era;
         m_settling = true;
-        m_settledAt = now + m_times.lease;
+        m_settledAt = now + longestLease();
     }
 }
 
+void quota_claimer::setPlaces(unsigned places)
+{
+    m_places = places;
+}
+
 void quota_claimer::want(quota_parts parts)
 {
     m_wanted = std::move(parts);
@@ -81,7 +122,7 @@
 // A keeper is gone if it has stated nothing new for a lease, as seen by this daemon's clock.
 void quota_claimer::removeExpired(quota_claims &claims, monotonic_time now) const
 {
-    const auto longest = std::chrono::duration_cast<monotonic_time::duration>(m_times.lease * (1 + clockDrift));
+    const auto longest = longestLease();
     std::erase_if(claims.keepers, [&](const auto &each) {
         const auto seen = m_seen.find(each.first);
         return each.first != m_self && seen != m_seen.end() && now - seen->second.since > longest;
@@ -94,7 +135,7 @@
     for (const auto &[id, keeper] : claims.keepers) {
         taken.insert(keeper.place);
     }
-    for (unsigned place = 0; place < maxQuotaKeepers; ++place) {
+    for (unsigned place = 0; place < m_places; ++place) {
         if (!taken.contains(place)) {
             return place;
         }
@@ -117,9 +158,11 @@
         const double fair = wanted + wantedByOthers > 1 ? wanted / (wanted + wantedByOthers) : wanted;
         const double before = stored == m_stored.keepers.end() ? 0 : partOf(stored->second.claimed, account);
         const bool enough = fair <= before && fair >= before * keptShare && before + wantedByOthers <= 1;
-        const double part = std::min(enough ? before : fair, std::max(0.0, 1 - claimedByOthers - rounding));
+        const double free = std::max(0.0, 1 - claimedByOthers);
+        const bool close = before > 0 && std::abs(fair - before) < leastChange;
+        const double part = roundedDown(std::min(enough || close ? before : fair, free));
         if (part > 0) {
-            parts[account] = std::abs(part - before) < leastChange && part <= 1 - claimedByOthers && before > 0 ? std::min(before, 1 - claimedByOthers) : part;
+            parts[account] = part;
         }
     }
     return parts;
@@ -131,34 +174,47 @@
         return true;
     }
     return now >= m_changeFrom
-        && std::any_of(m_wanted.begin(), m_wanted.end(), [this](const auto &each) { return each.second > partOf(m_inUse, each.first) + leastChange; });
+        && std::any_of(m_wanted.begin(), m_wanted.end(), [this](const auto &each) { return partOf(m_inUse, each.first) < each.second * enoughShare; });
 }
 
-std::optional<quota_claims> quota_claimer::next(monotonic_time now)
+bool quota_claimer::begin(monotonic_time now)
 {
     if (!m_read || m_pending) {
-        return std::nullopt;
+        return false;
     }
-    auto claims = m_stored;
-    removeExpired(claims, now);
+    m_next = m_stored;
+    removeExpired(m_next, now);
     const auto stored = m_stored.keepers.find(m_self);
-    const auto place = stored == m_stored.keepers.end() ? freePlace(claims) : std::optional(stored->second.place);
+    const auto place = stored == m_stored.keepers.end() ? freePlace(m_next) : std::optional(stored->second.place);
     if (!place) {
-        return std::nullopt;
+        return false;
     }
     m_beat += 1;
-    keeper_claims own {*place, m_beat, fairParts(claims), m_wanted};
-    // What is given up isn't used from now on, whatever becomes of the write.
-    limitUse(own.claimed);
-    m_pending = own;
-    claims.keepers[m_self] = std::move(own);
-    claims.era = m_era.value_or(0);
+    m_begunAt = now;
+    m_pending = keeper_claims {*place, m_beat, fairParts(m_next), m_wanted};
+    limitUse(m_pending->claimed);
+    return true;
+}
+
+quota_claims quota_claimer::next(const quota_parts &held, monotonic_time now)
+{
+    // No daemon can hold more than this keeper has claimed, so the sum stays what it is in the store.
+    const auto stored = m_stored.keepers.find(m_self);
+    for (const auto &[account, part] : held) {
+        const double before = stored == m_stored.keepers.end() ? 0 : partOf(stored->second.claimed, account);
+        const double kept = std::max(partOf(m_pending->claimed, account), std::min(roundedUp(part), before));
+        if (kept > 0) {
+            m_pending->claimed[account] = kept;
+        }
+    }
+    m_next.keepers[m_self] = *m_pending;
+    m_next.era = m_era.value_or(0);
     m_settling = m_settling && now < m_settledAt;
-    claims.settled = !m_settling;
-    return claims;
+    m_next.settled = !m_settling;
+    return m_next;
 }
 
-void quota_claimer::written(monotonic_time begunAt, monotonic_time now)
+void quota_claimer::written(monotonic_time now)
 {
     if (!m_pending) {
         return;
@@ -166,8 +222,8 @@
     auto claimed = std::move(m_pending->claimed);
     m_pending.reset();
     m_read = false;
-    m_renewedAt = begunAt;
-    m_leaseEnd = begunAt + m_times.lease;
+    m_renewedAt = m_begunAt;
+    m_leaseEnd = m_begunAt + m_times.lease;
     const bool more = std::any_of(claimed.begin(), claimed.end(), [this](const auto &each) { return each.second > partOf(m_inUse, each.first); });
     m_changeFrom = now + (more ? m_times.change : m_times.fruitless);
     if (m_settling) {
@@ -189,6 +245,11 @@
     return now < m_leaseEnd ? m_inUse : none;
 }
 
+milliseconds quota_claimer::longestLease() const
+{
+    return std::chrono::ceil<milliseconds>(m_times.lease * (1 + clockDrift));
+}
+
 monotonic_time quota_claimer::leaseEnd() const
 {
     return m_leaseEnd;
--- a/Source/Route/quota_wallet.cxx
+++ b/Source/Route/quota_wallet.cxx
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::chrono::duration<double> rateTime {2};
-// Time for which a daemon holds tokens in advance.
+// Time for which a daemon holds tokens in advance. One that has use for less than half a token in this time holds none: tokens of
+// a small account that lie at daemons are missing at those that its next requests reach.
 constexpr std::chrono::duration<double> advance {0.5};
-// A daemon keeps one token of an account for this long after its last request.
 constexpr seconds keepTime {10};
 // Tokens that expire sooner are renewed.
 constexpr seconds renewBefore {3};
@@ -41,7 +41,7 @@
         return 0;
     }
     const double passed = std::max(0.0, std::chrono::duration<double>(now - m_rateAt).count());
-    return std::max(1U, static_cast<unsigned>(std::ceil(m_rate * std::exp(-passed / rateTime.count()) * advance.count())));
+    return static_cast<unsigned>(std::round(m_rate * std::exp(-passed / rateTime.count()) * advance.count()));
 }
 
 std::optional<quota_question> quota_wallet::ask(unsigned waiting, monotonic_time now)
@@ -56,17 +56,27 @@
         return std::nullopt;
     }
     m_asking = true;
-    m_askedAt = now;
-    return quota_question {std::exchange(m_arrived, 0), held, wanted - std::min(wanted, held)};
+    const auto missing = wanted - std::min(wanted, held);
+    m_waiting = std::min(missing, waiting);
+    return quota_question {std::exchange(m_arrived, 0), held, missing, m_waiting};
 }
 
-void quota_wallet::granted(unsigned tokens, monotonic_time expiry)
+// Tokens that have expired by now may have expired at the keeper before it got the question; it then counts them as used.
+void quota_wallet::granted(unsigned granted, monotonic_time expiry, monotonic_time now)
 {
     m_asking = false;
-    m_tokens = m_expiry > m_askedAt ? m_tokens + tokens : tokens;
+    m_tokens = tokens(now) + granted;
+    m_forWaiting = std::min(granted, m_waiting);
     m_expiry = expiry;
 }
 
+void quota_wallet::served(unsigned requests)
+{
+    const auto unused = m_forWaiting - std::min(m_forWaiting, requests);
+    m_tokens -= std::min(m_tokens, unused);
+    m_forWaiting = 0;
+}
+
 void quota_wallet::unanswered()
 {
     m_asking = false;
@@ -75,6 +85,7 @@
 void quota_wallet::clear()
 {
     m_asking = false;
+    m_forWaiting = 0;
     m_tokens = 0;
 }
 
--- a/Source/Route/quota_wallet.h
+++ b/Source/Route/quota_wallet.h
@@ -17,8 +17,10 @@
 
     /// The question for this many requests that wait for a token; nothing if there is no need to ask.
     std::optional<quota_question> ask(unsigned waiting, monotonic_time now);
-    /// Tokens that may be used until the expiry.
-    void granted(unsigned tokens, monotonic_time expiry);
+    /// Further tokens, and until when all may be used.
+    void granted(unsigned tokens, monotonic_time expiry, monotonic_time now);
+    /// Requests that waited have taken as many; the keeper counts the others that they waited for as used.
+    void served(unsigned requests);
     /// The answer to the question was lost.
     void unanswered();
     /// The keeper has changed; its tokens count no more.
@@ -36,9 +38,11 @@
     unsigned m_arrived = 0;
     monotonic_time m_expiry;
     bool m_asking = false;
+    // Requests that waited when the keeper was asked, and the tokens that were granted for them.
+    unsigned m_waiting = 0;
+    unsigned m_forWaiting = 0;
     double m_rate = 0;
     monotonic_time m_rateAt;
-    monotonic_time m_askedAt;
 };
 
 } // namespace daisystile
