Route, Platform: Test keys and claims; begin anew after a lapsed lease

Change: nothing of a lapsed lease stays in use; while the store's copy settles, parts that daemons hold are claimed in full.

--- a/Source/Route/quota_claims.cxx
+++ b/Source/Route/quota_claims.cxx
@@ -76,7 +76,9 @@
     }
     m_seen = std::move(seen);
     const auto own = claims.keepers.find(m_self);
-    limitUse(own == claims.keepers.end() ? quota_parts {} : own->second.claimed);
+    // What was in use before the lease ended may be another keeper's, whatever a restored copy says.
+    const bool lapsed = now >= m_leaseEnd;
+    limitUse(lapsed || own == claims.keepers.end() ? quota_parts {} : own->second.claimed);
     m_beat = std::max(m_beat, own == claims.keepers.end() ? 0 : own->second.beat);
 }
 
@@ -198,11 +200,11 @@
 
 quota_claims quota_claimer::next(const quota_parts &held, monotonic_time now)
 {
-    // No daemon can hold more than this keeper has claimed, so the sum stays what it is in the store.
+    // No daemon can hold more than this keeper has claimed, so the sum stays what it is in the store. A restored copy may lack the claim.
     const auto stored = m_stored.keepers.find(m_self);
     for (const auto &[account, part] : held) {
         const double before = stored == m_stored.keepers.end() ? 0 : partOf(stored->second.claimed, account);
-        const double kept = std::max(partOf(m_pending->claimed, account), std::min(roundedUp(part), before));
+        const double kept = std::max(partOf(m_pending->claimed, account), std::min(roundedUp(part), m_settling ? 1 : before));
         if (kept > 0) {
             m_pending->claimed[account] = kept;
         }
--- a/Tests/Platform/translation_test.cxx
+++ b/Tests/Platform/translation_test.cxx
@@ -97,6 +97,41 @@
         "POST /a%2Fb//c?x=%20 HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nX-Kept: 2\r\nDeadline-Ms: 550\r\nExpect-Instance: i-9\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+static bool isMalformed(const stated_key &key)
+{
+    return std::holds_alternative<malformed_key>(key);
+}
+
+TEST(readStatedKey, readsOneBearerKeyAndNoOther)
+{
+    EXPECT_EQ(std::get<sha256_digest>(readStatedKey(request({{"Authorization", "Bearer k1"}}))), sha256("k1"));
+    EXPECT_EQ(std::get<sha256_digest>(readStatedKey(request({{"aUTHORIZATION", "bearer  k1 "}}))), sha256("k1"));
+    EXPECT_EQ(std::get<sha256_digest>(readStatedKey(request({{"Connection", "Authorization"}, {"Authorization", "Bearer k1"}}))), sha256("k1"));
+    EXPECT_TRUE(std::holds_alternative<no_key>(readStatedKey(request({{"X-Authorization", "Bearer k1"}}))));
+    for (const auto *value : {"", "Bearer", "Bearer ", "k1", "Basic k1", "Bearer k1 k2", "Bearer k1,k2", "Bearer k1\tk2", "Bearerk1"}) {
+        EXPECT_TRUE(isMalformed(readStatedKey(request({{"Authorization", value}})))) << value;
+    }
+    EXPECT_TRUE(isMalformed(readStatedKey(request({{"Authorization", "Bearer k1"}, {"X", "1"}, {"authorization", "Bearer k1"}}))));
+}
+
+// What a client states in a trailer, in other spellings or as a header of the connection is treated alike.
+TEST(removeStatedIdentity, leavesNothingOfTheClientsKeyAndAccount)
+{
+    byte_queue input;
+    input.append("POST /x HTTP/1.1\r\nHost: h\r\nConnection: tenant-id\r\nTENANT-ID: forged\r\nAuthorization:\tBearer secret-1\r\n"
+                 "Transfer-Encoding: chunked\r\nTrailer: authorization, Tenant-Id\r\n\r\n1\r\nx\r\n0\r\nauthorization: Bearer secret-2\r\n"
+                 "tenant-id: forged\r\n\r\n");
+    request_reader reader({});
+    ASSERT_EQ(reader.read(input), read_progress::complete);
+    auto message = reader.take();
+    EXPECT_TRUE(isMalformed(readStatedKey(message)));
+    removeStatedIdentity(message);
+    const auto bytes = serverRequest(message, milliseconds {500}, {"i-9"}, account_name {"a"});
+    EXPECT_EQ(bytes.find("secret"), std::string::npos) << bytes;
+    EXPECT_EQ(bytes.find("forged"), std::string::npos) << bytes;
+    EXPECT_NE(bytes.find("\r\nTenant-Id: a\r\n"), std::string::npos) << bytes;
+}
+
 TEST(readServerAnswer, classifiesAnswers)
 {
     const client_request_id id {"7"};
