Forward, Platform: Take another peer key that the store holds

Change: updates carry a digest of the key; a follower that knows another one reads it from the store, at most each 10 s; sources read it again in a new era, as does a follower that lost its source. Servers of links accept new links with the present key and keep the others.

--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -52,10 +52,11 @@
 
 void delegation_server::update(const routing_snapshot &view)
 {
+    // Links that are accepted from now on use it.
+    m_credentials.key = view.peerKey;
     if (m_address.port == 0 || m_opener || m_draining || view.peerKey.empty()) {
         return;
     }
-    m_credentials.key = view.peerKey;
     address_opener::callbacks notify;
     notify.open = [this]() -> leaf::result<void> {
         BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, m_address, [this](int handle) { accepted(handle); }));
--- a/Source/Forward/fleet_runner.cxx
+++ b/Source/Forward/fleet_runner.cxx
@@ -47,7 +47,7 @@
 {
     m_startedAt = m_loop.now();
     refreshEntry();
-    m_loop.after(m_bootstrap ? bootstrapListingDelay : milliseconds {0}, [this] { list(); });
+    scheduleListing(m_bootstrap ? bootstrapListingDelay : milliseconds {0});
 }
 
 void fleet_runner::leave()
@@ -122,17 +122,48 @@
     m_updated();
 }
 
+// Without a source nobody tells this daemon of another key.
 void fleet_runner::useOwnListings()
 {
     m_relayed = false;
+    if (m_store.era() > m_peerKeyEra && m_listing != 0) {
+        m_peerKeyDoubted = true;
+        scheduleListing(spreadDelay());
+    }
 }
 
 void fleet_runner::writeAgain()
+{
+    m_loop.cancelTimer(std::exchange(m_refresh, 0));
+    scheduleRefresh(spreadDelay());
+    // Daemons that follow others learn from them whether the key is another.
+    if (!m_relayed && m_listing != 0) {
+        m_peerKeyDoubted = true;
+        scheduleListing(spreadDelay());
+    }
+}
+
+milliseconds fleet_runner::spreadDelay()
 {
     const auto span = std::max<milliseconds>(minRewriteSpan, rewriteSpanPerDaemon * m_daemons.size());
     std::uniform_int_distribution<milliseconds::rep> delay(0, span.count());
-    m_loop.cancelTimer(std::exchange(m_refresh, 0));
-    scheduleRefresh(milliseconds {delay(m_random)});
+    return milliseconds {delay(m_random)};
+}
+
+std::string fleet_runner::peerKeyDigest() const
+{
+    return m_registry.peerKey().empty() ? std::string() : sha256Hex(m_registry.peerKey());
+}
+
+// The other daemon may be the one that doesn't know the present key yet.
+void fleet_runner::comparePeerKey(const std::string &digest)
+{
+    if (digest.empty() || digest == peerKeyDigest() || m_listing == 0 || m_loop.now() < m_peerKeyCheckFrom) {
+        return;
+    }
+    m_peerKeyCheckFrom = m_loop.now() + listingInterval;
+    m_peerKeyDoubted = true;
+    scheduleListing(spreadDelay());
 }
 
 void fleet_runner::refreshEntry()
@@ -186,14 +217,21 @@
     m_completeFrom = failedBefore ? m_loop.now() + maxRetryDelay : m_startedAt + (m_bootstrap ? bootstrapListingDelay : milliseconds {0});
 }
 
+void fleet_runner::scheduleListing(milliseconds delay)
+{
+    m_loop.cancelTimer(m_listing);
+    m_listing = m_loop.after(delay, [this] { list(); });
+}
+
 // A stale listing of a fleet that has just started would be empty, so the first two must be current.
 void fleet_runner::list()
 {
-    if (m_relayed && !m_registry.peerKey().empty()) {
-        m_loop.after(laterListing(), [this] { list(); });
+    m_listing = 0;
+    if (m_relayed && !m_registry.peerKey().empty() && !m_peerKeyDoubted) {
+        scheduleListing(laterListing());
         return;
     }
-    const auto freshness = m_listings < 2 || !m_known ? read_freshness::newest : read_freshness::stale_allowed;
+    const auto freshness = m_listings < 2 || !m_known || m_peerKeyDoubted ? read_freshness::newest : read_freshness::stale_allowed;
     m_store.list(fleet_registry::keyPrefix, freshness, [this, sentAt = m_loop.now()](const list_result &result) { listed(result, sentAt); });
 }
 
@@ -216,18 +254,24 @@
     const auto *entries = std::get_if<object_list>(&result);
     if (entries == nullptr) {
         DAISYSTILE_LOG(WARNING, "fleet") << "Failed to list the daemons." << field("known", m_daemons.size());
-        m_loop.after(retryDelay(m_failedListings++, initialRetryDelay, maxRetryDelay, m_random), [this] { list(); });
+        scheduleListing(retryDelay(m_failedListings++, initialRetryDelay, maxRetryDelay, m_random));
         return;
     }
     reached();
     m_failedListings = 0;
     m_listings += 1;
     m_known = m_known || sentAt >= *m_completeFrom;
+    m_peerKeyDoubted = false;
+    m_peerKeyEra = entries->revision.era;
+    const auto keyBefore = m_registry.peerKey();
     m_registry.listed(*entries, m_loop.now());
+    if (!keyBefore.empty() && keyBefore != m_registry.peerKey()) {
+        DAISYSTILE_LOG(WARNING, "fleet") << "The store holds another peer key; new links use it.";
+    }
     removeStaleEntries();
     replace(m_registry.daemons(m_loop.now()));
     writePeerKey();
-    m_loop.after(nextListing(), [this] { list(); });
+    scheduleListing(nextListing());
     m_updated();
 }
 
--- a/Source/Forward/fleet_runner.h
+++ b/Source/Forward/fleet_runner.h
@@ -36,8 +36,11 @@
     /// Replaces the list by another daemon's; there are no own listings until useOwnListings().
     void takeRelayed(std::vector<fleet_daemon> daemons);
     void useOwnListings();
-    /// The store has come back from a copy, which may lack what this daemon wrote.
+    /// The store has come back from a copy, which may lack what this daemon wrote, or hold another peer key.
     void writeAgain();
+    /// Another daemon knows the peer key with this digest. Reads the daemons again if it isn't the one that is known here.
+    void comparePeerKey(const std::string &digest);
+    std::string peerKeyDigest() const;
 
 private:
     void offer(ip_address fleet_daemon::*address, const ip_address &offered);
@@ -45,7 +48,9 @@
     void removeEntry();
     void scheduleRefresh(milliseconds delay);
     void entryWritten(const write_result &result);
+    void scheduleListing(milliseconds delay);
     void list();
+    milliseconds spreadDelay();
     void listed(const list_result &result, monotonic_time sentAt);
     milliseconds nextListing() const;
     void reached();
@@ -68,6 +73,11 @@
     /// Version of the entry as this process last wrote it; nothing until then.
     std::optional<std::string> m_written;
     timer_id m_refresh = 0;
+    timer_id m_listing = 0;
+    bool m_peerKeyDoubted = false;
+    /// Era of the store in which the key was read last.
+    std::uint64_t m_peerKeyEra = 0;
+    monotonic_time m_peerKeyCheckFrom;
     bool m_writing = false;
     bool m_changedWhileWriting = false;
     /// Listings that succeeded.
--- a/Source/Forward/relay_link.cxx
+++ b/Source/Forward/relay_link.cxx
@@ -37,6 +37,11 @@
     m_opener->start();
 }
 
+void relay_server::setKey(std::string key)
+{
+    m_credentials.key = std::move(key);
+}
+
 void relay_server::stopListening()
 {
     m_opener.reset();
--- a/Source/Forward/relay_link.h
+++ b/Source/Forward/relay_link.h
@@ -23,6 +23,8 @@
 
     /// Listens as soon as the address is free. Tells whether it listens: false once it has to wait, then true.
     void listen(const ip_address &address, std::function<void(bool)> listens);
+    /// New links use this key; established ones stay.
+    void setKey(std::string key);
     /// Established links stay.
     void stopListening();
     void broadcast(const relay_update &update);
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -93,12 +93,14 @@
     relayed_objects suspects;
     /// All daemons of the fleet; empty if they are unchanged.
     std::vector<relayed_daemon> fleet;
+    /// Digest of the peer key that the sender knows.
+    std::string peerKeyDigest;
     /// Empty, or the answer to this follower's question.
     std::vector<age_answer> configurationAge;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, fleet, configurationAge);
+        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, fleet, peerKeyDigest, configurationAge);
     }
 };
 
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -257,6 +257,7 @@
         suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
         takeConfiguration(std::move(update.configuration), update.configurationRevision);
         fleet.takeRelayed(toFleet(update.fleet));
+        fleet.comparePeerKey(update.peerKeyDigest);
         for (const auto &answer : update.configurationAge) {
             takeAge(answer);
         }
@@ -356,6 +357,7 @@
         update.storeReached = !servers.mirror().storeUnreachable() && !configuration.mirror().storeUnreachable() && !evacuations.mirror().storeUnreachable();
         update.era = store.era();
         update.configurationRevision = relayedConfigurationRevision;
+        update.peerKeyDigest = fleet.peerKeyDigest();
         return update;
     }
 
@@ -640,6 +642,9 @@
             view.peerKey = fleet.peerKey();
             publishView();
         }
+        if (relay) {
+            relay->setKey(fleet.peerKey());
+        }
         const bool first = !relay && !fleet.peerKey().empty();
         if (first) {
             openRelay();
--- a/Tests/Promises/restored_store_promises_test.cxx
+++ b/Tests/Promises/restored_store_promises_test.cxx
@@ -9,6 +9,8 @@
 // The platform's bound on the time until an evacuation or a configuration is in force.
 constexpr seconds changeBound {5};
 constexpr milliseconds away {300};
+// Of the configuration, servers, evacuations and suspects.
+constexpr std::size_t watchesPerSource = 4;
 // Servers and operators have written again what was lost by then.
 constexpr milliseconds rewriteTime {2000};
 // Longer than daemons keep what a restored store lacks.
@@ -82,6 +84,17 @@
         }
     }
 
+    /// How often daemons have logged this.
+    int logged(const std::string &text)
+    {
+        m_fleet.drainOutput();
+        int count = 0;
+        for (auto at = m_fleet.logs().find(text); at != std::string::npos; at = m_fleet.logs().find(text, at + text.size())) {
+            count += 1;
+        }
+        return count;
+    }
+
     void evacuate(const std::string &domain)
     {
         m_fleet.putText("evacuations/" + domain, R"({"zone":")" + domain + R"("})");
@@ -173,3 +186,24 @@
     askFor(afterGrace);
     EXPECT_EQ(arrivals("medina"), before);
 }
+
+// A daemon that started before the lost key was written again may have written its own.
+TEST_F(restored_store_promises, allDaemonsTakeThePeerKeyOfTheStoreAndKeepTheirLinks)
+{
+    constexpr std::size_t follower = 3;
+    const auto lostSource = "Lost the source daemon.";
+    const auto daemons = static_cast<int>(m_fleet.daemonCount());
+    const auto oneFollowsTheStore = [this] {
+        return m_fleet.waitingWatches() == plain_fleet::domainCount * watchesPerSource;
+    };
+    ASSERT_TRUE(m_fleet.control().waitUntil(oneFollowsTheStore));
+    const auto lost = logged(lostSource);
+    m_fleet.putText("daisystile-daemons/0-peer-key", R"({"key":"another key of the daemons"})");
+    EXPECT_TRUE(m_fleet.control().waitUntil([&] { return (askAll(), logged("The store holds another peer key") == daemons); }));
+    m_fleet.killDaemon(follower);
+    ASSERT_TRUE(m_fleet.startDaemon(follower));
+    ASSERT_TRUE(m_fleet.waitUntilReady());
+    askFor(rewriteTime);
+    EXPECT_TRUE(m_fleet.control().waitUntil(oneFollowsTheStore)) << "the daemon that started follows another one";
+    EXPECT_EQ(logged(lostSource), lost) << "no link was closed or refused";
+}
