--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -259,6 +259,7 @@
         suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
         takeConfiguration(std::move(update.configuration), update.configurationRevision);
         fleet.takeRelayed(toFleet(update.fleet));
+        fleet.comparePeerKey(update.peerKeyDigest);
         for (const auto &answer : update.configurationAge) {
             takeAge(answer);
         }
@@ -358,6 +359,7 @@
         update.storeReached = !servers.mirror().storeUnreachable() && !configuration.mirror().storeUnreachable() && !evacuations.mirror().storeUnreachable();
         update.era = store.era();
         update.configurationRevision = relayedConfigurationRevision;
+        update.peerKeyDigest = fleet.peerKeyDigest();
         return update;
     }
 
@@ -642,6 +644,9 @@
             view.peerKey = fleet.peerKey();
             publishView();
         }
+        if (relay) {
+            relay->setKey(fleet.peerKey());
+        }
         const bool first = !relay && !fleet.peerKey().empty();
         if (first) {
             openRelay();
