Tests: Show the memory that clients can take from a daemon

Change: memory_promises starts three daemons with memory_mb = 48 and 1,024 descriptors, and lets 240 connections (24 with answers of 1 MB) send to one of them: whole bodies, pieces, large and tiny chunks, all a byte short of their end at 262,144; heads byte by byte; pipelined requests; answers that nobody reads; a crowd that returns 2,400 times. While the crowd stays, one ordinary GET and one POST of 200 KB have to be answered, the peak of resident memory has to stay at 48 MB and the descriptors at 640 (448 of clients, 64 of operators, 128 for files). It runs serially.

--- /dev/null
+++ b/Tests/Promises/client_crowd.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <Process/process.h>
+
+#include <poll.h>
+
+#include <string>
+#include <vector>
+
+namespace daisystile {
+
+/// Many connections that each send the same bytes and then stay open.
+class client_crowd
+{
+public:
+    struct plan
+    {
+        std::string bytes;
+        /// Bytes that a member sends before the next one sends; all that its socket takes if 0.
+        std::size_t pieceBytes = 0;
+        /// Whether members read what they are sent.
+        bool reads = true;
+        /// Connections in place of those that were closed.
+        int returns = 0;
+    };
+
+    client_crowd(const ip_address &address, int members, plan crowdPlan);
+    ~client_crowd();
+    client_crowd(const client_crowd &) = delete;
+    client_crowd &operator=(const client_crowd &) = delete;
+
+    /// Sends until nothing more happens: all was sent, or the connections are closed, or the other side takes no more.
+    void run();
+
+private:
+    struct member
+    {
+        int handle = -1;
+        std::size_t sent = 0;
+    };
+
+    void open(member &each);
+    void serve(member &each, short events);
+    void send(member &each);
+    void receive(member &each);
+    void left(member &each);
+
+    ip_address m_address;
+    plan m_plan;
+    std::vector<member> m_members;
+};
+
+} // namespace daisystile
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -92,7 +92,8 @@
                             << "\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:"
                             << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
                             << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\noperator_token_sha256 = \""
-                            << sha256Hex(operatorToken) << "\"\n";
+                            << sha256Hex(operatorToken) << "\"\n"
+                            << m_size.settings;
         m_settings.push_back(file);
         if (!startDaemon(i)) {
             return false;
@@ -179,7 +180,7 @@
 std::unique_ptr<plain_backend> plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain)
 {
     const auto id = service + "-" + std::to_string(m_nextServer++);
-    auto process = std::make_unique<plain_backend>(id, std::string(16, service.back()));
+    auto process = std::make_unique<plain_backend>(id, std::string(m_size.answerBytes, service.back()));
     process->setFatalPath(m_fatalPath);
     process->setDelay(m_delay);
     putServer(service, domain, *process, milliseconds {0});
@@ -290,7 +291,11 @@
         {{"version", 1},
             {"routes", routes},
             {"services", services},
-            {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}});
+            {"limits",
+                {{"max_header_bytes", m_size.headBytes},
+                    {"max_body_bytes", m_size.bodyBytes},
+                    {"header_timeout_ms", m_size.headTimeoutMs},
+                    {"idle_timeout_ms", 15000}}}});
 }
 
 void plain_fleet::putObject(const std::string &key, const json &value)
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -31,6 +31,14 @@
         int serverDomains = domainCount;
         /// Requests per second that a cold server takes from all daemons together; 0 if cold servers need no care.
         double coldRequestsPerSecond = 0;
+        /// Bytes of the answer of each server.
+        std::size_t answerBytes = 16;
+        /// Limits of the configuration.
+        int headBytes = 4096;
+        int bodyBytes = 10000;
+        int headTimeoutMs = 1000;
+        /// Lines that are added to the settings of each daemon.
+        std::string settings;
     };
 
     struct server
