Forward, Process: Bound the memory that clients can take

Buffers kept what they had reserved, also for half a second after a connection was closed; bodies grew to twice their size; requests of a client that takes no answers were read on.

Change: one account (memory_account) of connections, input, requests that run, attempts, answers and output, by what is reserved; buffer_budget charges it. memory_relief decides which connections are closed: bytes times the time held and without progress, until an eighth is free, never the last one. 408 for requests that weren't complete, 503 for those that may not start, offers of delegated queries are declined; others are closed. The limit is three eighths of memory_mb, or client_memory_mb; without either there is none. http_server bounds unfinished bodies by the same decision. Large buffers go back to the system when freed.

Tests of buffer_budget and backend_pool get the account as an argument; nothing in them is eased.

--- a/Source/Forward/backend_connection.cxx
+++ b/Source/Forward/backend_connection.cxx
@@ -20,14 +20,16 @@
       m_notify(std::move(notify)),
       m_reader(answerLimits),
       m_buffered(budget),
+      m_unsent(budget.account(), memory_kind::attempt),
       m_startedAt(loop.now()),
       m_stream(loop,
           address,
           {.opened = [this] { opened(); },
               .received = [this] { received(); },
-              .ended =
-                  [this](stream_end how) {
-                      ended(how);
+              .ended = [this](stream_end how) { ended(how); },
+              .sent =
+                  [this] {
+                      chargeRequest();
                   }})
 {
 }
@@ -43,20 +45,26 @@
     if (bodyless) {
         m_reader.expectNoBody();
     }
+    chargeRequest();
     if (m_stream.isOpen()) {
         opened();
     }
 }
 
+void backend_connection::chargeRequest()
+{
+    m_unsent.set(m_pending.capacity() + m_stream.unsentReserved());
+}
+
 void backend_connection::opened()
 {
     if (!m_busy || m_sent) {
         return;
     }
     m_sent = true;
-    const auto bytes = std::move(m_pending);
-    m_pending.clear();
+    const auto bytes = std::exchange(m_pending, {});
     m_stream.write(bytes);
+    chargeRequest();
 }
 
 void backend_connection::received()
@@ -69,7 +77,7 @@
         return;
     }
     const auto progress = read();
-    if (progress == read_progress::incomplete && m_buffered.resize(m_reader.message().body.size())) {
+    if (progress == read_progress::incomplete && m_buffered.resize(m_reader.reservedBytes())) {
         return;
     }
     if (progress != read_progress::complete) {
@@ -178,8 +186,9 @@
 {
     m_ended = true;
     m_busy = false;
-    m_pending.clear();
+    std::string().swap(m_pending);
     m_stream.abort();
+    chargeRequest();
 }
 
 void backend_connection::abandon(monotonic_time until)
--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -83,12 +83,15 @@
     response_message take();
     void takeAnswer(response_message message);
     void finish(exchange_result result);
+    void chargeRequest();
 
     reactor &m_loop;
     milliseconds m_maxIdle;
     callbacks m_notify;
     response_reader m_reader;
     buffer_share m_buffered;
+    // The copy of the request that the server has not taken yet.
+    memory_charge m_unsent;
     client_request_id m_request;
     std::string m_pending;
     bool m_busy = false;
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -14,18 +14,25 @@
 constexpr double coldUsableShare = 0.8;
 constexpr std::size_t guaranteedAnswerBytes = 64U << 10U;
 // A fifth of the memory of a small host.
-constexpr std::size_t totalAnswerBytes = 32U << 20U;
+constexpr std::size_t maxAnswerBytes = 32U << 20U;
+// The longest answer that is read has room in any case.
+constexpr std::size_t minAnswerBytes = 8U << 20U;
 // An entry may disappear and come back while the server process lives on, so what the process has stated is kept this long.
 constexpr seconds unlistedRetention {300};
 
+std::size_t answerBytes(std::size_t budgetBytes)
+{
+    return budgetBytes == 0 ? maxAnswerBytes : std::clamp(budgetBytes / 2, minAnswerBytes, maxAnswerBytes);
+}
+
 } // namespace
 
-backend_pool::backend_pool(reactor &loop, const entry_settings &settings, callbacks notify)
+backend_pool::backend_pool(reactor &loop, const entry_settings &settings, memory_account &memory, callbacks notify)
     : m_loop(loop),
       m_settings(settings),
       m_notify(std::move(notify)),
       m_view(std::make_shared<routing_snapshot>()),
-      m_answerBuffers(guaranteedAnswerBytes, totalAnswerBytes),
+      m_answerBuffers(memory, guaranteedAnswerBytes, answerBytes(memory.budgetBytes())),
       m_random(static_cast<std::minstd_rand::result_type>(stableHash(settings.id.value)))
 {
     sweep();
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -84,7 +84,8 @@
         std::function<void(limit_change)> limitChanged;
     };
 
-    backend_pool(reactor &loop, const entry_settings &settings, callbacks notify);
+    /// The account must outlive the pool.
+    backend_pool(reactor &loop, const entry_settings &settings, memory_account &memory, callbacks notify);
 
     /// The coordinators must outlive the pool's use.
     void update(const std::shared_ptr<const routing_snapshot> &view, const coordinator_table &coordinators);
--- a/Source/Forward/buffer_budget.cxx
+++ b/Source/Forward/buffer_budget.cxx
@@ -2,8 +2,9 @@
 
 namespace daisystile {
 
-buffer_budget::buffer_budget(std::size_t guaranteedBytes, std::size_t totalBytes)
-    : m_guaranteedBytes(guaranteedBytes),
+buffer_budget::buffer_budget(memory_account &account, std::size_t guaranteedBytes, std::size_t totalBytes)
+    : m_account(account),
+      m_guaranteedBytes(guaranteedBytes),
       m_totalBytes(totalBytes)
 {
 }
@@ -13,8 +14,14 @@
     return m_usedBytes;
 }
 
+memory_account &buffer_budget::account() const
+{
+    return m_account;
+}
+
 buffer_share::buffer_share(buffer_budget &budget)
-    : m_budget(budget)
+    : m_budget(budget),
+      m_charge(budget.m_account, memory_kind::answer)
 {
 }
 
@@ -32,6 +39,7 @@
     }
     m_budget.m_usedBytes = others + used;
     m_usedBytes = used;
+    m_charge.set(bytes);
     return true;
 }
 
--- a/Source/Forward/buffer_budget.h
+++ b/Source/Forward/buffer_budget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Process/process.h>
+
 #include <cstddef>
 
 namespace daisystile {
@@ -9,14 +11,17 @@
 class buffer_budget
 {
 public:
-    /// Each answer may use the guaranteed bytes; the total applies to what the answers use beyond that.
-    buffer_budget(std::size_t guaranteedBytes, std::size_t totalBytes);
+    /// Each answer may use the guaranteed bytes; the total applies to what the answers use beyond that. All of it is charged to the
+    /// account, which must outlive the budget.
+    buffer_budget(memory_account &account, std::size_t guaranteedBytes, std::size_t totalBytes);
 
     std::size_t usedBytes() const;
+    memory_account &account() const;
 
 private:
     friend class buffer_share;
 
+    memory_account &m_account;
     std::size_t m_guaranteedBytes;
     std::size_t m_totalBytes;
     std::size_t m_usedBytes = 0;
@@ -36,6 +41,7 @@
 
 private:
     buffer_budget &m_budget;
+    memory_charge m_charge;
     std::size_t m_usedBytes = 0;
 };
 
--- a/Source/Forward/client_server.cxx
+++ b/Source/Forward/client_server.cxx
@@ -9,6 +9,8 @@
 constexpr milliseconds sweepInterval {200};
 // Bytes that a client may pipeline while its request is being answered.
 constexpr std::size_t maxPipelinedBytes = 256U << 10U;
+// What an open connection takes by itself.
+constexpr std::size_t connectionBytes = 2048;
 // Clients may still send on a connection whose idle time has nearly reached the limit.
 constexpr milliseconds idleGrace {1000};
 // A client that has just connected is about to send its first request.
@@ -22,8 +24,10 @@
 constexpr int idleChecksPerAccept = 4;
 constexpr int statusBadRequest = 400;
 constexpr int statusTimeout = 408;
+constexpr int statusUnavailable = 503;
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusHeadTooLarge = 431;
+constexpr milliseconds memoryRetryAfter {500};
 
 int statusOf(read_progress progress)
 {
@@ -77,15 +81,20 @@
           m_number(number),
           m_reader(limitsOf(*server.m_requests.view())),
           m_since(server.m_loop.now()),
+          m_connectionCharge(server.m_memory.account(), memory_kind::connection),
+          m_inputCharge(server.m_memory.account(), memory_kind::input),
+          m_outputCharge(server.m_memory.account(), memory_kind::output),
           m_stream(server.m_loop,
               handle,
               {.opened = {},
                   .received = [this] { received(); },
-                  .ended =
-                      [this](stream_end) {
-                          ended();
+                  .ended = [this](stream_end) { ended(); },
+                  .sent =
+                      [this] {
+                          outputTaken();
                       }})
     {
+        m_connectionCharge.set(connectionBytes);
         m_stream.keepUntilClosed(server.countDescriptor());
         enterIdle();
     }
@@ -122,6 +131,32 @@
         m_server.closeForRoom(m_number);
     }
 
+    // An idle connection holds nothing that closing it would free, nor does one whose only request runs.
+    bool holdsMemory() const
+    {
+        return !m_closed && (m_reader.started() || !m_stream.input().empty() || sending());
+    }
+
+    memory_holder holder() const
+    {
+        return {m_number, m_inputCharge.bytes() + m_outputCharge.bytes(), m_holdsSince, m_progressAt};
+    }
+
+    // Only a request that wasn't passed on may be refused.
+    void closeForMemory()
+    {
+        if (m_answering) {
+            m_server.m_memory.closed(memory_cause::pipelined_requests);
+            ended();
+        } else if (sending()) {
+            m_server.m_memory.closed(memory_cause::unread_answer);
+            ended();
+        } else {
+            m_server.m_memory.closed(memory_cause::unfinished_request);
+            refuse(statusTimeout);
+        }
+    }
+
     bool inUse() const
     {
         return m_answering || m_reader.started() || sending();
@@ -184,20 +219,40 @@
     void received()
     {
         m_hasSent = true;
+        m_progressAt = m_server.m_loop.now();
         leaveIdle();
-        if (m_answering) {
-            if (m_stream.input().size() > maxPipelinedBytes) {
-                ended();
-            }
-            return;
+        if (!m_answering && !sending()) {
+            readNext();
+        } else if (m_stream.input().size() > maxPipelinedBytes) {
+            ended();
         }
+        charge();
+        m_server.freeMemory();
+    }
+
+    // The next request is read only now, so that a client that takes no answers makes this process hold just one.
+    void outputTaken()
+    {
+        m_progressAt = m_server.m_loop.now();
         readNext();
+        charge();
+        m_server.freeMemory();
+    }
+
+    void charge()
+    {
+        const bool held = m_inputCharge.bytes() + m_outputCharge.bytes() > 0;
+        m_inputCharge.set(m_reader.reservedBytes() + m_stream.input().reservedBytes());
+        m_outputCharge.set(m_stream.unsentReserved());
+        if (!std::exchange(m_held, holdsMemory()) || !held) {
+            m_holdsSince = m_server.m_loop.now();
+        }
     }
 
     void readNext()
     {
         // The input may hold several pipelined requests; each is answered before the next is read.
-        while (!m_answering && !m_closed && !m_stream.input().empty()) {
+        while (!m_answering && !m_closed && !sending() && !m_stream.input().empty()) {
             if (!m_reader.started()) {
                 m_reader.setLimits(limitsOf(*m_server.m_requests.view()));
                 m_since = m_server.m_loop.now();
@@ -235,6 +290,9 @@
             refuse(statusBadRequest);
             return;
         }
+        if (!mayStart()) {
+            return;
+        }
         m_answering = true;
         m_request = 0;
         const auto number = m_server.m_requests.submit(std::move(message), *head, [this](const client_reply &reply) { answer(reply); });
@@ -243,6 +301,23 @@
         }
     }
 
+    // Else the request was refused.
+    bool mayStart()
+    {
+        if (!m_server.m_requests.mayStart()) {
+            m_server.freeMemory();
+        }
+        if (m_closed) {
+            return false;
+        }
+        if (m_server.m_requests.mayStart()) {
+            return true;
+        }
+        m_server.m_memory.refused();
+        answer(local_reply {statusUnavailable, memoryRetryAfter});
+        return false;
+    }
+
     void answer(const client_reply &reply)
     {
         m_answering = false;
@@ -250,16 +325,20 @@
         m_since = m_server.m_loop.now();
         const bool keep = m_keepAlive && !m_server.m_draining && !m_server.allInUse();
         m_stream.write(std::visit(reply_encoder {keep ? daisystile::client_connection::keep : daisystile::client_connection::close, m_bodyless}, reply));
+        m_progressAt = m_since;
+        charge();
+        m_server.scheduleFreeMemory();
         if (!keep) {
             close();
             return;
         }
         if (m_stream.input().empty()) {
             enterIdle();
-        } else {
+        } else if (!sending()) {
             m_server.m_loop.post([this, &server = m_server, number = m_number] {
                 if (server.m_connections.contains(number)) {
                     readNext();
+                    charge();
                 }
             });
         }
@@ -275,15 +354,21 @@
     void close()
     {
         m_closed = true;
+        static_cast<void>(m_reader.take());
         m_stream.closeWhenSent();
+        charge();
         if (!sending()) {
             m_server.retire(m_number);
         }
     }
 
+    // Frees what the connection holds now; the object itself is destroyed later.
     void ended()
     {
         m_closed = true;
+        m_stream.abort();
+        static_cast<void>(m_reader.take());
+        charge();
         if (m_request != 0) {
             m_server.m_requests.clientLeft(m_request);
         }
@@ -303,6 +388,12 @@
     bool m_hasSent = false;
     bool m_closed = false;
     std::optional<std::list<client_connection *>::iterator> m_idlePlace;
+    memory_charge m_connectionCharge;
+    memory_charge m_inputCharge;
+    memory_charge m_outputCharge;
+    bool m_held = false;
+    monotonic_time m_holdsSince;
+    monotonic_time m_progressAt;
     // Declared last, so that it is destroyed before the members that its callbacks use.
     tcp_stream m_stream;
 };
@@ -310,6 +401,7 @@
 client_server::client_server(reactor &loop, forwarder &requests, metrics &registry, std::size_t maxConnections)
     : m_loop(loop),
       m_requests(requests),
+      m_memory(requests.memory(), registry),
       m_openConnections(registry.gauge("daisystile_client_connections", "Connections of clients that are open")),
       m_malformed(registry.counter("daisystile_malformed_requests_total", "Requests that could not be read")),
       m_closedForRoom(registry.counter("daisystile_client_connections_closed_for_room_total", "Idle connections closed for new ones")),
@@ -393,6 +485,35 @@
     m_closedForRoom.add();
 }
 
+void client_server::freeMemory()
+{
+    const auto excess = m_memory.account().excessBytes();
+    if (excess == 0) {
+        return;
+    }
+    std::vector<memory_holder> holders;
+    for (const auto &[number, connection] : m_connections) {
+        if (connection->holdsMemory()) {
+            holders.push_back(connection->holder());
+        }
+    }
+    for (const auto number : connectionsToClose(std::move(holders), excess, m_loop.now())) {
+        if (const auto found = m_connections.find(number); found != m_connections.end()) {
+            found->second->closeForMemory();
+        }
+    }
+}
+
+void client_server::scheduleFreeMemory()
+{
+    if (m_memory.account().exceeded() && !std::exchange(m_freeScheduled, true)) {
+        m_loop.post([this] {
+            m_freeScheduled = false;
+            freeMemory();
+        });
+    }
+}
+
 bool client_server::allInUse() const
 {
     return *m_usedDescriptors >= m_maxConnections && m_idle.empty();
@@ -432,6 +553,8 @@
     m_retired.clear();
     std::erase_if(m_closing, [](const auto &connection) { return !connection->isOpen(); });
     noteLimitLeft();
+    freeMemory();
+    m_memory.update();
     const auto now = m_loop.now();
     const auto limits = m_requests.view()->routes ? m_requests.view()->routes->configuration().limits : client_limits {};
     std::vector<connection_number> numbers;
--- a/Source/Forward/client_server.h
+++ b/Source/Forward/client_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "client_memory.h"
 #include "forwarder.h"
 
 #include <deque>
@@ -40,6 +41,10 @@
     void closeLongestIdle();
     void closeForRoom(connection_number number);
     bool allInUse() const;
+    /// Closes connections while more is held for clients than is allowed.
+    void freeMemory();
+    /// The same, outside the current callback.
+    void scheduleFreeMemory();
     void noteLimitReached();
     void noteLimitLeft();
     std::shared_ptr<void> countDescriptor();
@@ -48,6 +53,7 @@
 
     reactor &m_loop;
     forwarder &m_requests;
+    client_memory m_memory;
     metric_gauge m_openConnections;
     metric_counter m_malformed;
     metric_counter m_closedForRoom;
@@ -56,6 +62,7 @@
     // Descriptors of connections, also of those that are closed here but not yet by the peer.
     std::shared_ptr<std::size_t> m_usedDescriptors = std::make_shared<std::size_t>(0);
     bool m_atLimit = false;
+    bool m_freeScheduled = false;
     std::unique_ptr<tcp_listener> m_listener;
     std::unordered_map<connection_number, std::unique_ptr<client_connection>> m_connections;
     // Without a request, the longest idle first.
--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -139,7 +139,7 @@
 bool delegation_server::mayTake(std::uint64_t configurationVersion) const
 {
     const auto &routes = m_requests.view()->routes;
-    return !m_draining && routes && routes->configuration().version.value == configurationVersion;
+    return !m_draining && m_requests.mayStart() && routes && routes->configuration().version.value == configurationVersion;
 }
 
 void delegation_server::handle(link_number number, const query_offer &offer)
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
 #include <thread>
 
 namespace daisystile {
@@ -16,10 +17,19 @@
 
 constexpr milliseconds drainCheck {50};
 constexpr milliseconds settingsCheck {10000};
+// Operators send small bodies, a few at a time.
+constexpr std::size_t maxOperatorBodyBytes = 4U << 20U;
 constexpr int statusNotFound = 404;
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
+// Memory of large buffers goes back to the system when they are freed. By default the allocator would keep it, with gaps.
+void returnLargeBuffers()
+{
+    constexpr int minBytes = 128 << 10;
+    mallopt(M_MMAP_THRESHOLD, minBytes);
+}
+
 entry_settings withBoundsAndTimes(entry_settings settings, const entry_settings &from)
 {
     settings.bounds = from.bounds;
@@ -156,7 +166,7 @@
                 http_server::listen(control,
                     settings.readiness,
                     [this](const http_request &request, const http_responder &respond) { answer(request, respond); },
-                    {.connections = static_cast<unsigned>(operatorDescriptors(allowedDescriptors()))}));
+                    {.connections = static_cast<unsigned>(operatorDescriptors(allowedDescriptors())), .heldBodyBytes = maxOperatorBodyBytes}));
             return {};
         };
         notify.opened = [this] {
@@ -263,6 +273,9 @@
 
     std::optional<process_error> run(std::function<void(const addresses &)> opened)
     {
+        if (clientMemoryBudget(settings) != 0) {
+            returnLargeBuffers();
+        }
         onOpened = std::move(opened);
         addressOpened();
         running = true;
--- a/Source/Forward/entry_settings.cxx
+++ b/Source/Forward/entry_settings.cxx
@@ -32,10 +32,10 @@
     reader.integer("configuration_ms", bounds.configurationTime, windowRangeMs);
 }
 
-void readMemory(table_reader &reader, std::uint64_t &bytes)
+void readMemory(table_reader &reader, const char *key, std::uint64_t &bytes)
 {
     std::uint32_t megabytes = 0;
-    reader.integer("memory_mb", megabytes, memoryRangeMb);
+    reader.integer(key, megabytes, memoryRangeMb);
     constexpr std::uint64_t bytesPerMegabyte = 1U << 20U;
     bytes = megabytes * bytesPerMegabyte;
 }
@@ -50,7 +50,8 @@
     reader.address("peers", settings.peers, presence::expected);
     reader.address("queries", settings.queries, presence::optional);
     reader.number("strength", settings.strength, strengthRange);
-    readMemory(reader, settings.memoryBytes);
+    readMemory(reader, "memory_mb", settings.memoryBytes);
+    readMemory(reader, "client_memory_mb", settings.clientMemoryBytes);
     reader.boolean("bootstrap", settings.bootstrap);
     reader.address("store", settings.store);
     reader.duration("grace_s", "grace_ms", settings.grace, graceRangeMs);
@@ -75,6 +76,14 @@
     return age;
 }
 
+// The rest is for the program, what it knows of the fleet, and gaps that the allocator leaves.
+std::size_t clientMemoryBudget(const entry_settings &settings)
+{
+    constexpr std::uint64_t numerator = 3;
+    constexpr std::uint64_t denominator = 8;
+    return settings.clientMemoryBytes != 0 ? settings.clientMemoryBytes : settings.memoryBytes * numerator / denominator;
+}
+
 settings_reading<entry_settings> readEntrySettings(std::string_view text, std::string_view fileName)
 {
     return readTable<entry_settings>(text, fileName, readSettings);
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -61,6 +61,8 @@
     double strength = 1;
     /// Memory that the process may use; 0 if it isn't known.
     std::uint64_t memoryBytes = 0;
+    /// What may be held for clients; 0 to derive it from the memory.
+    std::uint64_t clientMemoryBytes = 0;
     ip_address store;
     /// Whether the whole deployment is starting for the first time.
     bool bootstrap = false;
@@ -81,6 +83,9 @@
     bool operator==(const entry_settings &) const = default;
 };
 
+/// What the process may hold for clients, in bytes; 0 without a limit.
+std::size_t clientMemoryBudget(const entry_settings &settings);
+
 /// Reads a settings file in the customary forms (see reading_rules). Only id, clients, readiness and store must be right.
 settings_reading<entry_settings> readEntrySettings(std::string_view text, std::string_view fileName);
 
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -40,9 +40,11 @@
 forwarder::forwarder(reactor &loop, const entry_settings &settings, metrics &registry)
     : m_loop(loop),
       m_settings(settings),
+      m_memory(clientMemoryBudget(settings)),
       m_metrics(registry),
       m_pool(loop,
           settings,
+          m_memory,
           {.done = [this](attempt_result result) { attemptEnded(std::move(result)); },
               .checkingEnd = [this](attempt_id attempt) { checkingEnd(attempt); },
               .noticed = [this](const server_notice &notice) { countNotice(notice); },
@@ -168,6 +170,16 @@
     return m_quotas;
 }
 
+memory_account &forwarder::memory()
+{
+    return m_memory;
+}
+
+bool forwarder::mayStart() const
+{
+    return mayStartRequest(m_memory.exceeded(), m_requests.size());
+}
+
 const std::shared_ptr<const routing_snapshot> &forwarder::view() const
 {
     return m_view;
@@ -289,6 +301,7 @@
     auto request = std::make_shared<running_request>();
     request->number = m_nextRequest++;
     request->message = std::move(message);
+    request->held.emplace(m_memory, memory_kind::request).set(sizeof(running_request) + request->message.reservedBytes());
     request->head = head;
     request->digest = digestOf(normalizedHost(head.host), request->message.method, request->message.target, request->message.body);
     request->view = m_view;
@@ -308,6 +321,7 @@
     const auto &matchedRoute = *request->matchedRoute;
     const auto *split = std::get_if<split_target>(&matchedRoute.target);
     request->parts = partsOf(*request, split == nullptr ? 0 : m_roundRobins[matchedRoute.name].next(split->services));
+    request->held->add(request->parts.capacity() * sizeof(request_part));
     request->state = beginForward(limitsOf(*request, latencyOf(matchedRoute).typical()));
     if (const auto left = m_guard.refusal(*request)) {
         refuseQuarantined(request, *left);
@@ -346,6 +360,7 @@
     if (request->delegation == 0) {
         return false;
     }
+    request->held->add(request->message.reservedBytes());
     schedule(request);
     return true;
 }
@@ -365,6 +380,7 @@
         if (delegation == 0) {
             continue;
         }
+        request->held->add(request->message.reservedBytes());
         request->partDelegations.insert(delegation);
         for (const auto part : group.parts) {
             request->parts[part].delegation = delegation;
@@ -379,7 +395,9 @@
     const auto *failure = reply == nullptr ? nullptr : std::get_if<local_reply>(reply);
     const bool notRun = declined || (failure != nullptr && failure->status == statusUnavailable);
     if (reply != nullptr && std::holds_alternative<query_answer>(*reply)) {
-        acceptDelegated(*request, parts, std::move(std::get<query_answer>(*reply)));
+        auto &answer = std::get<query_answer>(*reply);
+        request->held->add(answer.records.capacity());
+        acceptDelegated(*request, parts, std::move(answer));
     }
     for (const auto index : parts) {
         auto &part = request->parts[index];
@@ -733,6 +751,7 @@
         auto &part = request->parts[attempt.part];
         part.checkingEnd = false;
         if (exchange != nullptr) {
+            request->held->add(exchange->message.body.capacity());
             acceptAnswer(*request, attempt.part, *exchange);
         } else if ((end == attempt_end::not_run || end == attempt_end::unreached) && part.arrivals > 0) {
             part.arrivals -= 1;
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -48,6 +48,10 @@
     submitDelegated(request_message message, const client_request_head &head, const delegated_terms &terms, std::function<void(client_reply)> reply);
     /// Cancels a request whose client has disconnected.
     void clientLeft(request_number request);
+    /// What is held for clients. Holders outside must be destroyed before the forwarder.
+    memory_account &memory();
+    /// False while too much is held for clients to run another request.
+    bool mayStart() const;
 
 private:
     /// A part for which no server was found and that is about to be enqueued.
@@ -114,6 +118,8 @@
 
     reactor &m_loop;
     entry_settings m_settings;
+    // Declared before all that holds memory for clients.
+    memory_account m_memory;
     std::shared_ptr<const routing_snapshot> m_view = std::make_shared<routing_snapshot>();
     forward_metrics m_metrics;
     backend_pool m_pool;
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -95,6 +95,8 @@
     std::vector<std::string> delegatedRecords;
     /// Set if the client is connected to another daemon, which has delegated the query or parts of it to this one.
     std::optional<delegated_terms> peerTerms;
+    /// What the request holds, with what was collected of its answer.
+    std::optional<memory_charge> held;
 };
 
 /// An attempt to run one part on a backend server.
--- a/Source/Process/http_message.cxx
+++ b/Source/Process/http_message.cxx
@@ -36,11 +36,21 @@
     message.reason = reason;
 }
 
+std::size_t reservedBytesOf(const std::vector<http_header> &headers)
+{
+    std::size_t bytes = headers.capacity() * sizeof(http_header);
+    for (const auto &header : headers) {
+        bytes += header.name.capacity() + header.value.capacity();
+    }
+    return bytes;
+}
+
 /// Beast parser that fills a request_message or response_message.
 template<bool isRequest, class Message> class message_parser : public beast::basic_parser<isRequest>
 {
 public:
     explicit message_parser(message_limits limits)
+        : m_maxBody(limits.bodyBytes)
     {
         this->header_limit(limits.headBytes);
         this->body_limit(limits.bodyBytes);
@@ -49,6 +59,15 @@
 
     Message message;
 
+    /// The headers are complete at once, so they are summed up once.
+    std::size_t reservedBytes()
+    {
+        if (m_headBytes == 0 && this->is_header_done()) {
+            m_headBytes = reservedBytesOf(message.headers);
+        }
+        return m_headBytes + message.body.capacity();
+    }
+
 protected:
     using error_code = boost::beast::error_code;
     using text_view = boost::beast::string_view;
@@ -79,15 +98,15 @@
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
     {
-        constexpr std::uint64_t maxReservedBytes = 65536;
         if (length) {
+            m_maxBody = *length;
             message.body.reserve(std::min(*length, maxReservedBytes));
         }
     }
 
     std::size_t on_body_impl(text_view body, error_code &) override
     {
-        message.body.append(body.data(), body.size());
+        appendBody(body);
         return body.size();
     }
 
@@ -97,7 +116,7 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t, text_view body, error_code &) override
     {
-        message.body.append(body.data(), body.size());
+        appendBody(body);
         return body.size();
     }
 
@@ -105,6 +124,26 @@
     {
     }
     // NOLINTEND(readability-identifier-naming)
+
+private:
+    // A string that grows in place doubles what it takes, also beyond the longest body that can follow.
+    void appendBody(text_view bytes)
+    {
+        const auto needed = message.body.size() + bytes.size();
+        if (needed > message.body.capacity()) {
+            const std::uint64_t doubled = std::max<std::uint64_t>(2 * message.body.capacity(), needed);
+            std::string grown;
+            grown.reserve(std::max<std::uint64_t>(std::min(doubled, m_maxBody), needed));
+            grown.append(message.body);
+            message.body = std::move(grown);
+        }
+        message.body.append(bytes.data(), bytes.size());
+    }
+
+    static constexpr std::uint64_t maxReservedBytes = 65536;
+
+    std::uint64_t m_maxBody;
+    std::size_t m_headBytes = 0;
 };
 
 read_progress failureOf(const boost::beast::error_code &error)
@@ -137,6 +176,8 @@
 // Before one final response; a server that sends more may never send a final one.
 constexpr unsigned maxInterimResponses = 16;
 constexpr std::size_t compactThresholdBytes = 65536;
+// An empty buffer keeps this much, enough for most requests, so that it isn't allocated for each again.
+constexpr std::size_t maxKeptBytes = 2048;
 
 } // namespace
 
@@ -154,12 +195,23 @@
 void byte_queue::consume(std::size_t count)
 {
     m_begin += std::min(count, size());
+    if (empty()) {
+        clear();
+    }
 }
 
 void byte_queue::clear()
 {
     m_bytes.clear();
     m_begin = 0;
+    if (m_bytes.capacity() > maxKeptBytes) {
+        m_bytes.shrink_to_fit();
+    }
+}
+
+std::size_t byte_queue::reservedBytes() const
+{
+    return m_bytes.capacity();
 }
 
 std::string_view byte_queue::view() const
@@ -187,6 +239,16 @@
     return findHeader(headers, name);
 }
 
+std::size_t request_message::reservedBytes() const
+{
+    return method.capacity() + target.capacity() + reservedBytesOf(headers) + body.capacity();
+}
+
+std::size_t response_message::reservedBytes() const
+{
+    return reason.capacity() + reservedBytesOf(headers) + body.capacity();
+}
+
 struct request_reader::implementation
 {
     using parser_type = message_parser<true, request_message>;
@@ -246,6 +308,11 @@
     return message;
 }
 
+std::size_t request_reader::reservedBytes() const
+{
+    return m_implementation->parser->reservedBytes();
+}
+
 void request_reader::setLimits(message_limits limits)
 {
     if (limits == m_implementation->limits) {
@@ -340,6 +407,11 @@
     return message;
 }
 
+std::size_t response_reader::reservedBytes() const
+{
+    return m_implementation->parser->reservedBytes();
+}
+
 void response_reader::expectNoBody()
 {
     m_implementation->parser->skip(true);
--- a/Source/Process/http_message.h
+++ b/Source/Process/http_message.h
@@ -9,7 +9,8 @@
 
 namespace daisystile {
 
-/// FIFO buffer of bytes that are appended at the end and consumed from the front.
+/// FIFO buffer of bytes that are appended at the end and consumed from the front. Gives back its memory when it becomes empty, but
+/// for a small amount.
 class byte_queue
 {
 public:
@@ -19,6 +20,8 @@
     std::string_view view() const;
     std::size_t size() const;
     bool empty() const;
+    /// What the buffer takes, also where it isn't filled.
+    std::size_t reservedBytes() const;
 
 private:
     std::string m_bytes;
@@ -38,6 +41,8 @@
 
     /// The first header with this name, ignoring case; null if there is none.
     const std::string *header(std::string_view name) const;
+    /// What the message takes, also where it isn't filled.
+    std::size_t reservedBytes() const;
 };
 
 /// An HTTP/1.1 response as received.
@@ -50,6 +55,8 @@
     bool keepAlive = true;
 
     const std::string *header(std::string_view name) const;
+    /// What the message takes, also where it isn't filled.
+    std::size_t reservedBytes() const;
 };
 
 enum class read_progress {
@@ -87,6 +94,8 @@
     const request_message &message() const;
     /// Returns the complete request; the next read() starts a new one.
     request_message take();
+    /// What the request so far takes, also where it isn't filled.
+    std::size_t reservedBytes() const;
     void setLimits(message_limits limits);
 
 private:
@@ -113,6 +122,8 @@
     /// The response as parsed so far.
     const response_message &message() const;
     response_message take();
+    /// What the response so far takes, also where it isn't filled.
+    std::size_t reservedBytes() const;
     /// Expects a response without a body, whatever its headers say (a response to HEAD).
     void expectNoBody();
 
--- a/Source/Process/http_server.cxx
+++ b/Source/Process/http_server.cxx
@@ -1,6 +1,8 @@
 #include "http_server.h"
 
 #include "idle_order.h"
+#include "memory_account.h"
+#include "memory_relief.h"
 #include "tcp_stream.h"
 
 #include <arpa/inet.h>
@@ -35,6 +37,10 @@
     http_request request;
     std::optional<http_response> response;
     MHD_Connection *connection = nullptr;
+    // What the unfinished body takes.
+    std::optional<memory_charge> held;
+    monotonic_time since;
+    monotonic_time progressAt;
     bool dispatched = false;
     bool suspended = false;
     bool tooLarge = false;
@@ -50,7 +56,8 @@
     implementation(reactor &eventLoop, http_handler requestHandler, http_server_limits serverLimits)
         : loop(eventLoop),
           handler(std::move(requestHandler)),
-          limits(serverLimits)
+          limits(serverLimits),
+          bodies(serverLimits.heldBodyBytes)
     {
     }
 
@@ -138,6 +145,7 @@
             return;
         }
         (*entry)->ended = true;
+        static_cast<implementation *>(self)->endReading(**entry);
         static_cast<implementation *>(self)->openExchanges -= 1;
         static_cast<implementation *>(self)->idleConnections.add(handleOf(connection));
         delete entry;
@@ -178,24 +186,62 @@
         entry->request.path = url;
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &entry->request);
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &entry->request);
+        entry->since = loop.now();
+        entry->held.emplace(bodies, memory_kind::input);
+        reading[handleOf(connection)] = entry.get();
         openExchanges += 1;
         idleConnections.remove(handleOf(connection));
         *state = new shared_exchange(std::move(entry));
     }
 
-    void appendBody(exchange &entry, const char *data, size_t *size) const
+    void appendBody(exchange &entry, const char *data, size_t *size)
     {
         if (entry.request.body.size() + *size > limits.bodyBytes) {
             entry.tooLarge = true;
-            entry.request.body.clear();
+            std::string().swap(entry.request.body);
         } else if (!entry.tooLarge) {
             entry.request.body.append(data, *size);
         }
         *size = 0;
+        entry.progressAt = loop.now();
+        if (entry.held) {
+            entry.held->set(entry.request.body.capacity());
+            freeMemory();
+        }
+    }
+
+    // libmicrohttpd closes a connection of which it reads the end; what the request takes is freed at once.
+    void freeMemory()
+    {
+        const auto excess = bodies.excessBytes();
+        if (excess == 0) {
+            return;
+        }
+        std::vector<memory_holder> holders;
+        for (const auto &[handle, entry] : reading) {
+            holders.push_back({static_cast<std::uint64_t>(handle), entry->held->bytes(), entry->since, entry->progressAt});
+        }
+        for (const auto handle : connectionsToClose(std::move(holders), excess, loop.now())) {
+            auto &entry = *reading.at(static_cast<int>(handle));
+            entry.tooLarge = true;
+            std::string().swap(entry.request.body);
+            endReading(entry);
+            shutdown(static_cast<int>(handle), SHUT_RDWR);
+        }
+        scheduleRun();
+    }
+
+    void endReading(exchange &entry)
+    {
+        if (entry.held) {
+            entry.held.reset();
+            reading.erase(handleOf(entry.connection));
+        }
     }
 
     void dispatch(const shared_exchange &entry)
     {
+        endReading(*entry);
         if (entry->tooLarge) {
             entry->response = http_response {413, R"({"title":"body too large","outcome":"not_run"})", "application/problem+json", {}};
             return;
@@ -267,6 +313,9 @@
     reactor &loop;
     http_handler handler;
     http_server_limits limits;
+    memory_account bodies;
+    // Requests of which the body isn't complete, by descriptor.
+    std::unordered_map<int, exchange *> reading;
     MHD_Daemon *daemon = nullptr;
     int epollHandle = -1;
     std::unique_ptr<tcp_listener> listener;
--- a/Source/Process/http_server.h
+++ b/Source/Process/http_server.h
@@ -49,6 +49,8 @@
 {
     std::size_t bodyBytes = 1U << 20U;
     unsigned connections = 4096;
+    /// All unfinished bodies together; beyond it connections are closed.
+    std::size_t heldBodyBytes = 64U << 20U;
     /// A connection without activity for this long is closed.
     seconds idle {30};
 };
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -15,6 +15,8 @@
 #include "latency_histogram.h"
 #include "listening_socket.h"
 #include "log.h"
+#include "memory_account.h"
+#include "memory_relief.h"
 #include "metrics.h"
 #include "poll_clock.h"
 #include "process_error.h"
--- a/Source/Process/tcp_stream.cxx
+++ b/Source/Process/tcp_stream.cxx
@@ -197,6 +197,9 @@
             shutdownSending();
         }
         watch();
+        if (!closing && unsent.empty() && notify.sent) {
+            notify.sent();
+        }
     }
 
     // Closing with unread bytes would reset the connection and could lose the response in transit, so the peer closes first.
@@ -286,6 +289,11 @@
     return m_implementation->input;
 }
 
+const byte_queue &tcp_stream::input() const
+{
+    return m_implementation->input;
+}
+
 void tcp_stream::write(std::string_view bytes)
 {
     m_implementation->send(bytes);
@@ -296,6 +304,11 @@
     return m_implementation->unsent.size();
 }
 
+std::size_t tcp_stream::unsentReserved() const
+{
+    return m_implementation->unsent.reservedBytes();
+}
+
 void tcp_stream::readPending()
 {
     const auto kept = m_implementation;
@@ -322,6 +335,7 @@
 void tcp_stream::abort()
 {
     m_implementation->ended = true;
+    m_implementation->input.clear();
     m_implementation->unsent.clear();
     m_implementation->release();
 }
--- a/Source/Process/tcp_stream.h
+++ b/Source/Process/tcp_stream.h
@@ -31,6 +31,8 @@
         std::function<void()> received;
         /// Called at most once, never after closeWhenSent() or abort(); the stream is unusable afterwards.
         std::function<void(stream_end)> ended;
+        /// All queued bytes were sent. Not called for what the socket took at once, nor after closeWhenSent(). May be empty.
+        std::function<void()> sent = {};
     };
 
     /// Takes ownership of an accepted connection.
@@ -44,10 +46,13 @@
 
     bool isOpen() const;
     byte_queue &input();
+    const byte_queue &input() const;
     /// Sends, and queues the bytes that the socket doesn't accept yet. A failure is reported later through `ended`.
     void write(std::string_view bytes);
     /// Number of queued bytes that the socket has not accepted yet.
     std::size_t unsent() const;
+    /// What the queued bytes take, also where their buffer isn't filled.
+    std::size_t unsentReserved() const;
     /// Reads bytes that have arrived but were not reported yet; calls back like the event loop.
     void readPending();
     /// Closes after all queued bytes are sent; no more callbacks follow.
--- a/Tests/Forward/backend_connection_test.cxx
+++ b/Tests/Forward/backend_connection_test.cxx
@@ -54,7 +54,8 @@
     }
 
     reactor m_loop;
-    buffer_budget m_budget {1024, 10000};
+    memory_account m_memory;
+    buffer_budget m_budget {m_memory, 1024, 10000};
     std::unique_ptr<tcp_listener> m_listener;
     std::unique_ptr<tcp_stream> m_stream;
     std::string m_received;
@@ -146,7 +147,8 @@
 
 TEST(buffer_budget, guaranteesEachAnswerAMinimumAndLimitsTheSum)
 {
-    buffer_budget budget(100, 1000);
+    memory_account memory;
+    buffer_budget budget(memory, 100, 1000);
     {
         buffer_share endless(budget);
         EXPECT_TRUE(endless.resize(1100));
@@ -158,4 +160,5 @@
         EXPECT_TRUE(small.resize(600));
     }
     EXPECT_EQ(budget.usedBytes(), 0U);
+    EXPECT_EQ(memory.usedBytes(), 0U);
 }
--- a/Tests/Forward/backend_pool_test.cxx
+++ b/Tests/Forward/backend_pool_test.cxx
@@ -15,6 +15,7 @@
         m_settings.domain = {"port"};
         m_pool = std::make_unique<backend_pool>(m_loop,
             m_settings,
+            m_memory,
             backend_pool::callbacks {.done = [this](attempt_result result) { ended(std::move(result)); },
                 .checkingEnd = [this](attempt_id) { m_checks += 1; },
                 .noticed = [this](const server_notice &) { m_notices += 1; },
@@ -77,6 +78,7 @@
     plain_backend m_first {"first", "records"};
     plain_backend m_second {"second", "records"};
     std::unique_ptr<coordinator_table> m_coordinators;
+    memory_account m_memory;
     std::unique_ptr<backend_pool> m_pool;
     std::vector<attempt_result> m_results;
     int m_notices = 0;
--- a/Tests/Forward/client_server_test.cxx
+++ b/Tests/Forward/client_server_test.cxx
@@ -78,11 +78,13 @@
     }
 
     static constexpr std::size_t maxConnections = 64;
+    static constexpr std::size_t clientMemoryBytes = 200000;
 
     static entry_settings settings()
     {
         entry_settings settings;
         settings.id = {"d1"};
+        settings.clientMemoryBytes = clientMemoryBytes;
         return settings;
     }
 
@@ -189,3 +191,35 @@
         EXPECT_FALSE(clients[i]->closed()) << i;
     }
 }
+
+// A client that stops before the end of its body is closed for others, and is told the truth.
+TEST_F(client_server_test, closesTheLongestUnfinishedRequestWhenTooMuchIsHeld)
+{
+    const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nContent-Length: 120000\r\n\r\n";
+    blocking_client first(m_clients.address());
+    first.send(head + std::string(119999, 'b'));
+    runFor(milliseconds {50});
+    EXPECT_GE(m_requests.memory().usedBytes(memory_kind::input), 119999U);
+    blocking_client second(m_clients.address());
+    second.send(head + std::string(119999, 'b'));
+    runFor(milliseconds {50});
+    EXPECT_TRUE(first.received().starts_with("HTTP/1.1 408"));
+    EXPECT_EQ(second.received(), "");
+    EXPECT_LE(m_requests.memory().usedBytes(), clientMemoryBytes);
+    second.send("b");
+    runFor(milliseconds {50});
+    EXPECT_TRUE(second.received().starts_with("HTTP/1.1 503"));
+}
+
+// The limit is below what this request takes, but nobody else is there.
+TEST_F(client_server_test, servesAClientAloneWhateverTheLimit)
+{
+    blocking_client client(m_clients.address());
+    client.send("POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nContent-Length: 500000\r\n\r\n" + std::string(250000, 'b'));
+    runFor(milliseconds {50});
+    EXPECT_TRUE(m_requests.memory().exceeded());
+    EXPECT_EQ(client.received(), "");
+    client.send(std::string(250000, 'b'));
+    runFor(milliseconds {50});
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503"));
+}
--- a/Tests/Forward/settings_forms_test.cxx
+++ b/Tests/Forward/settings_forms_test.cxx
@@ -58,6 +58,7 @@
     EXPECT_TRUE(settings.bootstrap);
     EXPECT_EQ(settings.grace, milliseconds {6000});
     EXPECT_EQ(settings.memoryBytes, 260U << 20U);
+    EXPECT_EQ(clientMemoryBudget(settings), (260U << 20U) * 3 / 8);
     fleet_bounds bounds {.retryRatio = 0.2, .retrySlack = 56, .retryWindow = milliseconds {10000}, .coldFactor = 1.5, .coldSlack = 5};
     bounds.configurationTime = milliseconds {3000};
     EXPECT_EQ(settings.bounds, bounds);
--- a/Tests/Process/http_message_test.cxx
+++ b/Tests/Process/http_message_test.cxx
@@ -66,3 +66,41 @@
     EXPECT_EQ(reader.read(input), read_progress::complete);
     EXPECT_EQ(reader.take().body, "ok");
 }
+
+// What an empty buffer kept stayed with each connection that was being closed.
+TEST(byte_queue, givesBackWhatItReserved)
+{
+    byte_queue queue;
+    queue.append(std::string(100000, 'a'));
+    EXPECT_GE(queue.reservedBytes(), 100000U);
+    queue.consume(100000);
+    EXPECT_LT(queue.reservedBytes(), 4096U);
+    queue.append(std::string(100000, 'a'));
+    queue.clear();
+    EXPECT_LT(queue.reservedBytes(), 4096U);
+}
+
+// A string that grows takes up to twice its size, and a head of short fields many times the bytes that were sent.
+TEST(request_reader, reservesNoMoreThanTheBodyCanNeedAndCountsFields)
+{
+    request_reader reader({.headBytes = 16384, .bodyBytes = 140000});
+    byte_queue input;
+    input.append("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    EXPECT_EQ(reader.read(input), read_progress::incomplete);
+    for (int i = 0; i < 139999; ++i) {
+        input.append("1\r\nb\r\n");
+        ASSERT_EQ(reader.read(input), read_progress::incomplete) << i;
+    }
+    EXPECT_GE(reader.reservedBytes(), 139999U);
+    EXPECT_LT(reader.reservedBytes(), 142000U);
+
+    request_reader fields({.headBytes = 16384, .bodyBytes = 1});
+    std::string head = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 2000; ++i) {
+        head += "a:b\r\n";
+    }
+    input.clear();
+    input.append(head + "Content-Length: 1\r\n\r\n");
+    EXPECT_EQ(fields.read(input), read_progress::incomplete);
+    EXPECT_GE(fields.reservedBytes(), 2000 * sizeof(http_header));
+}
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -333,3 +333,46 @@
         }
     }
 }
+
+// Bodies just short of their end, 1 MB each, took as much memory as there were connections.
+TEST(http_server, closesTheLongestUnfinishedBodyWhenAllTogetherHoldTooMuch)
+{
+    reactor loop;
+    const auto answer = [](const http_request &, const http_responder &respond) {
+        respond({.status = 200});
+    };
+    const auto server = http_server::listen(loop, {"127.0.0.1", 0}, answer, {.bodyBytes = 100000, .heldBodyBytes = 100000}).value();
+    std::vector<bool> ended(3);
+    std::vector<std::unique_ptr<tcp_stream>> clients;
+    for (std::size_t i = 0; i < ended.size(); ++i) {
+        clients.push_back(std::make_unique<tcp_stream>(loop,
+            server->address(),
+            tcp_stream::callbacks {.opened = {},
+                .received = [] {},
+                .ended =
+                    [&, i](stream_end) {
+                        ended[i] = true;
+                        loop.stop();
+                    }}));
+        clients.back()->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" + std::string(59999, 'b'));
+        loop.after(milliseconds {50}, [&] { loop.stop(); });
+        loop.run();
+    }
+    for (int i = 0; i < 100 && !ended[1]; ++i) {
+        loop.after(milliseconds {10}, [&] { loop.stop(); });
+        loop.run();
+    }
+    EXPECT_EQ(ended, std::vector<bool>({true, true, false}));
+
+    http_client client(loop);
+    std::optional<http_result> result;
+    client.send({.method = "POST", .address = server->address(), .body = std::string(90000, 'o')}, [&](http_result reply) {
+        result = std::move(reply);
+        loop.stop();
+    });
+    while (!result) {
+        loop.run();
+    }
+    ASSERT_TRUE(std::holds_alternative<http_reply>(*result));
+    EXPECT_EQ(std::get<http_reply>(*result).status, 200);
+}
