Route, Forward: Move a service to another version by order, and take a bad one back

Change: versions of servers are told apart where `bounds.exposure_share` is above 0 (its default is 0 now). Daemons draw which first attempts go to the target and count answers by route and version; those that follow the store decide stages and verdict from the counts of all and write them as the order's status on condition of its version. Base versions live in one object of the store. `settings_template.passesThePlatformsFieldsOn` names the exposure share that the platform's fields state: it had held only because the default was the same.

--- a/Source/Forward/backend_connection.h
+++ b/Source/Forward/backend_connection.h
@@ -30,6 +30,8 @@
     bool serverEnded = false;
     /// This process could open no connection, which says nothing about the server.
     bool localShortage = false;
+    /// Nobody waited for the answer any longer.
+    bool abandoned = false;
 };
 
 using exchange_result = std::variant<exchange_answer, exchange_broken>;
--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -134,7 +134,8 @@
     return found == server.connections.end() ? nullptr : found->get();
 }
 
-backend *backend_pool::choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds typicalLatency)
+backend *
+backend_pool::choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds typicalLatency, const software_version *version)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
@@ -145,7 +146,8 @@
     candidates.reserve(found->second.size());
     for (auto *server : found->second) {
         auto candidate = viewOf(*server, now);
-        if (std::find(excluded.begin(), excluded.end(), server->entry.id) != excluded.end()) {
+        const bool otherVersion = version != nullptr && server->entry.software != *version;
+        if (otherVersion || std::find(excluded.begin(), excluded.end(), server->entry.id) != excluded.end()) {
             candidate.most = 0;
         }
         candidates.push_back(candidate);
@@ -154,7 +156,7 @@
     return index ? found->second[*index] : nullptr;
 }
 
-monotonic_time backend_pool::availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded) const
+monotonic_time backend_pool::availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded, const software_version *version) const
 {
     const auto now = m_loop.now();
     auto earliest = monotonic_time::max();
@@ -163,7 +165,8 @@
         return earliest;
     }
     for (const auto *server : found->second) {
-        const bool usable = !server->barred && std::find(excluded.begin(), excluded.end(), server->entry.id) == excluded.end();
+        const bool ofVersion = version == nullptr || server->entry.software == *version;
+        const bool usable = !server->barred && ofVersion && std::find(excluded.begin(), excluded.end(), server->entry.id) == excluded.end();
         earliest = usable ? std::min(earliest, std::max(server->availability.availableFrom(), server->limit.availableFrom(now))) : earliest;
     }
     return earliest;
@@ -426,7 +429,7 @@
     }
     for (auto *connection : broken) {
         connection->close();
-        endAttempt(*connection, exchange_broken {true, "abandoned"});
+        endAttempt(*connection, exchange_broken {.mayHaveRun = true, .reason = "abandoned", .abandoned = true});
     }
 }
 
@@ -461,7 +464,7 @@
     for (auto *connection : broken) {
         const bool opened = connection->isOpen();
         drop(server, *connection);
-        endAttempt(*connection, exchange_broken {opened, opened ? "abandoned" : "connection not opened"});
+        endAttempt(*connection, exchange_broken {.mayHaveRun = opened, .reason = opened ? "abandoned" : "connection not opened", .abandoned = opened});
     }
 }
 
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -90,11 +90,13 @@
     void update(const std::shared_ptr<const routing_snapshot> &view, const coordinator_table &coordinators);
     void setBounds(const fleet_bounds &bounds);
 
-    /// The best server of a service that can take a request now and is not excluded; null if there is none.
-    backend *choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds typicalLatency);
+    /// The best server of a service that can take a request now, is not excluded and is of this version, if one is given; null if
+    /// there is none.
+    backend *
+    choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds typicalLatency, const software_version *version = nullptr);
     /// Earliest time at which a server of the service that is not excluded may take a request, apart from its load; max()
     /// if there is no such server.
-    monotonic_time availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded) const;
+    monotonic_time availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded, const software_version *version = nullptr) const;
 
     /// Sends a request to the server, which must be the one that choose() has just returned.
     attempt_id send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter);
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -47,6 +47,8 @@
     {
         delegations.onListening([this](bool listens) { control.post([this, listens] { store.offerQueries(listens); }); });
         store.onConfigurationNewest([this](monotonic_time askedAt) { traffic.post([this, askedAt] { requests.setConfigurationNewestAt(askedAt); }); });
+        store.onVersionsHeard([this](monotonic_time heardAt) { traffic.post([this, heardAt] { requests.setVersionsHeardAt(heardAt); }); });
+        requests.onVersionsCounted([this](const daemon_counts &counts) { control.post([this, counts] { store.countVersions(counts); }); });
         connectQuotas();
         requests.onSuspectsChanged(
             [this](std::vector<suspect_record> records) { control.post([this, records = std::move(records)] { store.shareSuspects(records); }); });
--- a/Source/Forward/entry_settings.h
+++ b/Source/Forward/entry_settings.h
@@ -22,8 +22,8 @@
     double coldFactor = 1.5;
     double coldSlack = 5;
     /// Requests that the servers of a new version may get until it is found good: this share of the requests for their service
-    /// since the order, plus the slack.
-    double exposureShare = 0.1;
+    /// since the order, plus the slack. 0 if versions of servers are not told apart.
+    double exposureShare = 0;
     double exposureSlack = 50;
     /// Time from the answer that shows a new version to be bad until it gets no more requests.
     milliseconds rollbackTime {5000};
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -32,6 +32,7 @@
 constexpr milliseconds wakeInterval {50};
 // Queued parts tried without finding a server before the rest of the queue is skipped.
 constexpr unsigned maxUnplacedPerWake = 4;
+constexpr milliseconds versionReportInterval {300};
 constexpr double errorAnswerWeight = 0.5;
 constexpr double overloadedServerWeight = 0.3;
 
@@ -56,6 +57,7 @@
       m_quotas(loop, settings, m_quotaKeeper),
       m_budgets(m_coordinators),
       m_delegations(loop, settings.id, m_metrics),
+      m_versions(settings, registry),
       m_guard(loop,
           m_metrics,
           {.resume = [this](const suspect_guard::held_part &part) { resumeHeld(part); },
@@ -70,6 +72,7 @@
 void forwarder::update(const std::shared_ptr<const routing_snapshot> &view)
 {
     m_view = view;
+    m_versions.update(view->versions);
     m_coordinators.update(*view);
     m_pool.update(view, m_coordinators);
     m_delegations.update(*view);
@@ -80,6 +83,30 @@
     updateCapacity();
     updateGauges();
     wakeAll();
+    reportVersions();
+}
+
+void forwarder::onVersionsCounted(std::function<void(const daemon_counts &)> report)
+{
+    m_versionsCounted = std::move(report);
+}
+
+void forwarder::setVersionsHeardAt(monotonic_time heardAt)
+{
+    m_versions.setHeardAt(heardAt);
+}
+
+void forwarder::reportVersions()
+{
+    if (m_reportingVersions || !m_versions.counting()) {
+        return;
+    }
+    m_reportingVersions = true;
+    m_versionsCounted(m_versions.report(m_attempts, m_loop.now()));
+    m_loop.after(versionReportInterval, [this] {
+        m_reportingVersions = false;
+        reportVersions();
+    });
 }
 
 void forwarder::openDelegateLinks()
@@ -136,8 +163,10 @@
 {
     for (const auto &[service, servers] : m_view->servers->byService) {
         unsigned slots = 0;
+        const auto *version = m_versions.mainVersion(service);
         for (const auto &server : servers) {
-            slots += m_view->mayServe(server) ? server.slots : 0;
+            const bool counts = m_view->mayServe(server) && (version == nullptr || server.software == *version);
+            slots += counts ? server.slots : 0;
         }
         m_queue.setCapacity(service, {slots, static_cast<unsigned>(m_coordinators.sendersOf(service).count)});
     }
@@ -176,6 +205,7 @@
 void forwarder::setBounds(const fleet_bounds &bounds)
 {
     m_settings.bounds = bounds;
+    m_versions.setExposureShare(bounds.exposureShare);
     m_pool.setBounds(bounds);
 }
 
@@ -502,13 +532,14 @@
     const auto left = std::chrono::duration_cast<milliseconds>(std::min(request->deadline, request->received + request->matchedRoute->timeout) - now);
     const bool hedge = action.purpose == attempt_purpose::hedge;
     // Queueing helps only if an untried server may take the part in time.
-    const auto availableFrom = m_pool.availableFrom(part.service, part.tried);
+    const auto versions = m_versions.admitted(part, now);
+    const auto availableFrom = m_pool.availableFrom(part.service, part.tried, versions.otherwise == nullptr ? versions.first : versions.otherwise);
     if (!hedge && (left.count() <= 0 || availableFrom > std::max(now, request->state.terms.latestStart))) {
         addForecastWait(*request, availableFrom, now);
         return attempt_denied {action.part, action.purpose};
     }
     const bool room = left.count() > 0 && m_queue.hasRoom(part.service, action.purpose, now);
-    auto *server = room ? m_pool.choose(part.service, part.tried, latencyStats.typical()) : nullptr;
+    auto *server = room ? chooseServer(part, versions, latencyStats.typical()) : nullptr;
     if (server == nullptr) {
         return waitForServer(*request, action);
     }
@@ -522,8 +553,9 @@
     const bool bodyless = request->message.method == "HEAD";
     auto bytes = serverRequest(request->message, left, server->entry.id, request->account);
     const auto id = m_pool.send(*server, request->head.id, std::move(bytes), bodyless, latencyStats.hedgeDelay());
-    m_attempts.emplace(id,
-        running_attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id, request->digest});
+    running_attempt attempt {request->number, action.part, server->entry.id, request->matchedRoute->name, part.service, now, request->head.id, request->digest};
+    m_versions.sent(attempt, server->entry);
+    m_attempts.emplace(id, std::move(attempt));
     if (permission == run_permission::trial) {
         m_guard.trialStarted(request->digest, id);
     }
@@ -540,6 +572,12 @@
     return attempt_started {action.part, action.purpose, latencyStats.hedgeDelay()};
 }
 
+backend *forwarder::chooseServer(const request_part &part, const admitted_versions &versions, microseconds typicalLatency)
+{
+    auto *server = m_pool.choose(part.service, part.tried, typicalLatency, versions.first);
+    return server == nullptr && versions.otherwise != nullptr ? m_pool.choose(part.service, part.tried, typicalLatency, versions.otherwise) : server;
+}
+
 // All servers have asked for a pause, so a client that is refused must not return before one of them accepts requests.
 void forwarder::addForecastWait(running_request &request, monotonic_time availableFrom, monotonic_time now)
 {
@@ -719,6 +757,7 @@
     m_attempts.erase(found);
     m_queue.ended(attempt.service, result.attempt, m_loop.now());
     m_guard.attemptEnded(attempt, result.attempt, result.exchange);
+    m_versions.ended(attempt, result.exchange, m_loop.now());
     const auto end = evaluateAttempt(attempt, result.attempt, result.exchange);
     if (end != attempt_end::answered) {
         logAttemptFailure(attempt, end, result.exchange, m_requests.contains(attempt.request), m_loop.now());
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -12,6 +12,7 @@
 #include "routing_snapshot.h"
 #include "running_request.h"
 #include "suspect_guard.h"
+#include "version_gate.h"
 
 #include <deque>
 #include <functional>
@@ -41,6 +42,11 @@
     /// Called with what this daemon has to tell the others about suspected requests, whenever that changes.
     void onSuspectsChanged(std::function<void(std::vector<suspect_record>)> share);
 
+    /// Called with what was counted of versions, again and again while an order runs.
+    void onVersionsCounted(std::function<void(const daemon_counts &)> report);
+    /// The rules for versions were known to be current at this time.
+    void setVersionsHeardAt(monotonic_time heardAt);
+
     /// Calls the callback once, possibly before returning, unless the client leaves first. Returns 0 if it was already called.
     request_number submit(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
     /// The same for a query that another daemon has delegated to this one.
@@ -86,6 +92,8 @@
     forward_event startAttempt(const request_pointer &request, const start_attempt &action);
     static void addForecastWait(running_request &request, monotonic_time availableFrom, monotonic_time now);
     forward_event waitForServer(running_request &request, const start_attempt &action);
+    backend *chooseServer(const request_part &part, const admitted_versions &versions, microseconds typicalLatency);
+    void reportVersions();
     void updateCapacity();
     void openDelegateLinks();
     void updateGauges();
@@ -124,6 +132,10 @@
     quota_client m_quotas;
     retry_budgets m_budgets;
     delegation_client m_delegations;
+    version_gate m_versions;
+    std::function<void(const daemon_counts &)> m_versionsCounted = [](const auto &) {
+    };
+    bool m_reportingVersions = false;
     std::function<void(std::vector<suspect_record>)> m_shareSuspects = [](const auto &) {
     };
     suspect_guard m_guard;
--- a/Source/Forward/relay_link.cxx
+++ b/Source/Forward/relay_link.cxx
@@ -129,10 +129,10 @@
     m_loop.cancelTimer(m_timer);
 }
 
-void relay_client::askAge()
+void relay_client::askAge(std::string counts)
 {
     const auto now = std::chrono::duration_cast<microseconds>(m_loop.now().time_since_epoch());
-    m_link->send(encodeAgeQuestion({now.count()}));
+    m_link->send(encodeAgeQuestion({now.count(), std::move(counts)}));
 }
 
 void relay_client::received(std::string_view frame)
--- a/Source/Forward/relay_link.h
+++ b/Source/Forward/relay_link.h
@@ -62,7 +62,7 @@
     relay_client(reactor &loop, const ip_address &address, peer_credentials credentials, callbacks notify);
     ~relay_client();
     /// The answer comes with an update.
-    void askAge();
+    void askAge(std::string counts);
     relay_client(const relay_client &) = delete;
     relay_client &operator=(const relay_client &) = delete;
 
--- a/Source/Forward/relay_messages.cxx
+++ b/Source/Forward/relay_messages.cxx
@@ -40,7 +40,7 @@
     update.revision = objects.revision;
     update.removed = std::move(objects.removed);
     for (auto &object : objects.objects) {
-        update.objects.push_back({std::move(object.key), std::move(object.revision), std::move(object.value)});
+        update.objects.push_back({std::move(object.key), std::move(object.revision), std::move(object.value), std::move(object.status)});
     }
     return update;
 }
@@ -79,7 +79,7 @@
     all.whole = true;
     all.revision = revision;
     for (const auto &[key, object] : objects) {
-        all.objects.push_back({key, object.etag, object.value});
+        all.objects.push_back({key, object.etag, object.value, object.status});
     }
     return all;
 }
@@ -107,7 +107,7 @@
         auto &sentRevision = m_sent[key];
         if (sentRevision != object.etag) {
             sentRevision = object.etag;
-            changed.objects.push_back({key, object.etag, object.value});
+            changed.objects.push_back({key, object.etag, object.value, object.status});
         }
     }
     changed.revision = revision;
--- a/Source/Forward/relay_messages.h
+++ b/Source/Forward/relay_messages.h
@@ -16,10 +16,11 @@
     std::string key;
     std::string revision;
     std::string value;
+    std::string status {};
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(key, revision, value);
+        archive(key, revision, value, status);
     }
 };
 
@@ -57,10 +58,12 @@
 {
     /// The follower's clock when it asked.
     std::int64_t askedAtUs = 0;
+    /// What the follower has counted of versions; empty while no order runs.
+    std::string counts {};
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(askedAtUs);
+        archive(askedAtUs, counts);
     }
 };
 
@@ -91,6 +94,8 @@
     relayed_objects servers;
     relayed_objects evacuations;
     relayed_objects suspects;
+    relayed_objects rollouts;
+    relayed_objects versions;
     /// All daemons of the fleet; empty if they are unchanged.
     std::vector<relayed_daemon> fleet;
     /// Empty, or the answer to this follower's question.
@@ -98,7 +103,7 @@
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, fleet, configurationAge);
+        archive(storeReached, era, configurationRevision, configuration, servers, evacuations, suspects, rollouts, versions, fleet, configurationAge);
     }
 };
 
--- a/Source/Forward/routing_snapshot.h
+++ b/Source/Forward/routing_snapshot.h
@@ -36,6 +36,8 @@
     bool fleetKnown = true;
     /// What the daemons, including this one, have shared of suspected requests.
     std::shared_ptr<const std::vector<shared_suspects>> suspects = std::make_shared<std::vector<shared_suspects>>();
+    /// Which versions of servers may get requests; null if versions are not told apart.
+    std::shared_ptr<const version_rules> versions;
     /// Key that authenticates daemons to one another; empty until it is known.
     std::string peerKey;
 
@@ -45,10 +47,19 @@
         return std::max<std::size_t>(fleet.size(), fleetKnown ? 1 : largestFleet);
     }
 
-    /// True if the server is neither draining nor in an evacuated failure domain.
+    /// True if the server is neither draining nor in an evacuated failure domain, nor of a version that gets nothing.
     bool mayServe(const server_entry &server) const
     {
-        return !server.draining && !evacuated.contains(server.domain);
+        return !server.draining && !evacuated.contains(server.domain) && versionMayServe(server);
+    }
+
+    bool versionMayServe(const server_entry &server) const
+    {
+        if (!versions) {
+            return true;
+        }
+        const auto rule = versions->find(server.service);
+        return rule == versions->end() || rule->second.mayServe(server.software);
     }
 };
 
--- a/Source/Forward/running_request.h
+++ b/Source/Forward/running_request.h
@@ -45,6 +45,8 @@
     std::uint64_t delegation = 0;
     /// Gets no further attempt, because another daemon has used the attempts that were allowed.
     bool exhausted = false;
+    /// Decides to which version its first attempt goes while an order for the service runs; drawn once.
+    std::optional<double> versionDraw {};
 };
 
 /// What another daemon has delegated to this one.
@@ -108,6 +110,9 @@
     monotonic_time sent;
     client_request_id clientId;
     request_digest digest;
+    /// Version of the server's software, and the running order under which it was sent; empty if versions aren't told apart.
+    software_version software {};
+    std::string order {};
 };
 
 /// Logs one line per request: its outcome and the inputs of the decision, with the configuration version.
--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -5,6 +5,7 @@
 #include "relay_choice.h"
 #include "relay_link.h"
 #include "suspect_board.h"
+#include "version_board.h"
 
 #include <algorithm>
 #include <limits>
@@ -93,10 +94,12 @@
               {.restoreGrace = settings.lapseGrace},
               [this] { evacuationsChanged(); }),
           suspects(loop, store, settings, [this] { suspectsChanged(); }),
+          versions(loop, store, settings, [this] { versionsChanged(); }),
           quotas(loop, store, settings, [this](claimed_quotas claims, std::function<void()> applied) { claimed(std::move(claims), std::move(applied)); })
     {
         view.fleet = fleet.daemons();
         view.fleetKnown = fleet.known();
+        view.versions = versions.rules();
     }
 
     void start()
@@ -135,6 +138,10 @@
         servers.follow();
         evacuations.follow();
         suspects.objects().follow();
+        if (versions.active()) {
+            versions.orders().follow();
+            versions.bases().follow();
+        }
     }
 
     void followDaemon()
@@ -148,6 +155,8 @@
         servers.stopFollowing();
         evacuations.stopFollowing();
         suspects.objects().stopFollowing();
+        versions.orders().stopFollowing();
+        versions.bases().stopFollowing();
     }
 
     void chooseSource()
@@ -224,6 +233,9 @@
 
     std::optional<relay_update> answerAge(const age_question &question)
     {
+        if (auto counts = question.counts.empty() ? std::nullopt : parseCounts(question.counts)) {
+            versions.takeCounts(std::move(*counts));
+        }
         if (!canRelay() || !configurationReadable || !configurationNewestAt) {
             return std::nullopt;
         }
@@ -255,6 +267,7 @@
         servers.takeRelayed(toMirror(std::move(update.servers)));
         evacuations.takeRelayed(toMirror(std::move(update.evacuations)));
         suspects.objects().takeRelayed(toMirror(std::move(update.suspects)));
+        takeVersions(update);
         takeConfiguration(std::move(update.configuration), update.configurationRevision);
         fleet.takeRelayed(toFleet(update.fleet));
         for (const auto &answer : update.configurationAge) {
@@ -267,6 +280,18 @@
         }
     }
 
+    void takeVersions(relay_update &update)
+    {
+        if (!versions.active()) {
+            return;
+        }
+        versions.bases().takeRelayed(toMirror(std::move(update.versions)));
+        versions.orders().takeRelayed(toMirror(std::move(update.rollouts)));
+        if (update.storeReached) {
+            versionsHeard(loop.now());
+        }
+    }
+
     // A process that has just started reads the configuration from the store, because its source may have been paused and
     // may relay an old one. While the store can't be reached, it takes what the source has.
     void takeConfiguration(relayed_objects relayed, const store_revision &announcedRevision)
@@ -348,7 +373,7 @@
     // Nothing is relayed until all of it has been read, and read again after a pause of this process.
     bool canRelay() const
     {
-        const bool read = servers.mirror().known() && evacuations.mirror().known() && configuration.mirror().known();
+        const bool read = servers.mirror().known() && evacuations.mirror().known() && configuration.mirror().known() && versionsKnown();
         const bool late = loop.now() - lastHeartbeat > heartbeatInterval + maxHeartbeatDelay;
         return relay && servers.following() && read && !late && !verifying;
     }
@@ -381,6 +406,8 @@
         update.servers = allOf(servers.mirror());
         update.evacuations = allOf(evacuationsInForce, evacuations.mirror().revision());
         update.suspects = allOf(suspects.objects().mirror());
+        update.rollouts = allOf(versions.orders().mirror());
+        update.versions = allOf(versions.bases().mirror());
         update.fleet = fromFleet(fleet.daemons());
         return update;
     }
@@ -403,6 +430,8 @@
         update.servers = sentServers.changes(servers.mirror());
         update.evacuations = sentEvacuations.changes(evacuationsInForce, evacuations.mirror().revision());
         update.suspects = sentSuspects.changes(suspects.objects().mirror());
+        update.rollouts = sentRollouts.changes(versions.orders().mirror());
+        update.versions = sentVersions.changes(versions.bases().mirror());
         if (sentFleet != fleet.daemons()) {
             sentFleet = fleet.daemons();
             update.fleet = fromFleet(sentFleet);
@@ -415,14 +444,17 @@
         verifyAfterPause();
         updateFollowers();
         if (client) {
-            client->askAge();
+            client->askAge(versions.ownCounts());
+        }
+        if (versions.active() && versions.orders().following() && !verifying && versions.orders().mirror().upToDate()) {
+            versionsHeard(loop.now());
         }
         loop.after(heartbeatInterval, [this] { sendHeartbeat(); });
     }
 
     void reloadAll()
     {
-        for (auto *each : {&configuration, &servers, &evacuations, &suspects.objects()}) {
+        for (auto *each : {&configuration, &servers, &evacuations, &suspects.objects(), &versions.orders(), &versions.bases()}) {
             if (each->following()) {
                 each->reload();
             }
@@ -475,6 +507,8 @@
         logRemoved(seen);
         serversSeen = std::move(seen);
         view.servers = std::move(catalog);
+        versions.setServers(view.servers);
+        view.versions = versions.rules();
         publishView();
     }
 
@@ -602,6 +636,13 @@
         publishView();
     }
 
+    void versionsChanged()
+    {
+        view.versions = versions.rules();
+        publishView();
+        updateFollowers();
+    }
+
     void suspectsChanged()
     {
         view.suspects = suspects.shared();
@@ -613,6 +654,7 @@
     {
         servers.setBatchDelay(std::clamp<milliseconds>(serversBatchDelayPerDaemon * fleet.daemons().size(), minServersBatchDelay, maxServersBatchDelay));
         suspects.setFleet(fleet.daemons());
+        versions.setFleet(fleet.daemons());
         if (fleet.daemons() != view.fleet || fleet.known() != view.fleetKnown || fleet.peerKey() != view.peerKey) {
             view.fleet = fleet.daemons();
             view.fleetKnown = fleet.known();
@@ -667,7 +709,12 @@
     {
         const auto mirrors = {&configuration, &servers, &evacuations, &suspects.objects()};
         const bool known = std::all_of(mirrors.begin(), mirrors.end(), [](const auto *each) { return each->mirror().known(); });
-        return known && view.routes != nullptr;
+        return known && versionsKnown() && view.routes != nullptr;
+    }
+
+    bool versionsKnown() const
+    {
+        return !versions.active() || (versions.orders().mirror().known() && versions.bases().mirror().known());
     }
 
     reactor &loop;
@@ -685,6 +732,7 @@
     // The evacuations that the gate has in force, also those that have ended and wait.
     std::map<std::string, platform_object> evacuationsInForce;
     suspect_board suspects;
+    version_board versions;
     quota_board quotas;
     quota_board::claims_consumer claimed;
     incarnation incarnationId {stableHash(randomBytes(8))};
@@ -696,6 +744,8 @@
     sent_objects sentServers;
     sent_objects sentEvacuations;
     sent_objects sentSuspects;
+    sent_objects sentRollouts;
+    sent_objects sentVersions;
     std::vector<fleet_daemon> sentFleet;
     revision_request configurationRequest;
     // A relayed configuration that may not be taken yet.
@@ -709,6 +759,8 @@
     std::optional<monotonic_time> configurationNewestAt;
     std::function<void(monotonic_time)> newestKnown = [](monotonic_time) {
     };
+    std::function<void(monotonic_time)> versionsHeard = [](monotonic_time) {
+    };
     monotonic_time eraKnownSince;
     monotonic_time lastHeartbeat;
     bool verifying = false;
@@ -726,6 +778,16 @@
 
 store_follower::~store_follower() = default;
 
+void store_follower::onVersionsHeard(std::function<void(monotonic_time)> callback)
+{
+    m_implementation->versionsHeard = std::move(callback);
+}
+
+void store_follower::countVersions(const daemon_counts &counts)
+{
+    m_implementation->versions.takeCounts(counts);
+}
+
 void store_follower::start()
 {
     m_implementation->start();
--- a/Source/Forward/store_follower.h
+++ b/Source/Forward/store_follower.h
@@ -5,6 +5,7 @@
 #include "object_mirror.h"
 #include "quota_board.h"
 #include "routing_snapshot.h"
+#include "version_counts_text.h"
 
 #include <functional>
 #include <memory>
@@ -27,6 +28,10 @@
     void wantQuotas(quota_parts parts);
     /// Whether daemons ask this one first for tokens of quotas.
     void keepQuotas(bool keeper);
+    /// Called again and again with the time at which the rules for versions were known to be current.
+    void onVersionsHeard(std::function<void(monotonic_time)> callback);
+    /// What this daemon has counted of versions.
+    void countVersions(const daemon_counts &counts);
     void start();
     /// Replaces what this daemon tells the others about suspected requests.
     void shareSuspects(std::vector<suspect_record> records);
--- a/Tests/Forward/settings_forms_test.cxx
+++ b/Tests/Forward/settings_forms_test.cxx
@@ -60,6 +60,7 @@
     EXPECT_EQ(settings.memoryBytes, 260U << 20U);
     fleet_bounds bounds {.retryRatio = 0.2, .retrySlack = 56, .retryWindow = milliseconds {10000}, .coldFactor = 1.5, .coldSlack = 5};
     bounds.configurationTime = milliseconds {3000};
+    bounds.exposureShare = 0.1;
     EXPECT_EQ(settings.bounds, bounds);
 }
 
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::array<const char *, plain_fleet::domainCount> domainNames {"medina", "port", "sakiet"};
+constexpr const char *firstSoftware = "v1";
 constexpr int topRecords = 3;
 constexpr int connectionsPerServer = 200;
 
@@ -77,11 +78,11 @@
 bool plain_fleet::startProcesses()
 {
     for (int i = 0; i < m_size.logbookServers; ++i) {
-        addServer("logbook", static_cast<std::size_t>(i));
+        addServer("logbook", static_cast<std::size_t>(i), firstSoftware);
     }
     for (int shard = 0; shard < m_size.shards; ++shard) {
         for (int i = 0; i < m_size.serversPerShard; ++i) {
-            addServer(shardName(shard), static_cast<std::size_t>(i));
+            addServer(shardName(shard), static_cast<std::size_t>(i), firstSoftware);
         }
     }
     writeConfiguration();
@@ -92,7 +93,7 @@
                             << "\"\nregion = \"sfax\"\nclients = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\npeers = \"127.0.0.1:"
                             << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
                             << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\noperator_token_sha256 = \""
-                            << sha256Hex(operatorToken) << "\"\n";
+                            << sha256Hex(operatorToken) << "\"\n[bounds]\nexposure_share = " << m_size.exposureShare << "\n";
         m_settings.push_back(file);
         if (!startDaemon(i)) {
             return false;
@@ -176,40 +177,40 @@
     return m_servers;
 }
 
-std::unique_ptr<plain_backend> plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain)
+std::unique_ptr<plain_backend> plain_fleet::makeServer(const std::string &service)
 {
     const auto id = service + "-" + std::to_string(m_nextServer++);
     auto process = std::make_unique<plain_backend>(id, std::string(16, service.back()));
     process->setFatalPath(m_fatalPath);
     process->setDelay(m_delay);
-    putServer(service, domain, *process, milliseconds {0});
     return process;
 }
 
-void plain_fleet::putServer(const std::string &service, const failure_domain_name &domain, const plain_backend &process, milliseconds coldLeft)
+void plain_fleet::putServer(const server &entry, milliseconds coldLeft)
 {
-    putObject("servers/" + process.id(),
-        {{"service", service},
-            {"address", toString(process.address())},
-            {"zone", domain.value},
-            {"version", "v1"},
+    putObject("servers/" + entry.process->id(),
+        {{"service", entry.service},
+            {"address", toString(entry.process->address())},
+            {"zone", entry.domain.value},
+            {"version", entry.software},
             {"capacity", 4},
             {"state", "ready"},
             {"warmup_left_ms", coldLeft.count()},
             {"sequence", ++m_sequence},
-            {"born", 1}});
+            {"born", entry.software == firstSoftware ? 1 : 2}});
 }
 
 void plain_fleet::registerServer(std::size_t index, milliseconds coldLeft)
 {
-    const auto &entry = m_servers[index];
-    putServer(entry.service, entry.domain, *entry.process, coldLeft);
+    putServer(m_servers[index], coldLeft);
 }
 
-void plain_fleet::addServer(const std::string &service, std::size_t place)
+plain_backend &plain_fleet::addServer(const std::string &service, std::size_t place, const std::string &software)
 {
     const failure_domain_name domain {domainNames[place % static_cast<std::size_t>(m_size.serverDomains)]};
-    m_servers.push_back({service, domain, makeServer(service, domain)});
+    m_servers.push_back({service, domain, makeServer(service), software});
+    putServer(m_servers.back(), milliseconds {0});
+    return *m_servers.back().process;
 }
 
 void plain_fleet::replaceServer(std::size_t index)
@@ -217,7 +218,8 @@
     auto &entry = m_servers[index];
     removeObject("servers/" + entry.process->id());
     m_endedServers.push_back(std::move(entry.process));
-    entry.process = makeServer(entry.service, entry.domain);
+    entry.process = makeServer(entry.service);
+    putServer(entry, milliseconds {0});
 }
 
 void plain_fleet::setFatalPath(const std::string &prefix)
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -31,6 +31,8 @@
         int serverDomains = domainCount;
         /// Requests per second that a cold server takes from all daemons together; 0 if cold servers need no care.
         double coldRequestsPerSecond = 0;
+        /// 0 if versions aren't told apart.
+        double exposureShare = 0;
     };
 
     struct server
@@ -38,6 +40,7 @@
         std::string service;
         failure_domain_name domain;
         std::unique_ptr<plain_backend> process;
+        std::string software;
     };
 
     explicit plain_fleet(const layout &size);
@@ -64,6 +67,8 @@
     const std::string &logs() const;
 
     std::vector<server> &servers();
+    /// Starts a server of this version of the software beside the others.
+    plain_backend &addServer(const std::string &service, std::size_t place, const std::string &software);
     /// Starts another process in the place of one that has ended, with a new id, and removes the entry of the old one.
     void replaceServer(std::size_t index);
     void setFatalPath(const std::string &prefix);
@@ -88,9 +93,8 @@
     test_client &control();
 
 private:
-    void addServer(const std::string &service, std::size_t place);
-    void putServer(const std::string &service, const failure_domain_name &domain, const plain_backend &process, milliseconds coldLeft);
-    std::unique_ptr<plain_backend> makeServer(const std::string &service, const failure_domain_name &domain);
+    void putServer(const server &entry, milliseconds coldLeft);
+    std::unique_ptr<plain_backend> makeServer(const std::string &service);
     void writeConfiguration();
     void putObject(const std::string &key, const nlohmann::json &value);
 
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -19,6 +19,7 @@
 static const std::string objectsPath = "/v1/objects/";
 static const std::string hostsPath = "/hosts/";
 static const std::string controlObjectsPath = "/control/objects/";
+static const std::string statusSuffix = "/status";
 static const std::string hostsKind = "hosts";
 
 /// The "KIND" or "KIND/NAME" part of the request path; empty outside the object API.
@@ -56,6 +57,9 @@
 // Daemons replace the slashes of an object name by colons.
 static std::string storedKey(const std::string &key)
 {
+    if (key.ends_with(statusSuffix)) {
+        return storedKey(key.substr(0, key.size() - statusSuffix.size())) + statusSuffix;
+    }
     const auto slash = key.find('/');
     auto stored = key;
     std::replace(stored.begin() + static_cast<std::ptrdiff_t>(std::min(slash + 1, key.size())), stored.end(), '/', ':');
@@ -83,11 +87,12 @@
 }
 
 // Objects and arrays are passed on as they were written, also with contents that a reader may refuse.
-static std::string objectText(const std::string &key, const std::string &etag, const std::string &value)
+static std::string objectText(const std::string &key, const std::string &etag, const std::string &value, const std::string &status = "")
 {
     const json meta {{"name", objectName(key)}, {"revision", parseRevision(etag)}, {"finalizers", json::array()}, {"deleting", false}};
     const bool structured = splitJsonObject(value) || splitJsonArray(value);
-    return R"({"meta":)" + formatted(meta) + R"(,"spec":)" + (structured ? value : formatted(value)) + R"(,"status":null})";
+    return R"({"meta":)" + formatted(meta) + R"(,"spec":)" + (structured ? value : formatted(value)) + R"(,"status":)" + (status.empty() ? "null" : status)
+        + "}";
 }
 
 static std::string arrayText(const std::vector<std::string> &elements)
@@ -200,7 +205,7 @@
     if (object == nullptr) {
         return problemResponse(404, "no such object");
     }
-    return textResponse(objectText(key, object->etag, object->value));
+    return textResponse(objectText(key, object->etag, object->value, object->status));
 }
 
 static std::string specText(const json &body)
@@ -221,8 +226,10 @@
     finishWrite(key, m_store.put(key, specText(*body), {.ifAbsent = true}), respond);
 }
 
-void platform_standin::change(const http_request &request, const std::string &key, const http_responder &respond)
+void platform_standin::change(const http_request &request, const std::string &path, const http_responder &respond)
 {
+    const bool status = request.method == "PUT" && path.ends_with(statusSuffix);
+    const auto key = status ? path.substr(0, path.size() - statusSuffix.size()) : path;
     if (m_store.find(key) == nullptr) {
         respond(problemResponse(404, "no such object"));
         return;
@@ -243,6 +250,10 @@
     if (revision.is_number()) {
         conditions.ifMatch = std::to_string(revision.get<std::uint64_t>());
     }
+    if (status) {
+        finishWrite(key, m_store.putStatus(key, formatted(body->value("status", json())), conditions), respond);
+        return;
+    }
     finishWrite(key, m_store.put(key, specText(*body), conditions), respond);
 }
 
@@ -252,7 +263,7 @@
     const auto *current = m_store.find(key);
     if (const auto *error = std::get_if<write_error>(&result)) {
         const bool tooLarge = *error == write_error::too_large;
-        respond(tooLarge ? problemResponse(413, "value too large") : textResponse(objectText(key, current->etag, current->value), 409));
+        respond(tooLarge ? problemResponse(413, "value too large") : textResponse(objectText(key, current->etag, current->value, current->status), 409));
         return;
     }
     notifyWatches();
@@ -263,7 +274,8 @@
         respond(dropConnectionResponse());
         return;
     }
-    respond(textResponse(current == nullptr ? objectText(key, std::get<std::string>(result), "") : objectText(key, current->etag, current->value)));
+    respond(textResponse(
+        current == nullptr ? objectText(key, std::get<std::string>(result), "") : objectText(key, current->etag, current->value, current->status)));
 }
 
 http_response platform_standin::listObjects(const http_request &request, const std::string &prefix) const
@@ -279,7 +291,7 @@
         if (more) {
             break;
         }
-        items.push_back(objectText(object.key, object.etag, object.value));
+        items.push_back(objectText(object.key, object.etag, object.value, object.status));
     }
     return listResponse(items, more);
 }
@@ -310,7 +322,8 @@
     std::vector<std::string> list;
     for (const auto &event : *events) {
         const char *removed = event.value ? "false" : "true";
-        list.push_back(std::string(R"({"removed":)") + removed + R"(,"object":)" + objectText(event.key, event.etag, event.value.value_or("")) + "}");
+        list.push_back(
+            std::string(R"({"removed":)") + removed + R"(,"object":)" + objectText(event.key, event.etag, event.value.value_or(""), event.status) + "}");
     }
     return textResponse(R"({"events":)" + arrayText(list) + R"(,"current_rev":)" + std::to_string(m_store.revision()) + "}");
 }
@@ -421,11 +434,12 @@
         notifyWatches();
         return jsonResponse(json::object());
     }
-    const auto *object = m_store.find(key);
+    const bool status = key.ends_with(statusSuffix);
+    const auto *object = m_store.find(status ? key.substr(0, key.size() - statusSuffix.size()) : key);
     if (object == nullptr) {
         return problemResponse(404, "no such object");
     }
-    return {.body = object->value};
+    return {.body = status ? object->status : object->value};
 }
 
 static outage_kind parseOutage(const json &value)
--- a/Tests/StandIns/platform_standin.h
+++ b/Tests/StandIns/platform_standin.h
@@ -69,7 +69,7 @@
     void hang(http_responder respond);
     http_response readObject(const std::string &key) const;
     void create(const http_request &request, const std::string &kind, const http_responder &respond);
-    void change(const http_request &request, const std::string &key, const http_responder &respond);
+    void change(const http_request &request, const std::string &path, const http_responder &respond);
     void finishWrite(const std::string &key, const store_result &result, const http_responder &respond);
     http_response listObjects(const http_request &request, const std::string &prefix) const;
     http_response listResponse(const std::vector<std::string> &items, bool more) const;
--- a/Tests/StandIns/platform_store.cxx
+++ b/Tests/StandIns/platform_store.cxx
@@ -25,11 +25,11 @@
     return current != nullptr && (*conditions.ifMatch == "*" || withoutQuotes(*conditions.ifMatch) == withoutQuotes(current->etag));
 }
 
-std::string platform_store::appendEvent(const std::string &key, std::optional<std::string> value)
+std::string platform_store::appendEvent(const std::string &key, std::optional<std::string> value, std::string status)
 {
     m_revision += 1;
     auto etag = '"' + std::to_string(m_revision) + '"';
-    m_events.push_back({m_revision, key, etag, std::move(value)});
+    m_events.push_back({m_revision, key, etag, std::move(value), std::move(status)});
     if (m_events.size() > maximumEvents) {
         m_compactedUpTo = m_events.front().revision;
         m_events.pop_front();
@@ -45,8 +45,21 @@
     if (!conditionsHold(key, conditions)) {
         return write_error::precondition_failed;
     }
-    auto etag = appendEvent(key, value);
-    m_objects[key] = {key, etag, std::move(value)};
+    auto status = m_objects[key].status;
+    auto etag = appendEvent(key, value, status);
+    m_objects[key] = {key, etag, std::move(value), std::move(status)};
+    return etag;
+}
+
+store_result platform_store::putStatus(const std::string &key, std::string status, const write_conditions &conditions)
+{
+    const auto *current = find(key);
+    if (current == nullptr || !conditionsHold(key, conditions)) {
+        return write_error::precondition_failed;
+    }
+    auto value = current->value;
+    auto etag = appendEvent(key, value, status);
+    m_objects[key] = {key, etag, std::move(value), std::move(status)};
     return etag;
 }
 
--- a/Tests/StandIns/platform_store.h
+++ b/Tests/StandIns/platform_store.h
@@ -16,6 +16,8 @@
     /// The revision in quotes, as in an ETag header. Revisions are never reused.
     std::string etag;
     std::string value;
+    /// JSON; empty if it has none.
+    std::string status {};
 };
 
 struct store_event
@@ -25,6 +27,7 @@
     std::string etag;
     /// Empty if the object was deleted.
     std::optional<std::string> value;
+    std::string status {};
 };
 
 struct write_conditions
@@ -48,6 +51,8 @@
     static constexpr std::size_t maximumValueBytes = 1U << 20U;
 
     store_result put(const std::string &key, std::string value, const write_conditions &conditions);
+    /// Replaces the status of an object that exists.
+    store_result putStatus(const std::string &key, std::string status, const write_conditions &conditions);
     /// Deleting an absent key succeeds, unless the conditions require an ETag.
     store_result remove(const std::string &key, const write_conditions &conditions);
     const stored_object *find(const std::string &key) const;
@@ -60,7 +65,7 @@
 
 private:
     bool conditionsHold(const std::string &key, const write_conditions &conditions) const;
-    std::string appendEvent(const std::string &key, std::optional<std::string> value);
+    std::string appendEvent(const std::string &key, std::optional<std::string> value, std::string status = {});
 
     std::map<std::string, stored_object> m_objects;
     std::deque<store_event> m_events;
