Forward: Take an order that is given again for another one

Cause: an order withdrawn and given again between two looks at the store kept the verdict of the one before. Change: a missing status means another order, unless the store has come back from a copy since; then it was lost and the verdict is written again. Tests also of stale knowledge, of a fault that shows after many good answers, of an order that is withdrawn.

--- a/Source/Forward/version_board.cxx
+++ b/Source/Forward/version_board.cxx
@@ -151,7 +151,6 @@
     update();
 }
 
-// A status may be lost with the store's latest changes, but a verdict never changes while the order stands.
 version_board::seen_order version_board::readOrder(const std::string &key, const platform_object &object, rollout_order order) const
 {
     auto written = object.status.empty() ? std::nullopt : readRolloutStatus(object.status);
@@ -160,7 +159,7 @@
     }
     seen_order seen {order, key, object.etag, written, written, m_loop.now(), milliseconds {0}, nullptr};
     const auto before = m_seen.find(order.service);
-    if (before == m_seen.end() || before->second.order.target != order.target) {
+    if (before == m_seen.end() || !isSameOrder(before->second, seen)) {
         seen.judge = std::make_shared<rollout_judge>(m_exposureShare);
         return seen;
     }
@@ -174,6 +173,17 @@
     return seen;
 }
 
+// An order may be withdrawn and given again between two looks; it has no status then. After a return of the store from a copy a
+// missing status is one that was lost, and a verdict holds until it was written again.
+bool version_board::isSameOrder(const seen_order &known, const seen_order &now)
+{
+    if (known.order.target != now.order.target) {
+        return false;
+    }
+    const bool lost = known.written != known.status || parseRevision(now.etag).era > parseRevision(known.etag).era;
+    return lost || !known.status || (now.written && now.written->order == known.status->order);
+}
+
 void version_board::basesChanged()
 {
     const auto &objects = m_bases.mirror().objects();
--- a/Source/Forward/version_board.h
+++ b/Source/Forward/version_board.h
@@ -69,6 +69,7 @@
     void basesChanged();
     void update();
     seen_order readOrder(const std::string &key, const platform_object &object, rollout_order order) const;
+    static bool isSameOrder(const seen_order &known, const seen_order &now);
     std::map<service_name, rollout_status> statuses() const;
     void scheduleBases();
     void writeBases();
--- a/Tests/Promises/rollout_promises_test.cxx
+++ b/Tests/Promises/rollout_promises_test.cxx
@@ -56,6 +56,7 @@
     void order()
     {
         m_sentBefore = m_sent;
+        m_newBefore = atNew();
         m_fleet.putText("rollouts/logbook", nlohmann::json {{"service", "logbook"}, {"target_version", "v2"}, {"duration_s", orderSeconds}}.dump());
     }
 
@@ -95,8 +96,9 @@
         ASSERT_TRUE(sendUntil([this] { return daemonsThatSend() == 0; }, seconds {5}));
         const int reached = atNew();
         const int sent = m_sent - m_sentBefore;
-        std::cout << "at the bad version " << reached << " of " << sent << std::endl;
-        EXPECT_LE(reached, exposureShare * sent + exposureSlack);
+        const int newly = reached - m_newBefore;
+        std::cout << "at the bad version " << newly << " of " << sent << std::endl;
+        EXPECT_LE(newly, exposureShare * sent + exposureSlack);
         const int until = m_sent + 400;
         sendUntil([&] { return m_sent >= until; }, seconds {20});
         EXPECT_EQ(atNew(), reached) << "sent to a version after it was rolled back";
@@ -107,6 +109,7 @@
     std::vector<plain_backend *> m_new;
     int m_sent = 0;
     int m_sentBefore = 0;
+    int m_newBefore = 0;
     int m_ended = 0;
     int m_lost = 0;
 };
@@ -141,6 +144,16 @@
         each->setResponseMode(backend_response_mode::failing);
     }
     expectRolledBack();
+    // Withdrawn and given again at once, it is another order with a verdict of its own; while it is withdrawn nothing is sent.
+    m_fleet.removeObject("rollouts/logbook");
+    const int reached = atNew();
+    expectRolledBack();
+    EXPECT_GT(atNew(), reached);
+    m_fleet.removeObject("rollouts/logbook");
+    const int afterwards = atNew();
+    const int until = m_sent + 300;
+    sendUntil([&] { return m_sent >= until; }, seconds {20});
+    EXPECT_EQ(atNew(), afterwards);
 }
 
 TEST_F(rollout_promises, aVersionThatTurnsSlowIsRolledBackAndGetsNothingMore)
--- a/Tests/Route/rollout_test.cxx
+++ b/Tests/Route/rollout_test.cxx
@@ -183,6 +183,35 @@
     EXPECT_TRUE(ruleOf({{service, {"v0"}}}, {}).mayServe({"v1"}));
 }
 
+// A daemon that hears of nothing.
+TEST(rollout, staleKnowledgeKeepsToTheLowestStage)
+{
+    version_rule rule {{"v1"}, rollout_status {{"v2"}, rollout_verdict::running, rollout_stage::half, "1"}};
+    EXPECT_GT(rule.targetShare(exposureShare, true), exposureShare);
+    EXPECT_LT(rule.targetShare(exposureShare, false), exposureShare);
+}
+
+TEST(rollout, goodAnswersOfTheBeginningDontHideALaterFault)
+{
+    rollout_judge judge(exposureShare);
+    rollout_inputs inputs {{{"v2"}, rollout_verdict::running, rollout_stage::trial, "1"}, seconds {600}, seconds {0}, {}, true, 0, 6};
+    auto &counts = inputs.counts[{"read"}];
+    const auto play = [&](int from, int to, int failures) {
+        for (int second = from; second < to; ++second) {
+            for (int i = 0; i < 10; ++i) {
+                counts.base.addSuccess(microseconds {5000});
+                i < failures ? counts.target.addFailure() : counts.target.addSuccess(microseconds {5000});
+            }
+            if (const auto change = judge.decide(inputs, monotonic_time {seconds {second}})) {
+                return second;
+            }
+        }
+        return to;
+    };
+    ASSERT_EQ(play(0, 200, 0), 200);
+    EXPECT_LT(play(200, 220, 5), 204);
+}
+
 // Old servers stop at once when the order has succeeded.
 TEST(rollout, succeedsOnlyOnceNothingRunsOnOldServers)
 {
