--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::array<const char *, plain_fleet::domainCount> domainNames {"medina", "port", "sakiet"};
+constexpr const char *firstSoftware = "v1";
 constexpr int topRecords = 3;
 constexpr int connectionsPerServer = 200;
 
@@ -77,11 +78,11 @@
 bool plain_fleet::startProcesses()
 {
     for (int i = 0; i < m_size.logbookServers; ++i) {
-        addServer("logbook", static_cast<std::size_t>(i));
+        addServer("logbook", static_cast<std::size_t>(i), firstSoftware);
     }
     for (int shard = 0; shard < m_size.shards; ++shard) {
         for (int i = 0; i < m_size.serversPerShard; ++i) {
-            addServer(shardName(shard), static_cast<std::size_t>(i));
+            addServer(shardName(shard), static_cast<std::size_t>(i), firstSoftware);
         }
     }
     writeConfiguration(1, {});
@@ -93,7 +94,7 @@
                             << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
                             << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\noperator_token_sha256 = \""
                             << sha256Hex(operatorToken) << "\"\n"
-                            << m_size.settings;
+                            << m_size.settings << (m_size.exposureShare > 0 ? "[bounds]\nexposure_share = " + std::to_string(m_size.exposureShare) + "\n" : "");
         m_settings.push_back(file);
         if (!startDaemon(i)) {
             return false;
@@ -177,10 +178,10 @@
     return m_servers;
 }
 
-plain_fleet::server plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain)
+plain_fleet::server plain_fleet::makeServer(const std::string &service, const failure_domain_name &domain, const std::string &software)
 {
     const auto id = service + "-" + std::to_string(m_nextServer++);
-    server entry {service, domain, std::make_unique<plain_backend>(id, std::string(m_size.answerBytes, service.back()))};
+    server entry {service, domain, std::make_unique<plain_backend>(id, std::string(m_size.answerBytes, service.back())), software};
     entry.process->setFatalPath(m_fatalPath);
     entry.process->setDelay(m_delay);
     putServer(entry, milliseconds {0});
@@ -193,12 +194,12 @@
         {{"service", entry.service},
             {"address", toString(entry.process->address())},
             {"zone", entry.domain.value},
-            {"version", "v1"},
+            {"version", entry.software},
             {"capacity", 4},
             {"state", state},
             {"warmup_left_ms", coldLeft.count()},
             {"sequence", ++m_sequence},
-            {"born", 1}});
+            {"born", entry.software == firstSoftware ? 1 : 2}});
 }
 
 void plain_fleet::registerServer(std::size_t index, milliseconds coldLeft)
@@ -211,10 +212,11 @@
     putServer(m_servers[index], milliseconds {0}, "draining");
 }
 
-void plain_fleet::addServer(const std::string &service, std::size_t place)
+plain_backend &plain_fleet::addServer(const std::string &service, std::size_t place, const std::string &software)
 {
     const failure_domain_name domain {domainNames[place % static_cast<std::size_t>(m_size.serverDomains)]};
-    m_servers.push_back(makeServer(service, domain));
+    m_servers.push_back(makeServer(service, domain, software));
+    return *m_servers.back().process;
 }
 
 void plain_fleet::replaceServer(std::size_t index)
@@ -222,7 +224,7 @@
     auto &entry = m_servers[index];
     removeObject("servers/" + entry.process->id());
     m_endedServers.push_back(std::move(entry.process));
-    entry = makeServer(entry.service, entry.domain);
+    entry = makeServer(entry.service, entry.domain, entry.software);
 }
 
 void plain_fleet::setFatalPath(const std::string &prefix)
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -39,6 +39,8 @@
         int headTimeoutMs = 1000;
         /// Lines that are added to the settings of each daemon.
         std::string settings;
+        /// 0 if versions aren't told apart.
+        double exposureShare = 0;
     };
 
     struct server
@@ -46,6 +48,7 @@
         std::string service;
         failure_domain_name domain;
         std::unique_ptr<plain_backend> process;
+        std::string software;
     };
 
     explicit plain_fleet(const layout &size);
@@ -72,6 +75,8 @@
     const std::string &logs() const;
 
     std::vector<server> &servers();
+    /// Starts a server of this version of the software beside the others.
+    plain_backend &addServer(const std::string &service, std::size_t place, const std::string &software);
     /// Starts another process in the place of one that has ended, with a new id, and removes the entry of the old one.
     void replaceServer(std::size_t index);
     void setFatalPath(const std::string &prefix);
@@ -105,9 +110,8 @@
     test_client &control();
 
 private:
-    void addServer(const std::string &service, std::size_t place);
     void putServer(const server &entry, milliseconds coldLeft, const std::string &state = "ready");
-    server makeServer(const std::string &service, const failure_domain_name &domain);
+    server makeServer(const std::string &service, const failure_domain_name &domain, const std::string &software);
     void putObject(const std::string &key, const nlohmann::json &value);
 
     layout m_size;
