--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -52,6 +52,7 @@
                   }}),
       m_coordinators(settings),
       m_keyRefusals(registry),
+      m_accounts(registry),
       m_quotaKeeper(loop, settings.bounds),
       m_quotas(loop, settings, m_quotaKeeper),
       m_budgets(m_coordinators),
@@ -205,6 +206,7 @@
 void forwarder::setConfigurationNewestAt(monotonic_time askedAt)
 {
     m_configurationNewestAt = askedAt;
+    m_accounts.setConfigurationAge(std::chrono::duration_cast<milliseconds>(m_loop.now() - askedAt));
 }
 
 // The time is read after the request, so that a pause of this process between the two can't make the configuration look newer.
@@ -230,6 +232,9 @@
 void forwarder::refuseKey(const request_pointer &request, key_refusal reason)
 {
     m_keyRefusals.add(reason, request->matchedRoute->name, m_loop.now());
+    if (m_configurationNewestAt) {
+        m_accounts.setConfigurationAge(std::chrono::duration_cast<milliseconds>(m_loop.now() - *m_configurationNewestAt));
+    }
     if (reason != key_refusal::not_current) {
         request->reply(local_reply {statusUnauthorized, std::nullopt});
         return;
@@ -245,6 +250,9 @@
     constexpr milliseconds maxWait {100};
     const auto *account = request->account ? request->view->routes->account(*request->account) : nullptr;
     if (account == nullptr || !account->quota) {
+        if (request->account) {
+            m_accounts.admitted(*request->account);
+        }
         return start(request);
     }
     m_requests.emplace(request->number, request);
@@ -260,12 +268,14 @@
         return false;
     }
     if (outcome.decision == quota_decision::granted) {
+        m_accounts.admitted(*request->account);
         start(request);
         return true;
     }
     const bool exceeded = outcome.decision == quota_decision::exceeded;
     logRequestEnd(*request, exceeded ? "over_quota" : "quota_unknown", m_loop.now());
     (exceeded ? m_metrics.overQuota : m_metrics.quotaUnknown).add();
+    exceeded ? m_accounts.exceeded(*request->account) : m_accounts.unknown(*request->account);
     m_metrics.refused.add();
     // Clients that are refused together return one after another.
     const double draw = std::uniform_real_distribution<>()(m_random);
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account_figures.h"
 #include "backend_pool.h"
 #include "coordinator_table.h"
 #include "delegation_client.h"
@@ -121,6 +122,7 @@
     coordinator_table m_coordinators;
     std::optional<monotonic_time> m_configurationNewestAt;
     key_refusal_log m_keyRefusals;
+    account_figures m_accounts;
     quota_keeper m_quotaKeeper;
     quota_client m_quotas;
     retry_budgets m_budgets;
--- a/Tests/Platform/translation_test.cxx
+++ b/Tests/Platform/translation_test.cxx
@@ -118,7 +118,7 @@
 TEST(removeStatedIdentity, leavesNothingOfTheClientsKeyAndAccount)
 {
     byte_queue input;
-    input.append("POST /x HTTP/1.1\r\nHost: h\r\nConnection: tenant-id\r\nTENANT-ID: forged\r\nAuthorization:\tBearer secret-1\r\n"
+    input.append("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTENANT-ID: forged\r\nAuthorization:\tBearer secret-1\r\n"
                  "Transfer-Encoding: chunked\r\nTrailer: authorization, Tenant-Id\r\n\r\n1\r\nx\r\n0\r\nauthorization: Bearer secret-2\r\n"
                  "tenant-id: forged\r\n\r\n");
     request_reader reader({});
@@ -130,6 +130,8 @@
     EXPECT_EQ(bytes.find("secret"), std::string::npos) << bytes;
     EXPECT_EQ(bytes.find("forged"), std::string::npos) << bytes;
     EXPECT_NE(bytes.find("\r\nTenant-Id: a\r\n"), std::string::npos) << bytes;
+    message.headers.push_back({"Connection", "tenant-id"});
+    EXPECT_NE(serverRequest(message, milliseconds {500}, {"i-9"}, account_name {"a"}).find("\r\nTenant-Id: a\r\n"), std::string::npos);
 }
 
 TEST(readServerAnswer, classifiesAnswers)
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -93,6 +93,9 @@
                             << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
                             << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\noperator_token_sha256 = \""
                             << sha256Hex(operatorToken) << "\"\n";
+        if (m_size.revocation.count() > 0) {
+            std::ofstream(file, std::ios::app) << "[bounds]\nstrict_revocation = true\nrevocation_ms = " << m_size.revocation.count() << "\n";
+        }
         m_settings.push_back(file);
         if (!startDaemon(i)) {
             return false;
@@ -286,11 +289,25 @@
     if (m_size.shards > 0) {
         routes.push_back(routeOf("/find/", {{"fanout_services", shards}}));
     }
-    putObject("config/main",
-        {{"version", 1},
-            {"routes", routes},
-            {"services", services},
-            {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}});
+    json configuration {{"version", ++m_version},
+        {"routes", routes},
+        {"services", services},
+        {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}};
+    if (!m_size.accounts.is_null()) {
+        configuration["tenants"] = m_size.accounts;
+    }
+    putObject("config/main", configuration);
+}
+
+void plain_fleet::setAccounts(const json &accounts)
+{
+    m_size.accounts = accounts;
+    writeConfiguration();
+}
+
+void plain_fleet::cutFromStore(const std::vector<std::string> &domains)
+{
+    m_control.send("POST", m_store->address("control"), "/control/faults", {{"cut_domains", domains}});
 }
 
 void plain_fleet::putObject(const std::string &key, const json &value)
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -31,6 +31,10 @@
         int serverDomains = domainCount;
         /// Requests per second that a cold server takes from all daemons together; 0 if cold servers need no care.
         double coldRequestsPerSecond = 0;
+        /// Client accounts of the configuration, as operators write them; null for none.
+        nlohmann::json accounts;
+        /// Time within which keys that are taken away stop working everywhere; 0 if they may work on.
+        milliseconds revocation {0};
     };
 
     struct server
@@ -83,6 +87,10 @@
     void removeObject(const std::string &key);
     /// Writes the entry of a server again, as cold for this long.
     void registerServer(std::size_t index, milliseconds coldLeft);
+    /// Writes a newer configuration with these client accounts.
+    void setAccounts(const nlohmann::json &accounts);
+    /// Cuts the daemons of these failure domains from the store, and no others.
+    void cutFromStore(const std::vector<std::string> &domains);
     /// Turns the store off or on.
     void setStoreDown(bool down);
     test_client &control();
@@ -108,6 +116,7 @@
     std::string m_logs;
     int m_nextServer = 0;
     int m_sequence = 0;
+    int m_version = 0;
 };
 
 } // namespace daisystile
