--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -75,6 +75,18 @@
     return (m_store || startStore()) && startProcesses() && waitUntilReady();
 }
 
+std::string plain_fleet::boundsText() const
+{
+    std::string text;
+    if (m_size.exposureShare > 0) {
+        text += "exposure_share = " + std::to_string(m_size.exposureShare) + "\n";
+    }
+    if (m_size.revocation.count() > 0) {
+        text += "strict_revocation = true\nrevocation_ms = " + std::to_string(m_size.revocation.count()) + "\n";
+    }
+    return text.empty() ? text : "[bounds]\n" + text;
+}
+
 bool plain_fleet::startProcesses()
 {
     for (int i = 0; i < m_size.logbookServers; ++i) {
@@ -94,7 +106,7 @@
                             << open_listener(0).listenAddress().port << "\"\nqueries = \"127.0.0.1:" << open_listener(0).listenAddress().port
                             << "\"\nstrength = 1.0\nstore = \"" << toString(m_store->address("http")) << "\"\ngrace_ms = 6000\noperator_token_sha256 = \""
                             << sha256Hex(operatorToken) << "\"\n"
-                            << m_size.settings << (m_size.exposureShare > 0 ? "[bounds]\nexposure_share = " + std::to_string(m_size.exposureShare) + "\n" : "");
+                            << m_size.settings << boundsText();
         m_settings.push_back(file);
         if (!startDaemon(i)) {
             return false;
@@ -311,15 +323,24 @@
     if (m_size.shards > 0) {
         routes.push_back(routeOf("/find/", {{"fanout_services", shards}}));
     }
-    putObject("config/main",
-        {{"version", version},
-            {"routes", routes},
-            {"services", services},
-            {"limits",
-                {{"max_header_bytes", m_size.headBytes},
-                    {"max_body_bytes", m_size.bodyBytes},
-                    {"header_timeout_ms", m_size.headTimeoutMs},
-                    {"idle_timeout_ms", 15000}}}});
+    json configuration {{"version", version},
+        {"routes", routes},
+        {"services", services},
+        {"limits",
+            {{"max_header_bytes", m_size.headBytes},
+                {"max_body_bytes", m_size.bodyBytes},
+                {"header_timeout_ms", m_size.headTimeoutMs},
+                {"idle_timeout_ms", 15000}}}};
+    if (!m_size.accounts.is_null()) {
+        configuration["tenants"] = m_size.accounts;
+    }
+    putObject("config/main", configuration);
+}
+
+void plain_fleet::setAccounts(const json &accounts)
+{
+    m_size.accounts = accounts;
+    writeConfiguration(++m_version, {});
 }
 
 void plain_fleet::putObject(const std::string &key, const json &value)
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -41,6 +41,10 @@
         std::string settings;
         /// 0 if versions aren't told apart.
         double exposureShare = 0;
+        /// Client accounts of the configuration, as operators write them; null for none.
+        nlohmann::json accounts;
+        /// Time within which keys that are taken away stop working everywhere; 0 if they may work on.
+        milliseconds revocation {0};
     };
 
     struct server
@@ -105,11 +109,15 @@
     void restoreStore(std::uint64_t revision, milliseconds away);
     /// Cuts the daemons of these failure domains off from the store, and no others.
     void cutDomainsFromStore(const std::vector<std::string> &domains);
+    /// Writes a newer configuration with these client accounts.
+    void setAccounts(const nlohmann::json &accounts);
     /// Turns the store off or on.
     void setStoreDown(bool down);
     test_client &control();
 
 private:
+    /// The table of bounds in the settings, if there is any.
+    std::string boundsText() const;
     void putServer(const server &entry, milliseconds coldLeft, const std::string &state = "ready");
     server makeServer(const std::string &service, const failure_domain_name &domain, const std::string &software);
     void putObject(const std::string &key, const nlohmann::json &value);
@@ -128,6 +136,7 @@
     std::string m_logs;
     int m_nextServer = 0;
     int m_sequence = 0;
+    int m_version = 1;
 };
 
 } // namespace daisystile
