Request: Never run a key again whose claim the store has lost

Change: segments state the era; an owner with memory writes what is lost again, one without answers unknown for the retention of the request's contract, which its headers say to later owners; it waits for the former lease also if the copy says released.

--- a/Source/Request/claim_journal.cxx
+++ b/Source/Request/claim_journal.cxx
@@ -93,6 +93,8 @@
         return;
     }
     rejectUnstartedClaims();
+    m_rememberedClaims.clear();
+    m_rememberedAllUntil.reset();
     reset();
     m_phase = phase::idle;
 }
@@ -106,6 +108,10 @@
         answer(submission.waiter, run_outcome::unknown, attempt_failure::not_owner);
         return;
     }
+    if (mayBeLost(submission)) {
+        answer(submission.waiter, run_outcome::unknown, attempt_failure::server_lost);
+        return;
+    }
     if (m_platformDown) {
         answer(submission.waiter, unclaimedOutcome(), attempt_failure::platform_down);
         return;
@@ -119,6 +125,12 @@
     append(claim_made {submission.key, submission.request, expiresAt});
 }
 
+// A result is kept for the retention time, and so are resends answered; a lost claim was made before the time that is known.
+bool claim_journal::mayBeLost(const execute_requested &submission) const
+{
+    return m_phase == phase::owning && m_lostBefore > 0 && m_time.wallSeconds <= m_lostBefore + submission.retentionSeconds + m_limits.clockSkewSeconds;
+}
+
 bool claim_journal::joinOpenClaim(const execute_requested &submission)
 {
     const auto open = m_openClaims.find(submission.key);
@@ -200,7 +212,7 @@
 
 void claim_journal::dropUnwrittenClaim(const claim_key &key)
 {
-    const auto first = m_pending.begin() + static_cast<std::ptrdiff_t>(possiblyWrittenEvents());
+    const auto first = m_pending.begin() + static_cast<std::ptrdiff_t>(std::max(possiblyWrittenEvents(), m_lostEvents));
     const auto isClaim = [&](const pending_event &pending) {
         const auto *made = std::get_if<claim_made>(&pending.event);
         return made != nullptr && made->key == key;
--- a/Source/Request/claim_journal.h
+++ b/Source/Request/claim_journal.h
@@ -69,6 +69,8 @@
 {
     /// Empty if the platform did not answer.
     std::optional<std::vector<platform_object>> segments;
+    /// Era of the store that listed them.
+    std::uint64_t era = 0;
 };
 struct segment_written
 {
@@ -197,6 +199,14 @@
     void handleWriteResult(const write_result &result);
     void handleReadResult(const read_result &result);
     void reconcileStoredSegment(const platform_object &object);
+    /// Whether the store has come back from a copy since the journal was loaded.
+    bool restoredSince(const std::string &etag) const;
+    /// Loads the journal again after the store has come back from a copy, and keeps what is known of it.
+    void loadRestored();
+    /// Writes what the store has lost again, and notes whether it may have lost more.
+    void restoreClaims();
+    /// The store may have lost a claim of the key.
+    bool mayBeLost(const execute_requested &submission) const;
 
     bool load(const std::vector<platform_object> &segments);
     void loadSegment(std::uint64_t number, const platform_object &object, const journal_segment &segment);
@@ -257,6 +267,17 @@
     /// Writes of the current segment with an unknown outcome, including the one in progress.
     std::vector<write_attempt> m_attempts;
 
+    std::uint64_t m_era = 0;
+    /// The last segment that was loaded says that it was written in an earlier era.
+    bool m_writtenInEarlierEra = false;
+    std::int64_t m_lostBefore = 0;
+    /// What was known before the store came back, until the journal is loaded again.
+    std::map<claim_key, retained_claim> m_rememberedClaims;
+    /// Until when no other owner can have claimed in the era before; nothing if this daemon wasn't the owner.
+    std::optional<monotonic_time> m_rememberedAllUntil;
+    /// Number of the first pending events that the store has lost.
+    std::size_t m_lostEvents = 0;
+
     std::map<claim_key, retained_claim> m_retainedClaims;
     std::map<claim_key, open_claim> m_openClaims;
     std::deque<execute_requested> m_queue;
--- a/Source/Request/claim_journal_platform.cxx
+++ b/Source/Request/claim_journal_platform.cxx
@@ -38,6 +38,13 @@
     }
 };
 
+static std::int64_t expiryOf(const claim_event &event)
+{
+    const auto *made = std::get_if<claim_made>(&event);
+    const auto *ended = std::get_if<claim_ended>(&event);
+    return made != nullptr ? made->expiresAt : (ended != nullptr ? ended->expiresAt : 0);
+}
+
 void claim_journal::reset()
 {
     m_platformDown = false;
@@ -51,6 +58,7 @@
     m_claimExpiries.clear();
     m_segmentExpiries.clear();
     m_currentSegmentExpiry = 0;
+    m_lostEvents = 0;
     std::erase_if(m_openClaims, [](const auto &entry) { return !entry.second.running; });
 }
 
@@ -78,6 +86,50 @@
     m_retryAt = m_time.now + m_limits.fencedBackoff;
 }
 
+bool claim_journal::restoredSince(const std::string &etag) const
+{
+    return parseRevision(etag).era > m_era;
+}
+
+void claim_journal::loadRestored()
+{
+    for (auto &[key, claim] : m_openClaims) {
+        if (!claim.running) {
+            answerAll(std::exchange(claim.waiters, {}), run_outcome::unknown, attempt_failure::platform_down);
+        }
+    }
+    if (m_takeoverWritten && m_lastPlatformContact) {
+        m_rememberedAllUntil = *m_lastPlatformContact + m_limits.lease;
+    }
+    m_rememberedClaims.merge(m_retainedClaims);
+    reset();
+    m_phase = phase::loading;
+}
+
+void claim_journal::restoreClaims()
+{
+    const bool allRemembered = m_rememberedAllUntil && m_time.now < *m_rememberedAllUntil;
+    if (m_writtenInEarlierEra && !allRemembered) {
+        m_lostBefore = m_time.wallSeconds;
+    }
+    // That the journal was released may be older than the previous owner, which may not know yet that the store has come back.
+    m_waitForPreviousLease = m_waitForPreviousLease || m_writtenInEarlierEra;
+    m_rememberedAllUntil.reset();
+    for (auto &[key, claim] : std::exchange(m_rememberedClaims, {})) {
+        const auto stored = m_retainedClaims.find(key);
+        if (stored != m_retainedClaims.end() && (stored->second.ended || !claim.ended)) {
+            continue;
+        }
+        append(claim_made {key, claim.request, claim.expiresAt});
+        if (claim.ended) {
+            append(claim_ended {key, claim.outcome, claim.body, claim.expiresAt});
+        }
+        m_claimExpiries.emplace(claim.expiresAt, key);
+        m_retainedClaims[key] = claim;
+    }
+    m_lostEvents = m_pending.size();
+}
+
 void claim_journal::platformFailed()
 {
     m_platformDown = true;
@@ -99,10 +151,13 @@
     if (m_phase != phase::loading) {
         return;
     }
+    const auto eraBefore = std::exchange(m_era, result.era);
     if (!result.segments || !load(*result.segments)) {
+        m_era = eraBefore;
         platformFailed();
         return;
     }
+    restoreClaims();
     m_platformDown = false;
     m_phase = phase::owning;
 }
@@ -114,6 +169,8 @@
     m_etag.clear();
     m_segmentLines.clear();
     m_waitForPreviousLease = false;
+    m_writtenInEarlierEra = false;
+    m_lostBefore = 0;
     std::map<std::uint64_t, const platform_object *> ordered;
     for (const auto &object : segments) {
         const auto number = segmentNumber(m_partition, object.key);
@@ -138,6 +195,8 @@
     m_etag = object.etag;
     m_segmentLines = object.value.substr(object.value.find('\n') + 1);
     m_waitForPreviousLease = !segment.header.released;
+    m_writtenInEarlierEra = segment.header.era && *segment.header.era < m_era;
+    m_lostBefore = std::max(m_lostBefore, segment.header.lostBefore);
     for (const auto &event : segment.events) {
         std::visit(event_applier {*this}, event);
     }
@@ -162,6 +221,11 @@
         return;
     }
     if (const auto *done = std::get_if<object_written>(&result)) {
+        if (restoredSince(done->etag)) {
+            // The condition named a revision that was given out again.
+            loadRestored();
+            return;
+        }
         renewLease();
         applyCommittedWrite(write_attempt(m_attempts.back()), done->etag);
     } else if (std::holds_alternative<platform_unavailable>(result)) {
@@ -191,7 +255,10 @@
         m_segmentLines += pending.line;
         // A result was already retained when it was reported; its key may have been released and claimed again since
         // then.
-        if (const auto *made = std::get_if<claim_made>(&pending.event)) {
+        if (i < m_lostEvents) {
+            // Known already, and never to be run again.
+            m_currentSegmentExpiry = std::max(m_currentSegmentExpiry, expiryOf(pending.event));
+        } else if (const auto *made = std::get_if<claim_made>(&pending.event)) {
             event_applier {*this}(*made);
             claims.push_back(made->key);
         } else if (const auto *ended = std::get_if<claim_ended>(&pending.event)) {
@@ -199,6 +266,7 @@
         }
         m_pending.pop_front();
     }
+    m_lostEvents -= std::min(m_lostEvents, attempt.events);
     if (attempt.released) {
         reset();
         m_releasing = false;
@@ -253,11 +321,15 @@
         return;
     }
     const auto *object = std::get_if<platform_object>(&result);
+    // Nobody removes the last segment of a journal.
+    const bool lost = object == nullptr && !m_etag.empty();
+    if (lost || (object != nullptr && restoredSince(object->etag))) {
+        loadRestored();
+        return;
+    }
     const bool unchanged = object == nullptr ? m_etag.empty() : object->etag == m_etag;
     if (unchanged) {
         renewLease();
-    } else if (object == nullptr) {
-        fence();
     } else {
         reconcileStoredSegment(*object);
     }
@@ -360,7 +432,9 @@
     m_callInFlight = platform_call::write;
     m_callStartedAt = m_time.now;
     m_lastWrite = m_time.now;
-    const segment_header header {m_self, attempt.sealed, attempt.released};
+    // Until all that was lost is written, a next owner doesn't find it.
+    const auto lostBefore = attempt.events < m_lostEvents ? m_time.wallSeconds : m_lostBefore;
+    const segment_header header {m_self, attempt.sealed, attempt.released, m_era, lostBefore};
     const auto condition = m_etag.empty() ? write_condition(if_absent {}) : write_condition(if_version {m_etag});
     m_actions.emplace_back(write_segment {segmentKey(m_partition, m_segmentNumber), encodeSegmentHeader(header) + m_segmentLines + lines, condition});
 }
--- a/Source/Request/claim_record.cxx
+++ b/Source/Request/claim_record.cxx
@@ -56,11 +56,16 @@
 
 std::string encodeSegmentHeader(const segment_header &header)
 {
-    return toLine({{"owner", header.writer.owner.value},
+    json line {{"owner", header.writer.owner.value},
         {"life", header.writer.incarnationNumber.value},
         {"batch", header.writer.batch},
         {"sealed", header.sealed},
-        {"released", header.released}});
+        {"released", header.released},
+        {"lost_before", header.lostBefore}};
+    if (header.era) {
+        line["era"] = *header.era;
+    }
+    return toLine(line);
 }
 
 static segment_header headerFrom(const json &line)
@@ -71,6 +76,11 @@
     line.at("batch").get_to(header.writer.batch);
     line.at("sealed").get_to(header.sealed);
     line.at("released").get_to(header.released);
+    // Earlier releases wrote neither.
+    header.lostBefore = line.value("lost_before", std::int64_t {0});
+    if (line.contains("era")) {
+        header.era = line.at("era").get<std::uint64_t>();
+    }
     return header;
 }
 
--- a/Source/Request/claim_record.h
+++ b/Source/Request/claim_record.h
@@ -65,6 +65,10 @@
     bool sealed = false;
     /// The writer has given up the journal and has no runs in progress.
     bool released = false;
+    /// Era of the store in which the segment was written; nothing if the writer stated none.
+    std::optional<std::uint64_t> era;
+    /// The store may have lost claims that were made before this time, in seconds since 1970; 0 if none.
+    std::int64_t lostBefore = 0;
 };
 
 struct journal_segment
--- a/Source/Request/journal_manager.cxx
+++ b/Source/Request/journal_manager.cxx
@@ -47,6 +47,7 @@
             segments_listed listed;
             if (auto *list = std::get_if<object_list>(&result)) {
                 listed.segments = std::move(list->objects);
+                listed.era = list->revision.era;
             }
             decide(listed);
         });
--- a/Tests/Request/claim_fuzz_test.cxx
+++ b/Tests/Request/claim_fuzz_test.cxx
@@ -19,18 +19,23 @@
 class claim_fuzz
 {
 public:
-    explicit claim_fuzz(std::uint64_t seed)
-        : m_random(seed)
+    /// The store comes back from a copy with this probability in each step.
+    explicit claim_fuzz(std::uint64_t seed, double restores = 0)
+        : m_random(seed),
+          m_restores(restores)
     {
         for (int i = 0; i < owners; ++i) {
             restart(i);
         }
     }
 
-    void run()
+    void run(int steps = stepsPerSeed)
     {
-        for (int step = 0; step < stepsPerSeed && !testing::Test::HasFailure(); ++step) {
+        for (int step = 0; step < steps && !testing::Test::HasFailure(); ++step) {
             runStep();
+            if (m_restores > 0) {
+                copyOrRestore();
+            }
         }
     }
 
@@ -57,6 +62,12 @@
         std::string value;
     };
 
+    struct store_copy
+    {
+        std::map<std::string, stored> objects;
+        std::uint64_t revision = 0;
+    };
+
     struct key_record
     {
         /// Runs that took effect or may have taken effect.
@@ -158,6 +169,23 @@
         m_firstKey += chance(0.01) ? 1 : 0;
     }
 
+    void copyOrRestore()
+    {
+        constexpr double copies = 0.01;
+        if (chance(copies)) {
+            m_copy = {m_objects, m_revision};
+        }
+        // Of a journal of which the copy has nothing, nobody can tell that it was lost.
+        if (chance(m_restores) && !m_copy.objects.empty()) {
+            m_objects = m_copy.objects;
+            m_revision = m_copy.revision;
+            m_era += 1;
+            for (auto &[key, object] : m_objects) {
+                object.etag = toString(store_revision {parseRevision(object.etag).number, m_era});
+            }
+        }
+    }
+
     void changeOwnership(int index)
     {
         if (chance(0.02)) {
@@ -191,11 +219,12 @@
     {
         const auto found = m_objects.find(write.key);
         const auto *version = std::get_if<if_version>(&write.condition);
-        const bool holds = version == nullptr ? found == m_objects.end() : found != m_objects.end() && found->second.etag == version->etag;
+        const bool holds = version == nullptr ? found == m_objects.end()
+                                              : found != m_objects.end() && parseRevision(found->second.etag).number == parseRevision(version->etag).number;
         if (!holds) {
             return write_conflict {};
         }
-        const auto etag = std::to_string(++m_revision);
+        const auto etag = toString(store_revision {++m_revision, m_era});
         m_objects[write.key] = {etag, write.value};
         return object_written {etag};
     }
@@ -255,7 +284,7 @@
         for (const auto &[key, object] : m_objects) {
             list.push_back({key, object.etag, object.value});
         }
-        return {std::move(list)};
+        return {std::move(list), m_era};
     }
 
     std::mt19937_64 m_random;
@@ -266,6 +295,9 @@
     std::map<std::string, stored> m_objects;
     std::deque<write_segment> m_late;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_era = 0;
+    double m_restores = 0;
+    store_copy m_copy;
     std::map<std::string, key_record> m_records;
     std::map<waiter_id, std::string> m_waiters;
     waiter_id m_nextWaiter = 1;
@@ -289,4 +321,20 @@
     EXPECT_GT(fuzz.replays, 100U);
 }
 
+TEST(claim_restore_fuzz, runsEachKeyAtMostOnceThoughTheStoreComesBackFromCopies)
+{
+    constexpr int shortRun = 6000;
+    constexpr double restores = 0.0005;
+    std::uint64_t runs = 0;
+    std::uint64_t replays = 0;
+    for (std::uint64_t seed = 1; seed <= 300 && !testing::Test::HasFailure(); ++seed) {
+        claim_fuzz fuzz(seed, restores);
+        fuzz.run(shortRun);
+        runs += fuzz.runs;
+        replays += fuzz.replays;
+    }
+    EXPECT_GT(runs, 1000U);
+    EXPECT_GT(replays, 1000U);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, claim_fuzz_test, testing::Values(1, 2, 3, 4));
--- a/Tests/Request/claim_journal_test.cxx
+++ b/Tests/Request/claim_journal_test.cxx
@@ -207,6 +207,69 @@
     EXPECT_EQ(m_runs, std::vector<std::string> {"new"});
 }
 
+// The copy holds the segment as this owner wrote it before the claim.
+TEST_F(claim_journal_test, writesClaimsAgainThatARestoredStoreLacks)
+{
+    m_limits.batchBytes = 1;
+    m_journal = claim_journal(0, {"d1"}, {1}, m_limits);
+    decide(ownership_gained {});
+    takeCall<list_segments>();
+    decide(segments_listed {std::vector<platform_object>(), 1});
+    const auto copied = takeCall<write_segment>();
+    decide(segment_written {object_written {"1.5"}});
+    advanceTime(m_limits.writeInterval);
+    submit(1, "k");
+    takeCall<write_segment>();
+    decide(segment_written {object_written {"1.6"}});
+    report("k", run_outcome::done, "r");
+    advanceTime(m_limits.resultDelay);
+    takeCall<write_segment>();
+    decide(segment_written {write_conflict {}});
+    takeCall<read_segment>();
+    const platform_object restored {copied.key, "2.5", copied.value};
+    decide(segment_read {restored});
+    takeCall<list_segments>();
+    decide(segments_listed {std::vector<platform_object> {restored}, 2});
+    const auto first = parseSegment(takeCall<write_segment>().value);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->header.era, 2U);
+    EXPECT_EQ(first->header.lostBefore, m_wall) << "the result is in the next write";
+    decide(segment_written {object_written {"2.6"}});
+    advanceTime(m_limits.resultDelay);
+    const auto rewritten = parseSegment(takeCall<write_segment>().value);
+    ASSERT_TRUE(rewritten);
+    EXPECT_EQ(rewritten->header.lostBefore, 0) << "all that is known is written";
+    ASSERT_EQ(rewritten->events.size(), 2U);
+    EXPECT_EQ(std::get<claim_ended>(rewritten->events[1]).body, "r");
+    decide(segment_written {object_written {"2.7"}});
+    submit(2, "k");
+    EXPECT_EQ(m_answers[2].body, "r");
+    EXPECT_EQ(m_runs.size(), 1U);
+}
+
+TEST_F(claim_journal_test, runsNothingThatMayHaveBeenClaimedInAnEarlierEra)
+{
+    constexpr std::int64_t retention = 60;
+    const segment_header header {{{"d2"}, {1}, 9}, false, true, 1};
+    decide(ownership_gained {});
+    takeCall<list_segments>();
+    decide(segments_listed {std::vector<platform_object> {{segmentKey(0, 1), "2.5", encodeSegmentHeader(header)}}, 2});
+    const auto takeover = parseSegment(takeCall<write_segment>().value);
+    ASSERT_TRUE(takeover);
+    EXPECT_EQ(takeover->header.lostBefore, m_wall) << "the next owner must know";
+    decide(segment_written {object_written {"2.6"}});
+    submit(1, "lost");
+    EXPECT_EQ(outcome(1), run_outcome::unknown);
+    m_wall += retention + m_limits.clockSkewSeconds;
+    submit(2, "lost");
+    EXPECT_EQ(outcome(2), run_outcome::unknown) << "its claim may be kept until now";
+    m_wall += 1;
+    submit(3, "lost", 1, m_limits.takeoverWait * 2);
+    advanceTime(m_limits.writeInterval);
+    EXPECT_TRUE(m_calls.empty()) << "the claim waits for the lease of the owner before";
+    EXPECT_FALSE(m_answers.contains(3));
+}
+
 TEST_F(claim_journal_test, rejectsAKeyReusedForAnotherRequest)
 {
     becomeOwner();
