Route, Forward: Refuse first what accounts ask beyond their part

Change: account_shares keeps what accounts ask of a service, by priority, and grants each up to a level in proportion to its weight (the quota's rate). The sum refused stays as it was. Nothing is counted without accounts.

--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -425,8 +425,12 @@
     terms.minServices = isPartOfQuery(*request) ? 1 : request->state.terms.minParts;
     terms.urgency = request->urgency;
     terms.draw = std::uniform_real_distribution<>()(m_random);
+    terms.demand = demandOf(*request);
     const auto now = m_loop.now();
     terms.maxWait = timeLeft(now, request->state.terms.latestStart);
+    if (request->view->routes->keys().keysNeeded()) {
+        m_queue.addDemand(terms, now);
+    }
     const auto forecast = m_queue.forecastAdmission(terms, now);
     request->forecastWait = forecast.wait;
     if (!forecast.inTime) {
@@ -435,6 +439,14 @@
     return forecast.inTime;
 }
 
+account_demand forwarder::demandOf(const running_request &request)
+{
+    const auto *account = request.account ? request.view->routes->account(*request.account) : nullptr;
+    const double weight = account != nullptr && account->quota ? account->quota->rate : 0;
+    const auto typical = std::chrono::duration<double, std::milli>(latencyOf(*request.matchedRoute).typical());
+    return {request.account, weight, std::max(typical.count(), 1.0)};
+}
+
 void forwarder::step(const request_pointer &request, const forward_event &event)
 {
     std::deque<forward_event> events {event};
--- a/Source/Forward/forwarder.h
+++ b/Source/Forward/forwarder.h
@@ -62,6 +62,7 @@
 
     /// Null after the request was answered because there is no route for it.
     request_pointer makeRequest(request_message message, const client_request_head &head, std::function<void(client_reply)> reply);
+    account_demand demandOf(const running_request &request);
     /// False if the request was refused because of its key.
     bool authorizeClient(const request_pointer &request);
     void refuseKey(const request_pointer &request, key_refusal reason);
--- a/Source/Route/route.h
+++ b/Source/Route/route.h
@@ -2,6 +2,7 @@
 
 /// Public header of the route library: routes, backend servers, and side-effect-free decisions on where and when a request is sent.
 
+#include "account_shares.h"
 #include "client_account.h"
 #include "crash_suspects.h"
 #include "delegate_health.h"
--- a/Source/Route/work_queue.cxx
+++ b/Source/Route/work_queue.cxx
@@ -79,8 +79,11 @@
         return false;
     }
     const double factor = std::pow(priorityFactor, terms.urgency.value);
-    const double bound = (overloadStart + terms.draw * (overloadFull - overloadStart)) * factor;
-    return averageAt(work, now) / work.share > bound;
+    const double load = averageAt(work, now) / work.share / factor;
+    const double refusedOfAll = std::clamp((load - overloadStart) / (overloadFull - overloadStart), 0.0, 1.0);
+    const auto shares = work.shares.find(terms.urgency);
+    const double refused = shares == work.shares.end() ? refusedOfAll : shares->second.refusedShare(terms.demand, refusedOfAll, now);
+    return terms.draw < refused;
 }
 
 double work_queue::completionsPerSecond(const service_state &work, monotonic_time now)
@@ -112,6 +115,13 @@
     return std::min(waitFor(ahead, rate), waitFor(sameUrgency, rate / startsPerRound));
 }
 
+void work_queue::addDemand(const admission_request &terms, monotonic_time now)
+{
+    for (const auto &service : terms.services) {
+        m_services[service].shares[terms.urgency].add(terms.demand, now);
+    }
+}
+
 admission_forecast work_queue::forecastAdmission(const admission_request &terms, monotonic_time now) const
 {
     std::vector<milliseconds> waits;
--- a/Source/Route/work_queue.h
+++ b/Source/Route/work_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account_shares.h"
 #include "forward_decision.h"
 #include "replica_stats.h"
 
@@ -39,6 +40,7 @@
     milliseconds maxWait {0};
     /// Random number from 0 to 1; makes refusals gradual while services become overloaded.
     double draw = 0;
+    account_demand demand {};
 };
 
 struct admission_forecast
@@ -56,6 +58,8 @@
 public:
     void setCapacity(const service_name &service, const service_capacity &capacity);
 
+    /// Counts what an account asks for, when its request arrives.
+    void addDemand(const admission_request &terms, monotonic_time now);
     /// Admission decision, made before any part is sent, so that a request that can't be answered in time is refused at once.
     admission_forecast forecastAdmission(const admission_request &terms, monotonic_time now) const;
 
@@ -95,6 +99,8 @@
         monotonic_time intervalStart;
         std::map<urgency_rank, std::deque<waiting_part>> waiting;
         unsigned startsInRound = 0;
+        // What accounts ask for, by urgency.
+        std::map<urgency_rank, account_shares> shares;
     };
 
     static unsigned running(const service_state &work, monotonic_time now);
