Forward: Write shared suspects again as soon as the store has come back; Soak: restore copies

Cause: the owner of lost suspects kept them as lapsed, took the store for up to date and wrote only when all others forgot them; the soak never restored a copy. Change: an object of an earlier era isn't up to date; an era begins with a comparison. The soak restores copies of up to 5 s ago among the store's faults, has servers and operators write again, and prints how often. Result: forward_test passes; with the era not compared suspect_board.writesWhatARestoredStoreMayLackBeforeTheOthersForgetIt fails (1 write of 2).

--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -199,6 +199,7 @@
         eraKnownSince = loop.now();
         reloadAll();
         fleet.writeAgain();
+        suspects.writeAgain();
     }
 
     // Other calls of this daemon may have told it of an era before its source learned of it.
--- a/Source/Forward/suspect_board.cxx
+++ b/Source/Forward/suspect_board.cxx
@@ -174,7 +174,16 @@
 bool suspect_board::upToDate() const
 {
     const auto own = std::find_if(m_shared->begin(), m_shared->end(), [this](const auto &each) { return each.daemon == m_self; });
-    return !m_own || (own == m_shared->end() ? m_own->empty() : own->records == *m_own);
+    if (!m_own || own == m_shared->end()) {
+        return !m_own || m_own->empty();
+    }
+    // An object of an earlier era is kept for a while although the store may lack it.
+    return own->records == *m_own && parseRevision(own->version).era == m_store.era();
+}
+
+void suspect_board::writeAgain()
+{
+    scheduleWrite();
 }
 
 // A write whose answer was lost may take effect late and replace a newer one, so the object is compared whenever it changes.
--- a/Source/Forward/suspect_board.h
+++ b/Source/Forward/suspect_board.h
@@ -35,6 +35,8 @@
     /// Replaces what this daemon shares.
     void share(std::vector<suspect_record> records);
     void setFleet(const std::vector<fleet_daemon> &daemons);
+    /// The store has come back from a copy, which may lack what this daemon shares.
+    void writeAgain();
 
 private:
     struct seen_object
--- a/Tests/Forward/suspect_board_test.cxx
+++ b/Tests/Forward/suspect_board_test.cxx
@@ -56,3 +56,28 @@
         EXPECT_LE(interval, milliseconds {3000}) << daemons;
     }
 }
+
+// Other daemons keep a lost quarantine only for the time in which its owner can write it again.
+TEST(suspect_board, writesWhatARestoredStoreMayLackBeforeTheOthersForgetIt)
+{
+    reactor loop;
+    int writes = 0;
+    const auto server = http_server::listen(loop, {"127.0.0.1", 0}, [&](const http_request &, const http_responder &respond) {
+        writes += 1;
+        respond({.body = R"({"meta":{"name":"d1","revision":1}})", .headers = {{"Store-Era", std::to_string(writes)}}});
+        loop.stop();
+    }).value();
+    http_client http(loop);
+    platform_client store(http, {.platform = server->address(), .domain = {"port"}});
+    suspect_board board(loop, store, entry_settings {.id = {"d1"}}, [] {});
+    const std::vector<suspect_record> records {recordOf("/a", 3)};
+    board.share(records);
+    loop.after(seconds {10}, [&] { loop.stop(); });
+    loop.run();
+    ASSERT_EQ(writes, 1);
+    board.objects().takeRelayed({true, {1, 1}, {{"daisystile-suspects/d1", "1.1", suspectsText(records)}}, {}});
+    store.learnEra(2);
+    board.writeAgain();
+    loop.run();
+    EXPECT_EQ(writes, 2);
+}
--- a/Tests/Soak/entry_soak.cxx
+++ b/Tests/Soak/entry_soak.cxx
@@ -227,6 +227,12 @@
     void writeConfiguration()
     {
         m_version += static_cast<int>(draw(1, 3));
+        putConfiguration();
+        m_versions.push_back(m_version);
+    }
+
+    void putConfiguration()
+    {
         json shards = json::array();
         json services = json::array({{{"name", "logbook"}, {"max_connections", 200}}});
         for (int shard = 0; shard < shardCount; ++shard) {
@@ -242,7 +248,6 @@
                         routeOf("/v" + std::to_string(m_version) + "/", "idempotent", {{"service", "logbook"}})}},
                 {"services", services},
                 {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 10000}, {"header_timeout_ms", 1000}, {"idle_timeout_ms", 15000}}}});
-        m_versions.push_back(m_version);
     }
 
     void prepareDaemon(std::size_t index)
@@ -493,7 +498,7 @@
         for (const auto &[status, count] : m_counts) {
             std::cout << "  " << (status == 0 ? "no answer" : std::to_string(status)) << ": " << count;
         }
-        std::cout << std::endl;
+        std::cout << "  store restored: " << m_restores << std::endl;
         EXPECT_GT(m_counts[200], 0U);
         for (std::size_t i = 0; i < std::min(m_violations.size(), maxShownViolations); ++i) {
             ADD_FAILURE() << m_violations[i];
@@ -651,7 +656,7 @@
     void storeFault()
     {
         static constexpr std::array outages {"reset", "unavailable", "busy", "hang"};
-        switch (draw(0, 3)) {
+        switch (draw(0, 4)) {
         case 0:
             setStore({{"down", outages[draw(0, outages.size() - 1)]}});
             break;
@@ -661,6 +666,9 @@
         case 2:
             setStore({{"lose_answers_probability", 0.3}});
             break;
+        case 3:
+            restoreStore();
+            return;
         default:
             m_control.send("POST", m_store->address("control"), "/control/compact", json::object());
             return;
@@ -668,6 +676,23 @@
         m_loop.after(drawDuration(), [this] { endStoreFaults(); });
     }
 
+    // Servers and operators write again what the copy lacks; daemons do so themselves.
+    void restoreStore()
+    {
+        constexpr milliseconds minRewriteDelay {100};
+        constexpr milliseconds maxRewriteDelay {1500};
+        m_restores += 1;
+        const auto away = draw(0, 1500);
+        m_control.send("POST", m_store->address("control"), "/control/restore", {{"age_ms", draw(0, 5000)}, {"away_ms", away}});
+        const auto delay = draw(minRewriteDelay.count(), maxRewriteDelay.count());
+        m_loop.after(milliseconds {away + delay}, [this] {
+            putConfiguration();
+            for (std::size_t i = 0; i < m_servers.size(); ++i) {
+                putServer(i);
+            }
+        });
+    }
+
     void endStoreFaults()
     {
         setStore({{"down", "none"}, {"slow_ms", 0}, {"lose_answers_probability", 0.0}});
@@ -745,6 +770,7 @@
     std::set<std::string> m_promisedNotRun;
     std::map<int, std::uint64_t> m_counts;
     std::vector<std::string> m_violations;
+    unsigned m_restores = 0;
     std::ostringstream m_logs;
     bool m_stopping = false;
 };
