--- a/Tests/Promises/rollout_promises_test.cxx
+++ b/Tests/Promises/rollout_promises_test.cxx
@@ -144,7 +144,9 @@
         each->setResponseMode(backend_response_mode::failing);
     }
     expectRolledBack();
-    // Withdrawn and given again at once, it is another order with a verdict of its own; while it is withdrawn nothing is sent.
+    // Withdrawn and given again at once, it is another order with a verdict of its own; while it is withdrawn nothing is sent. After
+    // the change of another order daemons wait for a moment, so they see both changes together.
+    m_fleet.putText("rollouts/none", R"({"service":"none","target_version":"v9","duration_s":600})");
     m_fleet.removeObject("rollouts/logbook");
     const int reached = atNew();
     expectRolledBack();
