Process, Forward: Take only 200 to 599 for the status of an answer

Spoiled, each check off: response_reader.takesNothingElseForAStatus fails for 000, 099, 600 and 999; backend_connection_test.anAnswerWithAnOddStatusIsNoneAndEndsTheConnection and delegated_failure.isAFailureOnlyWithTheStatusOfOne fail; http_client.takesNothingElseForAStatus fails for 600 (libcurl rejects lower ones itself); entry_promises.takesNoAnswerWithAnOddStatus gets 504 for 000 and 099, and 600 and 999 as they are. takesNoPartWithAnOddStatusFromADelegate passes also then, as such a part counted as a failure before: it guards, it showed no fault.

--- a/Source/Forward/delegation_client.cxx
+++ b/Source/Forward/delegation_client.cxx
@@ -46,6 +46,16 @@
     bool accepted = false;
 };
 
+std::optional<local_reply> replyTo(const delegated_failure &failure)
+{
+    constexpr int firstErrorStatus = 400;
+    if (failure.status < firstErrorStatus || !isFinalStatus(failure.status)) {
+        return std::nullopt;
+    }
+    const auto retryAfter = failure.retryAfterMs < 0 ? std::nullopt : std::optional(milliseconds {failure.retryAfterMs});
+    return local_reply {failure.status, retryAfter};
+}
+
 delegation_client::delegation_client(reactor &loop, const daemon_id &self, forward_metrics &metrics)
     : m_loop(loop),
       m_credentials {{self, {stableHash(randomBytes(8))}}, {}},
@@ -274,9 +284,14 @@
     if (found == m_delegations.end() || found->second->delegate != from.daemon.id) {
         return;
     }
+    const auto reply = replyTo(failure);
+    if (!reply) {
+        DAISYSTILE_LOG(WARNING, "delegation") << "A failure without a status of one." << field("delegate", from.daemon.id.value);
+        end(failure.delegation, delegation_lost {});
+        return;
+    }
     m_metrics.delegationsFailed.add();
-    const auto retryAfter = failure.retryAfterMs < 0 ? std::nullopt : std::optional(milliseconds {failure.retryAfterMs});
-    end(failure.delegation, client_reply(local_reply {failure.status, retryAfter}));
+    end(failure.delegation, client_reply(*reply));
 }
 
 template<class Message> void delegation_client::handle(delegate &from, const Message &)
--- a/Source/Forward/delegation_client.h
+++ b/Source/Forward/delegation_client.h
@@ -27,6 +27,9 @@
 /// Called with the daemon to which the query was offered.
 using delegation_callback = std::function<void(const daemon_id &, delegation_outcome)>;
 
+/// The reply to the client of a query that another daemon has refused or failed; nothing if the status isn't that of a failure.
+std::optional<local_reply> replyTo(const delegated_failure &failure);
+
 /// Delegates queries to other daemons over one connection to each. A query is offered first and sent only when the offer is
 /// accepted, so that a daemon that is stopped, cut off or overloaded costs a short wait and never runs the query twice.
 /// Used on the traffic thread only.
--- a/Source/Process/http_client.cxx
+++ b/Source/Process/http_client.cxx
@@ -229,9 +229,24 @@
         return size * count;
     }
 
+    // libcurl passes any status of three digits on. A callback that takes nothing ends the call and the connection.
+    static bool isStatusLine(std::string_view line)
+    {
+        constexpr std::size_t digits = 3;
+        const auto status = line.substr(std::min(line.find(' '), line.size() - 1) + 1);
+        const auto isDigit = [](char c) {
+            return c >= '0' && c <= '9';
+        };
+        const bool number = status.size() > digits && std::all_of(status.begin(), status.begin() + digits, isDigit) && !isDigit(status[digits]);
+        return number && status.front() >= '1' && status.front() <= '5';
+    }
+
     static size_t storeHeader(char *data, size_t size, size_t count, void *target)
     {
         const std::string_view line(data, size * count);
+        if (line.starts_with("HTTP/") && !isStatusLine(line)) {
+            return 0;
+        }
         const auto colon = line.find(':');
         if (colon == std::string_view::npos) {
             return size * count;
--- a/Source/Process/http_message.cxx
+++ b/Source/Process/http_message.cxx
@@ -36,6 +36,10 @@
     message.reason = reason;
 }
 
+constexpr int firstInterimStatus = 100;
+constexpr int firstFinalStatus = 200;
+constexpr int lastFinalStatus = 599;
+
 std::size_t reservedBytesOf(const std::vector<http_header> &headers)
 {
     std::size_t bytes = headers.capacity() * sizeof(http_header);
@@ -80,10 +84,13 @@
         }
     }
 
-    void on_response_impl(int status, text_view reason, int, error_code &) override
+    void on_response_impl(int status, text_view reason, int, error_code &error) override
     {
         if constexpr (!isRequest) {
             setStartLine(message, status, viewOf(reason));
+            if (status < firstInterimStatus || status > lastFinalStatus) {
+                error = beast::error::bad_status;
+            }
         }
     }
 
@@ -172,7 +179,6 @@
     return parser.is_done() ? read_progress::complete : read_progress::incomplete;
 }
 
-constexpr int firstFinalStatus = 200;
 // Before one final response; a server that sends more may never send a final one.
 constexpr unsigned maxInterimResponses = 16;
 constexpr std::size_t compactThresholdBytes = 65536;
@@ -324,6 +330,11 @@
     }
 }
 
+bool isFinalStatus(int status)
+{
+    return status >= firstFinalStatus && status <= lastFinalStatus;
+}
+
 struct response_reader::implementation
 {
     using parser_type = message_parser<false, response_message>;
@@ -362,7 +373,7 @@
 {
     while (true) {
         const auto progress = feed(*m_implementation->parser, input, m_implementation->limits);
-        if (progress != read_progress::complete || m_implementation->parser->message.status >= firstFinalStatus) {
+        if (progress != read_progress::complete || isFinalStatus(m_implementation->parser->message.status)) {
             return m_implementation->finish(progress);
         }
         m_implementation->interimResponses += 1;
@@ -391,7 +402,7 @@
 
 bool response_reader::headComplete() const
 {
-    return m_implementation->parser->is_header_done() && m_implementation->parser->message.status >= firstFinalStatus;
+    return m_implementation->parser->is_header_done() && isFinalStatus(m_implementation->parser->message.status);
 }
 
 const response_message &response_reader::message() const
--- a/Source/Process/http_message.h
+++ b/Source/Process/http_message.h
@@ -103,6 +103,9 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
+/// Whether a response with this status is final; those from 100 to 199 are interim, all others are no responses.
+bool isFinalStatus(int status);
+
 /// Parses successive responses from the bytes of a connection.
 class response_reader
 {
@@ -112,7 +115,7 @@
     response_reader(const response_reader &) = delete;
     response_reader &operator=(const response_reader &) = delete;
 
-    /// Skips interim responses (1xx).
+    /// Skips interim responses (1xx); a status below 100 or above 599 is malformed.
     read_progress read(byte_queue &input);
     /// Handles an orderly end of the connection: `complete` if it delimits the body, `malformed` otherwise.
     read_progress end();
--- a/Tests/Forward/backend_connection_test.cxx
+++ b/Tests/Forward/backend_connection_test.cxx
@@ -1,6 +1,7 @@
 #include <Forward/forward.h>
 
 #include <gtest/gtest.h>
+#include <odd_status_lines.h>
 
 using namespace daisystile;
 
@@ -162,3 +163,18 @@
     EXPECT_EQ(budget.usedBytes(), 0U);
     EXPECT_EQ(memory.usedBytes(), 0U);
 }
+
+TEST_F(backend_connection_test, anAnswerWithAnOddStatusIsNoneAndEndsTheConnection)
+{
+    for (const auto line : oddStatusLines) {
+        m_results.clear();
+        m_answer = "HTTP/1.1 " + std::string(line) + "\r\nServer-Stamp: b\r\nRequest-Id: 7\r\nKeep-Alive: timeout=5\r\nContent-Length: 1\r\n\r\ny";
+        const auto connection = connect();
+        connection->begin({"7"}, "request", false);
+        runFor(milliseconds {30});
+        ASSERT_EQ(m_results.size(), 1U) << line;
+        ASSERT_TRUE(std::holds_alternative<exchange_broken>(m_results[0])) << line;
+        EXPECT_TRUE(std::get<exchange_broken>(m_results[0]).mayHaveRun) << line;
+        EXPECT_FALSE(connection->usable(m_loop.now())) << line;
+    }
+}
--- a/Tests/Forward/delegation_messages_test.cxx
+++ b/Tests/Forward/delegation_messages_test.cxx
@@ -1,4 +1,4 @@
-#include <Forward/delegation_messages.h>
+#include <Forward/delegation_client.h>
 
 #include <gtest/gtest.h>
 
@@ -36,3 +36,15 @@
         static_cast<void>(decodeDelegation(altered).has_value());
     }
 }
+
+// The client got whatever status the other daemon named.
+TEST(delegated_failure, isAFailureOnlyWithTheStatusOfOne)
+{
+    for (const int status : {-200, 0, 99, 100, 200, 399, 600, 2000}) {
+        EXPECT_FALSE(replyTo({1, status, 5})) << status;
+    }
+    for (const int status : {400, 503, 599}) {
+        ASSERT_TRUE(replyTo({1, status, 5})) << status;
+        EXPECT_EQ(replyTo({1, status, 5})->status, status);
+    }
+}
--- a/Tests/Process/http_message_test.cxx
+++ b/Tests/Process/http_message_test.cxx
@@ -1,6 +1,7 @@
 #include <Process/process.h>
 
 #include <gtest/gtest.h>
+#include <odd_status_lines.h>
 
 using namespace daisystile;
 
@@ -104,3 +105,21 @@
     EXPECT_EQ(fields.read(input), read_progress::incomplete);
     EXPECT_GE(fields.reservedBytes(), 2000 * sizeof(http_header));
 }
+
+// A status of 000 was skipped like an interim response, and 600 to 999 were passed on.
+TEST(response_reader, takesNothingElseForAStatus)
+{
+    for (const auto line : oddStatusLines) {
+        response_reader reader(limits);
+        byte_queue input;
+        input.append("HTTP/1.1 " + std::string(line) + "\r\nContent-Length: 1\r\n\r\nx");
+        EXPECT_EQ(reader.read(input), read_progress::malformed) << line;
+        EXPECT_FALSE(reader.headComplete()) << line;
+    }
+    for (const auto *line : {"200 OK", "599 Last"}) {
+        response_reader reader(limits);
+        byte_queue input;
+        input.append("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Last\r\n\r\nHTTP/1.1 " + std::string(line) + "\r\nContent-Length: 1\r\n\r\nx");
+        EXPECT_EQ(reader.read(input), read_progress::complete) << line;
+    }
+}
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -1,3 +1,4 @@
+#include "odd_status_lines.h"
 #include "open_listener.h"
 
 #include <array>
@@ -376,3 +377,43 @@
     ASSERT_TRUE(std::holds_alternative<http_reply>(*result));
     EXPECT_EQ(std::get<http_reply>(*result).status, 200);
 }
+
+// The store's answers are read by this client.
+TEST(http_client, takesNothingElseForAStatus)
+{
+    reactor loop;
+    for (const auto line : oddStatusLines) {
+        int connections = 0;
+        std::vector<std::unique_ptr<tcp_stream>> streams;
+        const auto accepted = [&](int handle) {
+            connections += 1;
+            auto &stream = streams.emplace_back();
+            stream = std::make_unique<tcp_stream>(loop,
+                handle,
+                tcp_stream::callbacks {.opened = {},
+                    .received =
+                        [&streams, line, at = streams.size() - 1] {
+                            streams[at]->input().clear();
+                            streams[at]->write("HTTP/1.1 " + std::string(line) + "\r\nContent-Length: 1\r\n\r\nx");
+                        },
+                    .ended =
+                        [](stream_end) {
+                        }});
+        };
+        const auto listener = tcp_listener::listen(loop, {"127.0.0.1", 0}, accepted).value();
+        http_client client(loop);
+        for (int call = 1; call <= 2; ++call) {
+            std::optional<http_result> result;
+            client.send({.address = listener->address()}, [&](http_result reply) {
+                result = std::move(reply);
+                loop.stop();
+            });
+            while (!result) {
+                loop.run();
+            }
+            ASSERT_TRUE(std::holds_alternative<http_failure>(*result)) << line;
+            EXPECT_TRUE(std::get<http_failure>(*result).mayHaveBeenSent) << line;
+            EXPECT_EQ(connections, call) << "the connection was used again: " << line;
+        }
+    }
+}
--- a/Tests/Promises/entry_promises_test.cxx
+++ b/Tests/Promises/entry_promises_test.cxx
@@ -7,6 +7,7 @@
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Connector.h>
 #include <gtest/gtest.h>
+#include <odd_status_lines.h>
 
 #include <algorithm>
 #include <array>
@@ -241,6 +242,15 @@
         }
     }
 
+    void setStatusLine(const std::string &service, std::string_view line)
+    {
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            if (m_serviceOfServer[i] == service) {
+                m_servers[i]->setStatusLine(std::string(line));
+            }
+        }
+    }
+
     int runCount(const std::string &id) const
     {
         int runs = 0;
@@ -370,6 +380,38 @@
     EXPECT_TRUE(failed.headers.contains("server-stamp"));
 }
 
+// A client got an answer whose status was 000, and 600 to 999 as they came.
+TEST_F(entry_promises, takesNoAnswerWithAnOddStatus)
+{
+    startDaemon();
+    int sent = 0;
+    for (const auto line : oddStatusLines) {
+        setStatusLine("logbook", line);
+        const auto read = "r" + std::to_string(++sent);
+        EXPECT_EQ(sendRequest("GET", "/read/", read).status, 502) << line;
+        EXPECT_EQ(runCount(read), 2) << "first and second attempt, " << line;
+        const auto note = "n" + std::to_string(sent);
+        EXPECT_EQ(sendRequest("POST", "/note/", note).status, 502) << line;
+        EXPECT_EQ(runCount(note), 1) << line;
+        setStatusLine("shard-2", line);
+        const auto found = sendRequest("GET", "/find/", "f" + std::to_string(sent));
+        EXPECT_EQ(found.status, 200) << line;
+        EXPECT_EQ(found.headers.at("missing-parts"), "1") << line;
+    }
+}
+
+TEST_F(entry_promises, takesNoPartWithAnOddStatusFromADelegate)
+{
+    startWithDelegate();
+    int sent = 0;
+    for (const auto line : oddStatusLines) {
+        setStatusLine("shard-2", line);
+        const auto found = sendRequest("GET", "/find/", "f" + std::to_string(++sent));
+        EXPECT_EQ(found.status, 200) << line;
+        EXPECT_EQ(found.headers.at("missing-parts"), "1") << line;
+    }
+}
+
 TEST_F(entry_promises, followsTheStoreAndServesOnWhileItIsAway)
 {
     startDaemon();
--- a/Tests/StandIns/plain_backend.cxx
+++ b/Tests/StandIns/plain_backend.cxx
@@ -77,6 +77,21 @@
     return m_extraHeaders;
 }
 
+void plain_backend::setStatusLine(std::string line)
+{
+    const std::lock_guard guard(m_mutex);
+    m_statusLine = std::move(line);
+}
+
+std::string plain_backend::statusLine() const
+{
+    const std::lock_guard guard(m_mutex);
+    if (m_statusLine) {
+        return *m_statusLine;
+    }
+    return m_responseMode == backend_response_mode::failing ? "500 Internal Server Error" : "200 OK";
+}
+
 void plain_backend::setFatalPath(std::string prefix)
 {
     const std::lock_guard guard(m_mutex);
@@ -208,8 +223,7 @@
     }
     const auto *id = message.header("Request-Id");
     const auto stamp = m_id + "." + std::to_string(++m_lastStamp);
-    const auto *status = mode == backend_response_mode::failing ? "500 Internal Server Error" : "200 OK";
-    auto bytes = std::string("HTTP/1.1 ") + status + "\r\nServer-Stamp: " + stamp + "\r\nRequest-Id: " + (id == nullptr ? "" : *id)
+    auto bytes = "HTTP/1.1 " + statusLine() + "\r\nServer-Stamp: " + stamp + "\r\nRequest-Id: " + (id == nullptr ? "" : *id)
         + "\r\nContent-Length: " + std::to_string(m_records.size()) + "\r\n" + extraHeaders() + "\r\n" + m_records;
     if (mode == backend_response_mode::truncate) {
         from.stream.write(std::string_view(bytes).substr(0, bytes.size() - 1));
--- a/Tests/StandIns/plain_backend.h
+++ b/Tests/StandIns/plain_backend.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,6 +53,8 @@
     void setDelay(milliseconds delay);
     /// Header lines, each ending in CRLF, that are added to every response.
     void setExtraHeaders(std::string lines);
+    /// What all further responses have after "HTTP/1.1 " in their first line.
+    void setStatusLine(std::string line);
     /// The process ends as soon as it begins to run a request whose path starts like this: it drops all connections and
     /// refuses new ones. Empty for none.
     void setFatalPath(std::string prefix);
@@ -79,6 +82,7 @@
     void sendResponse(connection &from, const request_message &message);
     void sendEndlessly(int key, const std::string &bytes);
     std::string extraHeaders() const;
+    std::string statusLine() const;
 
     std::string m_id;
     std::string m_records;
@@ -93,6 +97,7 @@
     std::map<std::string, int> m_runs;
     request_message m_latest;
     std::string m_extraHeaders;
+    std::optional<std::string> m_statusLine;
     std::string m_fatalPath;
     std::vector<monotonic_time> m_fatalArrivals;
     std::vector<monotonic_time> m_runTimes;
