Tests: Read no further request while an answer waits

Change: client_server_test.readsNoFurtherRequestWhileAnAnswerWaits pipelines requests, takes no answer and bounds what is kept of them at a tenth of the budget, 20,000 bytes.

--- a/Tests/Forward/client_server_test.cxx
+++ b/Tests/Forward/client_server_test.cxx
@@ -23,6 +23,13 @@
         EXPECT_EQ(connector.connect(m_stream, ACE_INET_Addr(address.port, address.host.c_str())), 0);
     }
 
+    /// With a receive buffer of this size.
+    blocking_client(const ip_address &address, int receiveBytes)
+        : blocking_client(address)
+    {
+        m_stream.set_option(SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    }
+
     ~blocking_client()
     {
         m_stream.close();
@@ -36,6 +43,15 @@
         EXPECT_EQ(m_stream.send_n(bytes.data(), bytes.size()), static_cast<ssize_t>(bytes.size()));
     }
 
+    // Sends as much as the connection takes at once and removes it; false if it was closed.
+    bool sendSome(std::string &bytes)
+    {
+        const ACE_Time_Value noWait = ACE_Time_Value::zero;
+        const auto count = m_stream.send(bytes.data(), bytes.size(), &noWait);
+        bytes.erase(0, count < 0 ? 0 : static_cast<std::size_t>(count));
+        return count >= 0 || errno == ETIME || errno == EWOULDBLOCK;
+    }
+
     // What has been received so far; empty if the connection was reset.
     std::string received()
     {
@@ -79,6 +95,7 @@
 
     static constexpr std::size_t maxConnections = 64;
     static constexpr std::size_t clientMemoryBytes = 200000;
+    static constexpr int smallBufferBytes = 4096;
 
     static entry_settings settings()
     {
@@ -223,3 +240,19 @@
     runFor(milliseconds {50});
     EXPECT_TRUE(client.received().starts_with("HTTP/1.1 503"));
 }
+
+// A client that takes no answers could have any number of them made and kept here.
+TEST_F(client_server_test, readsNoFurtherRequestWhileAnAnswerWaits)
+{
+    constexpr int rounds = 400;
+    constexpr int requestsPerRound = 200;
+    std::string requests;
+    for (int i = 0; i < rounds * requestsPerRound; ++i) {
+        requests += request;
+    }
+    blocking_client client(m_clients.address(), smallBufferBytes);
+    for (int i = 0; i < rounds && client.sendSome(requests); ++i) {
+        runFor(milliseconds {1});
+        ASSERT_LT(m_requests.memory().usedBytes(memory_kind::output), clientMemoryBytes / 10) << i;
+    }
+}
