Route, Forward: Share quota_slack among the keepers there are

Each of ten places had two tokens of the slack, six of them without a keeper, and a small account's burst is less than a token. Change: keepers claim parts of the slack in the object as they claim parts of an account; parts that daemons hold tokens of stay.

--- a/Source/Forward/quota_board.cxx
+++ b/Source/Forward/quota_board.cxx
@@ -70,7 +70,6 @@
       m_claimed(std::move(claimed)),
       m_firstStart(settings.bootstrap)
 {
-    m_claimer.setPlaces(limitsWithin(settings.bounds.quotaSlack, settings.bounds.quotaWindow).places);
 }
 
 void quota_board::want(quota_parts parts)
--- a/Source/Forward/quota_client.cxx
+++ b/Source/Forward/quota_client.cxx
@@ -94,7 +94,8 @@
 void quota_client::chooseKeeper()
 {
     const auto now = m_loop.now();
-    const bool kept = m_keeper && std::any_of(m_candidates.begin(), m_candidates.end(), [this](const auto &each) { return each.id == *m_keeper; });
+    const bool alone = m_keeper == m_self.id && m_candidates.empty();
+    const bool kept = alone || (m_keeper && std::any_of(m_candidates.begin(), m_candidates.end(), [this](const auto &each) { return each.id == *m_keeper; }));
     if (kept) {
         return;
     }
--- a/Source/Forward/quota_keeper.cxx
+++ b/Source/Forward/quota_keeper.cxx
@@ -39,7 +39,6 @@
 void quota_keeper::setBounds(const fleet_bounds &bounds)
 {
     m_bounds = bounds;
-    m_limits = limitsWithin(bounds.quotaSlack, bounds.quotaWindow);
     applyClaims(m_loop.now());
 }
 
@@ -52,11 +51,15 @@
 quota_parts quota_keeper::setClaims(claimed_quotas claims)
 {
     const auto now = m_loop.now();
-    m_leaseSince = now < m_claims.until ? m_leaseSince : now;
+    // A bucket that is made later has no more than what has refilled since the part grew.
+    const bool grown = now >= m_claims.until || partOf(claims.parts, slackAccount) > partOf(m_claims.parts, slackAccount);
+    m_slackSince = grown ? now : m_slackSince;
     m_claims = std::move(claims);
     applyClaims(now);
     quota_parts held;
     for (const auto &[name, bucket] : m_buckets) {
+        const double ofSlack = slackPartOf(bucket.held(now), m_bounds.quotaSlack);
+        held[slackAccount] = std::max(held[slackAccount], ofSlack);
         if (const double part = bucket.partHeld(now); part > 0) {
             held.emplace(name, part);
         }
@@ -76,11 +79,12 @@
     if (terms == nullptr || !terms->quota) {
         return {};
     }
+    const auto extra = extraOf(m_bounds.quotaSlack, partOf(m_claims.parts, slackAccount), m_bounds.quotaWindow);
     return {handedOut(*terms->quota, m_bounds.quotaOverage, m_bounds.quotaWindow),
         partOf(m_claims.parts, account),
-        m_limits.extra,
-        m_limits.extraRate,
-        m_leaseSince,
+        extra.tokens,
+        extra.perSecond,
+        m_slackSince,
         m_claims.until};
 }
 
--- a/Source/Forward/quota_keeper.h
+++ b/Source/Forward/quota_keeper.h
@@ -55,8 +55,8 @@
     // What was stated last.
     quota_parts m_stated;
     fleet_bounds m_bounds;
-    quota_keeper_limits m_limits;
-    monotonic_time m_leaseSince;
+    // When this daemon's part of the slack grew last.
+    monotonic_time m_slackSince;
     bool m_ticking = false;
 };
 
--- a/Source/Route/quota_claims.cxx
+++ b/Source/Route/quota_claims.cxx
@@ -10,6 +10,10 @@
 
 // Clocks of two hosts differ in rate by less than this share.
 constexpr double clockDrift = 0.02;
+// Part of the slack that a keeper wants; where there are more of them they share it.
+constexpr double wantedSlack = 0.25;
+// Part of the slack that is held as tokens; the rest refills in a window.
+constexpr double heldSlack = 0.8;
 // Keepers want more than they have demand for; with this share of it there is no hurry.
 constexpr double enoughShare = 0.6;
 // A claim isn't changed for less than this part of a quota.
@@ -37,17 +41,16 @@
 
 } // namespace
 
-// A place has its extra tokens when the window begins and gets some again in it. Small accounts need most of them as burst.
-quota_keeper_limits limitsWithin(double slack, milliseconds window)
+// What is held when a window begins and what refills in it add up to the slack. Small accounts need most of it as burst.
+quota_extra extraOf(double slack, double part, milliseconds window)
 {
-    constexpr unsigned maxPlaces = quota_keeper_limits {}.places;
-    constexpr unsigned minPlaces = 4;
-    constexpr double wantedPerPlace = 2;
-    constexpr double heldShare = 0.8;
-    const auto affordable = static_cast<unsigned>(std::min<double>(maxPlaces, slack / wantedPerPlace));
-    const unsigned places = affordable >= minPlaces ? affordable : maxPlaces;
-    const double perPlace = std::min(wantedPerPlace, slack / places);
-    return {places, perPlace * heldShare, perPlace * (1 - heldShare) / std::chrono::duration<double>(window).count()};
+    const double tokens = slack * part;
+    return {tokens * heldSlack, tokens * (1 - heldSlack) / std::chrono::duration<double>(window).count()};
+}
+
+double slackPartOf(double tokens, double slack)
+{
+    return slack > 0 ? std::min(1.0, tokens / (slack * heldSlack)) : 0;
 }
 
 account_quota handedOut(const account_quota &quota, double overage, milliseconds window)
@@ -58,7 +61,8 @@
 
 quota_claimer::quota_claimer(daemon_id self, quota_claim_times times)
     : m_self(std::move(self)),
-      m_times(times)
+      m_times(times),
+      m_wanted {{slackAccount, wantedSlack}}
 {
 }
 
@@ -104,14 +108,10 @@
     }
 }
 
-void quota_claimer::setPlaces(unsigned places)
-{
-    m_places = places;
-}
-
 void quota_claimer::want(quota_parts parts)
 {
     m_wanted = std::move(parts);
+    m_wanted[slackAccount] = wantedSlack;
 }
 
 void quota_claimer::limitUse(const quota_parts &parts)
@@ -137,7 +137,7 @@
     for (const auto &[id, keeper] : claims.keepers) {
         taken.insert(keeper.place);
     }
-    for (unsigned place = 0; place < m_places; ++place) {
+    for (unsigned place = 0; place < maxQuotaKeepers; ++place) {
         if (!taken.contains(place)) {
             return place;
         }
@@ -175,8 +175,11 @@
     if (now - m_renewedAt >= m_times.renewal) {
         return true;
     }
-    return now >= m_changeFrom
-        && std::any_of(m_wanted.begin(), m_wanted.end(), [this](const auto &each) { return partOf(m_inUse, each.first) < each.second * enoughShare; });
+    return now >= m_changeFrom && std::any_of(m_wanted.begin(), m_wanted.end(), [this](const auto &each) {
+        // A smaller part of the slack lasts as long as there are more keepers.
+        const double enough = each.first == slackAccount ? leastChange : each.second * enoughShare;
+        return partOf(m_inUse, each.first) < enough;
+    });
 }
 
 bool quota_claimer::begin(monotonic_time now)
--- a/Source/Route/quota_claims.h
+++ b/Source/Route/quota_claims.h
@@ -41,13 +41,17 @@
     bool operator==(const quota_claims &) const = default;
 };
 
-/// How many keepers there can be at a time, and what each may hand out beyond its part.
-struct quota_keeper_limits
+/// Number of keepers that there can be at a time.
+inline constexpr unsigned maxQuotaKeepers = 16;
+
+/// Keepers claim parts of the slack, which is the same for each account, as if it were an account of this name.
+inline const account_name slackAccount {};
+
+/// Tokens of each account that a part of the slack is worth, see quota_lease.
+struct quota_extra
 {
-    unsigned places = 16;
-    /// Of each account, see quota_lease.
-    double extra = 0;
-    double extraRate = 0;
+    double tokens = 0;
+    double perSecond = 0;
 };
 
 struct quota_claim_times
@@ -60,9 +64,9 @@
     milliseconds fruitless {1000};
 };
 
-/// Limits by which all extra tokens in any window are within the slack. Keepers get a whole extra token where there is room for
-/// several of them.
-quota_keeper_limits limitsWithin(double slack, milliseconds window);
+quota_extra extraOf(double slack, double part, milliseconds window);
+/// The part of the slack that covers this many tokens.
+double slackPartOf(double tokens, double slack);
 
 /// The quota as it is handed out: what may run beyond the quota in a window is burst that keepers share, but for what clocks that
 /// differ in rate may add.
@@ -83,7 +87,6 @@
     void read(const quota_claims &claims, std::uint64_t era, monotonic_time now);
     /// The store holds no claims. They may have been removed, so nothing is used for a lease's time, except at the first start of all.
     void readNone(std::uint64_t era, bool firstStart, monotonic_time now);
-    void setPlaces(unsigned places);
     /// What this keeper could use from now on.
     void want(quota_parts parts);
 
@@ -120,7 +123,6 @@
 
     daemon_id m_self;
     quota_claim_times m_times;
-    unsigned m_places = quota_keeper_limits {}.places;
     quota_claims m_stored;
     std::optional<std::uint64_t> m_era;
     std::optional<std::uint64_t> m_settlingEra;
--- a/Tests/Promises/account_promises_test.cxx
+++ b/Tests/Promises/account_promises_test.cxx
@@ -196,8 +196,8 @@
     for (auto from = runs.begin(); from != runs.end(); ++from) {
         most = std::max(most, std::lower_bound(from, runs.end(), *from + window) - from);
     }
-    std::cout << "largest window " << most << " of " << bound << ", served " << statuses[200] << ", over the quota " << statuses[429] << ", unknown " << statuses[503]
-              << std::endl;
+    std::cout << "largest window " << most << " of " << bound << ", served " << statuses[200] << ", over the quota " << statuses[429] << ", unknown "
+              << statuses[503] << std::endl;
     EXPECT_LE(static_cast<double>(most), bound);
     EXPECT_GT(statuses[200], rate * 12 / 2);
     EXPECT_GT(statuses[429], 0);
--- a/Tests/Route/quota_claims_fuzz_test.cxx
+++ b/Tests/Route/quota_claims_fuzz_test.cxx
@@ -74,7 +74,8 @@
             m_left.push_back({inUse(m_keepers[number]), m_keepers[number].heldUntil});
         }
         m_keepers[number] = {};
-        m_keepers[number].claimer = std::make_unique<quota_claimer>(daemon_id {std::to_string(number) + "/" + std::to_string(m_processes++)}, quota_claim_times {});
+        m_keepers[number].claimer =
+            std::make_unique<quota_claimer>(daemon_id {std::to_string(number) + "/" + std::to_string(m_processes++)}, quota_claim_times {});
     }
 
     void disturb()
@@ -103,7 +104,7 @@
         auto &claimer = *keeper.claimer;
         if (keeper.writing) {
             keeper.writing = false;
-            keeper.confirmed && draw(0, 9) > 0 ? claimer.written(m_now) : claimer.notWritten();
+            keeper.confirmed &&draw(0, 9) > 0 ? claimer.written(m_now) : claimer.notWritten();
             hold(keeper);
             return;
         }
--- a/Tests/Route/quota_replay.h
+++ b/Tests/Route/quota_replay.h
@@ -30,11 +30,10 @@
 
     explicit quota_replay(layout terms)
         : m_terms(std::move(terms)),
-          m_limits(limitsWithin(m_terms.slack, window)),
           m_random(m_terms.seed)
     {
         for (unsigned domain = 0; domain < m_terms.domains; ++domain) {
-            m_keepers.emplace_back(domain, m_limits.places);
+            m_keepers.emplace_back(domain);
         }
         m_wallets.resize(m_terms.daemons);
     }
@@ -88,11 +87,10 @@
 
     struct keeper_state
     {
-        keeper_state(unsigned number, unsigned places)
+        explicit keeper_state(unsigned number)
             : id {"k" + std::to_string(number)},
               claimer(id, {})
         {
-            claimer.setPlaces(places);
         }
 
         daemon_id id;
@@ -101,7 +99,7 @@
         bool asked = false;
         milliseconds writeAt {-1};
         std::uint64_t readVersion = 0;
-        monotonic_time leaseSince;
+        monotonic_time slackSince;
         quota_claims next;
     };
 
@@ -110,15 +108,23 @@
         return monotonic_time {seconds {100}} + m_time;
     }
 
+    double slackPart(const keeper_state &keeper) const
+    {
+        const auto &parts = keeper.claimer.inUse(now());
+        const auto found = parts.find(slackAccount);
+        return found == parts.end() ? 0 : found->second;
+    }
+
     quota_lease leaseOf(const keeper_state &keeper) const
     {
         const auto &parts = keeper.claimer.inUse(now());
         const auto found = parts.find(m_account);
+        const auto extra = extraOf(m_terms.slack, slackPart(keeper), window);
         return {handedOut(m_terms.quota, overage, window),
             found == parts.end() ? 0 : found->second,
-            m_limits.extra,
-            m_limits.extraRate,
-            keeper.leaseSince,
+            extra.tokens,
+            extra.perSecond,
+            keeper.slackSince,
             keeper.claimer.leaseEnd()};
     }
 
@@ -135,7 +141,8 @@
             keeper.readVersion = m_version;
             if (keeper.claimer.begin(now())) {
                 keeper.bucket.setLease(leaseOf(keeper), now());
-                keeper.next = keeper.claimer.next({{m_account, keeper.bucket.partHeld(now())}}, now());
+                keeper.next = keeper.claimer.next(
+                    {{m_account, keeper.bucket.partHeld(now())}, {slackAccount, slackPartOf(keeper.bucket.held(now()), m_terms.slack)}}, now());
                 keeper.writeAt = m_time + storeTime;
             }
         } else if (keeper.writeAt == m_time) {
@@ -144,8 +151,9 @@
                 m_stored = keeper.next;
                 ++m_version;
                 ++writes;
-                keeper.leaseSince = now() < keeper.claimer.leaseEnd() ? keeper.leaseSince : now();
+                const double before = slackPart(keeper);
                 keeper.claimer.written(now());
+                keeper.slackSince = slackPart(keeper) > before ? now() : keeper.slackSince;
                 keeper.bucket.setLease(leaseOf(keeper), now());
             } else {
                 keeper.claimer.notWritten();
@@ -212,7 +220,6 @@
     }
 
     layout m_terms;
-    quota_keeper_limits m_limits;
     account_name m_account {"a"};
     std::mt19937_64 m_random;
     std::vector<keeper_state> m_keepers;
--- a/Tests/Route/quota_replay_test.cxx
+++ b/Tests/Route/quota_replay_test.cxx
@@ -16,13 +16,13 @@
         double firstShare;
         double maxRefused;
     };
-    const std::vector<setting> settings {{79, 4, 24, 0, 0.08},
-        {79, 4, 24, 0.6, 0.08},
-        {79, 4, 2, 0, 0.2},
-        {300, 6, 24, 0, 0.08},
-        {1100, 9, 240, 0, 0.08},
+    const std::vector<setting> settings {{79, 4, 24, 0, 0.05},
+        {79, 4, 24, 0.6, 0.05},
+        {79, 4, 2, 0, 0.02},
+        {300, 6, 24, 0, 0.05},
+        {1100, 9, 240, 0, 0.05},
         {1100, 9, 24, 0.6, 0.08},
-        {1100, 9, 2, 0, 0.2}};
+        {1100, 9, 2, 0, 0.12}};
     for (const auto &each : settings) {
         const account_quota quota {each.quotaRate, each.quotaRate / 4};
         const double usual = each.quotaRate / 1.6;
