Tests: Restore an object that didn't exist in the copy

Cause: the stand-in's put looked up the status of an object in a way that created it, so that a restored copy kept objects which had not existed; found by platform_store.givesLaterRevisionsOutAgainAfterACopyIsRestored when statuses and copies were joined. Change: the object is only looked up.

--- a/Tests/StandIns/platform_store.cxx
+++ b/Tests/StandIns/platform_store.cxx
@@ -52,7 +52,8 @@
     if (!conditionsHold(key, conditions)) {
         return write_error::precondition_failed;
     }
-    auto status = m_objects[key].status;
+    const auto *current = find(key);
+    auto status = current == nullptr ? std::string() : current->status;
     auto etag = appendEvent(key, value, status);
     m_objects[key] = {key, etag, std::move(value), std::move(status)};
     return etag;
