Route: Claim what nobody wants of a quota in proportion

Change: up to 0.8 of a quota is claimed in proportion to what keepers want; the rest stays free for those who need more at once. What is refused below quotas is still far too much; the causes left aren't known.

--- a/Source/Route/quota_claims.cxx
+++ b/Source/Route/quota_claims.cxx
@@ -14,6 +14,8 @@
 constexpr double wantedSlack = 0.25;
 // Part of the slack that is held as tokens; the rest refills in a window.
 constexpr double heldSlack = 0.8;
+// What nobody wants is claimed in proportion, up to this share; the rest is free for those who need more at once.
+constexpr double claimedShare = 0.8;
 // Keepers want more than they have demand for; with this share of it there is no hurry.
 constexpr double enoughShare = 0.6;
 // A claim isn't changed for less than this part of a quota.
@@ -145,7 +147,7 @@
     return std::nullopt;
 }
 
-// What all want is shared in proportion where it is more than there is. What others still claim can't be taken.
+// What there is goes to those who want it, in proportion. What others still claim can't be taken.
 quota_parts quota_claimer::fairParts(const quota_claims &others) const
 {
     quota_parts parts;
@@ -157,7 +159,8 @@
             wantedByOthers += id == m_self ? 0 : partOf(keeper.wanted, account);
             claimedByOthers += id == m_self ? 0 : partOf(keeper.claimed, account);
         }
-        const double fair = wanted + wantedByOthers > 1 ? wanted / (wanted + wantedByOthers) : wanted;
+        const double all = wanted + wantedByOthers;
+        const double fair = all > claimedShare ? wanted / std::max(1.0, all) : wanted * claimedShare / all;
         const double before = stored == m_stored.keepers.end() ? 0 : partOf(stored->second.claimed, account);
         const bool enough = fair <= before && fair >= before * keptShare && before + wantedByOthers <= 1;
         const double free = std::max(0.0, 1 - claimedByOthers);
