Forward: Give up a leaving keeper's claims, and don't return to the first keeper soon

Change: a daemon that drains hands out no tokens and tells those that ask; they drop what they hold and say so, and the keeper claims no more than what is still held. A keeper is kept for 20 s at least before daemons return to the first one.

--- a/Source/Forward/delegation_messages.h
+++ b/Source/Forward/delegation_messages.h
@@ -136,10 +136,12 @@
     /// The asking daemon's clock.
     std::int64_t askedAtUs = 0;
     std::vector<account_tokens> accounts;
+    /// It holds no token of this keeper any more and asks for none.
+    bool dropped = false;
 
     template<class Archive> void serialize(Archive &archive)
     {
-        archive(askedAtUs, accounts);
+        archive(askedAtUs, accounts, dropped);
     }
 };
 
@@ -159,7 +161,8 @@
 struct tokens_answer
 {
     std::int64_t askedAtUs = 0;
-    /// How long the tokens may be used after the question was asked; 0 if the keeper has no claim on any quota now.
+    /// How long the tokens may be used after the question was asked; 0 if the keeper has no claim on any quota now, below 0 if it is
+    /// leaving and wants its tokens dropped.
     std::int64_t validForUs = 0;
     std::vector<granted_tokens> accounts;
 
--- a/Source/Forward/delegation_server.cxx
+++ b/Source/Forward/delegation_server.cxx
@@ -193,12 +193,16 @@
     auto &from = m_links.at(number);
     if (!std::exchange(from.asksTokens, true)) {
         m_tokenLinks[from.id] = number;
-        m_quotas.connected(from.id);
+        m_quotas.holdsNothing(from.id);
     }
     if (m_tokenLinks[from.id] != number) {
         drop(number);
         return;
     }
+    if (question.dropped) {
+        m_quotas.holdsNothing(from.id);
+        return;
+    }
     send(number, m_quotas.answer(from.id, question));
 }
 
--- a/Source/Forward/entry_process.cxx
+++ b/Source/Forward/entry_process.cxx
@@ -240,6 +240,7 @@
             clientsOpener.stop();
             clients.startDraining();
             delegations.startDraining();
+            requests.quotaKeeper().leave();
         });
         store.leave();
         checkDrained();
--- a/Source/Forward/quota_client.cxx
+++ b/Source/Forward/quota_client.cxx
@@ -14,6 +14,8 @@
 constexpr milliseconds initialFailedTime {1000};
 constexpr milliseconds maxFailedTime {30000};
 constexpr milliseconds unknownRetry {500};
+// What one keeper has claimed goes over to another only in the time of a lease, so that a working one isn't left often.
+constexpr seconds minStay {20};
 // After a refusal the keeper is asked again when it has said that there will be tokens, within these bounds.
 constexpr milliseconds minAskPause {20};
 constexpr milliseconds maxAskPause {1000};
@@ -118,7 +120,7 @@
     }
     DAISYSTILE_LOG(INFO, "quota") << "Tokens of quotas come from this keeper." << field("keeper", id.value);
     if (id == m_self.id) {
-        m_own.connected(m_self.id);
+        m_own.holdsNothing(m_self.id);
     }
     stateKeeping();
 }
@@ -189,7 +191,7 @@
     if (m_probe && now - m_probeSince > connectTimeout) {
         endProbe(false);
     }
-    if (m_probe || m_candidates.empty() || m_keeper == m_candidates.front().id || failing(m_candidates.front().id, now)) {
+    if (m_probe || m_candidates.empty() || m_keeper == m_candidates.front().id || failing(m_candidates.front().id, now) || now - m_keeperSince < minStay) {
         return;
     }
     const auto &first = m_candidates.front();
@@ -307,6 +309,10 @@
     }
     m_askedAt.reset();
     const auto now = m_loop.now();
+    if (answer.validForUs < 0) {
+        keeperLeaves();
+        return;
+    }
     noteLease(answer.validForUs > 0, now);
     const monotonic_time expiry {microseconds {answer.askedAtUs + answer.validForUs}};
     for (const auto &each : answer.accounts) {
@@ -321,6 +327,20 @@
     }
 }
 
+// The keeper gives up what it has claimed once it knows that nobody holds tokens of it.
+void quota_client::keeperLeaves()
+{
+    for (auto &[name, state] : m_accounts) {
+        state.wallet.clear();
+    }
+    if (m_link) {
+        m_link->send(encodeDelegation(tokens_question {.askedAtUs = 0, .accounts = {}, .dropped = true}));
+    } else {
+        m_own.holdsNothing(m_self.id);
+    }
+    keeperFailed("leaving");
+}
+
 void quota_client::noteLease(bool holdsClaims, monotonic_time now)
 {
     if (holdsClaims) {
--- a/Source/Forward/quota_client.h
+++ b/Source/Forward/quota_client.h
@@ -83,6 +83,7 @@
     void established(std::uint64_t number);
     void linkFailed(std::uint64_t number);
     void keeperFailed(const char *reason);
+    void keeperLeaves();
     void probeFirst(monotonic_time now);
     void endProbe(bool holdsClaims);
     std::optional<quota_outcome> refusalNow(const account_state &state, milliseconds wait, monotonic_time now) const;
--- a/Source/Forward/quota_keeper.cxx
+++ b/Source/Forward/quota_keeper.cxx
@@ -108,8 +108,17 @@
     return &found->second;
 }
 
+void quota_keeper::leave()
+{
+    m_leaving = true;
+    stateWanted(m_loop.now());
+}
+
 tokens_answer quota_keeper::answer(const daemon_id &from, const tokens_question &question)
 {
+    if (m_leaving) {
+        return {question.askedAtUs, -1, {}};
+    }
     const auto now = m_loop.now();
     const auto valid = std::max(monotonic_time::duration {0}, m_claims.until - now);
     bool shortOfTokens = false;
@@ -134,7 +143,7 @@
     return answer;
 }
 
-void quota_keeper::connected(const daemon_id &daemon)
+void quota_keeper::holdsNothing(const daemon_id &daemon)
 {
     for (auto &[name, bucket] : m_buckets) {
         bucket.forget(daemon);
@@ -144,6 +153,9 @@
 quota_parts quota_keeper::wanted(monotonic_time now) const
 {
     quota_parts parts;
+    if (m_leaving) {
+        return parts;
+    }
     for (const auto &[name, bucket] : m_buckets) {
         const auto *account = m_routes ? m_routes->account(name) : nullptr;
         if (account == nullptr || !account->quota) {
--- a/Source/Forward/quota_keeper.h
+++ b/Source/Forward/quota_keeper.h
@@ -35,8 +35,10 @@
     void onWanted(std::function<void(quota_parts)> callback);
 
     tokens_answer answer(const daemon_id &from, const tokens_question &question);
-    /// A daemon has connected, and holds no tokens.
-    void connected(const daemon_id &daemon);
+    /// A daemon holds no tokens: it has connected, or has dropped them.
+    void holdsNothing(const daemon_id &daemon);
+    /// From now on no tokens are handed out, and daemons are told to drop those that they hold, so that others can claim the quotas.
+    void leave();
 
 private:
     quota_bucket *bucketOf(const account_name &account, monotonic_time now);
@@ -58,6 +60,7 @@
     // When this daemon's part of the slack grew last.
     monotonic_time m_slackSince;
     bool m_ticking = false;
+    bool m_leaving = false;
 };
 
 } // namespace daisystile
