Forward: Wait for the sources of a new fleet until they have listed again

With processor time counted, weak daemons now list the fleet just after the peer key was written and the strong ones just before; so the followers' first connections, 0.7 s later, came some milliseconds before the sources opened their relay, and all 62 followed the store for 5 s. Change: the first connections wait 1.2 s, longer than the pause between the first listings.

--- a/Source/Forward/store_follower.cxx
+++ b/Source/Forward/store_follower.cxx
@@ -17,7 +17,9 @@
 constexpr milliseconds callTimeout {1000};
 constexpr milliseconds watchWait {25000};
 constexpr milliseconds watchTimeout {27000};
-constexpr milliseconds bootstrapRelayDelay {700};
+// Longer than the pause between the first listings of the daemons: a source that listed them just before the peer key was written
+// opens its relay only after the next one.
+constexpr milliseconds bootstrapRelayDelay {1200};
 // A starting daemon that has found no other daemon to follow by then follows the store.
 constexpr milliseconds maxSourceSearch {1000};
 constexpr milliseconds maxBootstrapSourceSearch {4000};
