Route: Let faults that are returned be moved; refuse no request for a token in advance

Change: the constants are variables; a retry time is stated only if a request that waits gets no token.

--- a/Source/Route/quota_bucket.cxx
+++ b/Source/Route/quota_bucket.cxx
@@ -76,7 +76,8 @@
     m_tokens -= granted;
     own.tokens += granted - std::min(granted, question.waiting);
     own.expiry = expiry;
-    if (granted == question.wanted) {
+    // Tokens in advance that are refused keep no request waiting.
+    if (granted >= std::min(question.wanted, question.waiting)) {
         return {granted, milliseconds {0}};
     }
     const double missing = std::max(0.0, 1 - m_tokens);
--- a/Source/Route/rollout_judge.cxx
+++ b/Source/Route/rollout_judge.cxx
@@ -53,7 +53,7 @@
 // Good answers of the beginning would hide a fault that shows later.
 std::optional<version_fault> rollout_judge::fault(const route_counts &counts, monotonic_time now) const
 {
-    if (const auto shown = faultShown(counts)) {
+    if (auto shown = faultShown(counts)) {
         return shown;
     }
     for (const auto window : windows) {
@@ -61,7 +61,7 @@
         if (after == m_past.rend()) {
             continue;
         }
-        if (const auto shown = faultShown(since(counts, after->counts))) {
+        if (auto shown = faultShown(since(counts, after->counts))) {
             return shown;
         }
     }
--- a/Source/Route/version_evidence.cxx
+++ b/Source/Route/version_evidence.cxx
@@ -157,7 +157,7 @@
 std::optional<version_fault> faultShown(const route_counts &counts)
 {
     for (const auto &[route, each] : counts) {
-        if (const auto fault = faultOf(route, each)) {
+        if (auto fault = faultOf(route, each)) {
             return fault;
         }
     }
