--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -77,11 +77,11 @@
 {
     object_mirror mirror({}, 1);
     sent_objects sent;
-    mirror.decide(mirror_listed {object_list {{{"a", "1", "x"}, {"b", "2", "y"}}, 5}}, {});
+    mirror.decide(mirror_listed {object_list {{{"a", "1", "x"}, {"b", "2", "y"}}, {5}}}, {});
     const auto first = sent.changes(mirror);
     EXPECT_EQ(first.objects.size(), 2U);
     EXPECT_TRUE(sent.changes(mirror).objects.empty());
-    mirror.decide(mirror_listed {object_list {{{"b", "7", "z"}}, 8}}, {});
+    mirror.decide(mirror_listed {object_list {{{"b", "7", "z"}}, {8}}}, {});
     const auto second = sent.changes(mirror);
     EXPECT_EQ(second.removed, std::vector<std::string> {"a"});
     ASSERT_EQ(second.objects.size(), 1U);
@@ -153,7 +153,7 @@
                     failed = true;
                     loop.stop();
                 }});
-    loop.after(milliseconds {100}, [&] { server.broadcast({.configurationRevision = 5}); });
+    loop.after(milliseconds {100}, [&] { server.broadcast({.configurationRevision = {5}}); });
     loop.after(milliseconds {200}, [&] {
         known = true;
         server.broadcast({.configurationRevision = 6});
