Tests: Write further braces of revisions out

Cause: the linter found elided braces in three test files. Change: written out; the values are the same.

--- a/Tests/Forward/fleet_registry_test.cxx
+++ b/Tests/Forward/fleet_registry_test.cxx
@@ -15,10 +15,10 @@
     fleet_registry fleet(limits, {{"d1"}, {"port"}});
     monotonic_time now {seconds {100}};
     EXPECT_EQ(fleet.daemons(now).size(), 1U);
-    fleet.listed({{entry("d1", 1), entry("d2", 2), entry("d3", 3)}, 3}, now);
+    fleet.listed({{entry("d1", 1), entry("d2", 2), entry("d3", 3)}, {3}}, now);
     EXPECT_EQ(fleet.daemons(now).size(), 3U);
     now += seconds {3};
-    fleet.listed({{entry("d1", 1), entry("d2", 9), entry("d3", 3)}, 9}, now);
+    fleet.listed({{entry("d1", 1), entry("d2", 9), entry("d3", 3)}, {9}}, now);
     const auto live = fleet.daemons(now);
     ASSERT_EQ(live.size(), 2U);
     EXPECT_EQ(live[1].id.value, "d2");
--- a/Tests/Forward/object_mirror_test.cxx
+++ b/Tests/Forward/object_mirror_test.cxx
@@ -15,12 +15,12 @@
 
     mirror_action listed(std::vector<platform_object> objects, std::uint64_t revision)
     {
-        return m_mirror.decide(mirror_listed {object_list {std::move(objects), revision}}, m_now);
+        return m_mirror.decide(mirror_listed {object_list {std::move(objects), {revision}}}, m_now);
     }
 
     mirror_action checked(std::vector<platform_object> objects, std::uint64_t revision)
     {
-        return m_mirror.decide(mirror_checked {object_list {std::move(objects), revision}}, m_now);
+        return m_mirror.decide(mirror_checked {object_list {std::move(objects), {revision}}}, m_now);
     }
 
     mirror_action removed(const std::string &key, std::uint64_t revision)
--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -158,7 +158,7 @@
         known = true;
         server.broadcast({.configurationRevision = 6});
     });
-    loop.after(milliseconds {300}, [&] { server.broadcast({.configurationRevision = 7}); });
+    loop.after(milliseconds {300}, [&] { server.broadcast({.configurationRevision = {7}}); });
     loop.after(seconds {10}, [&] { loop.stop(); });
     loop.run();
     EXPECT_TRUE(failed);
