Tests: Mend further findings of the linter

Cause: the linter found elided braces, a loop over positions and a list without a reserved size in three test files. Change: written as it asks; nothing that is checked has changed. Result: the files pass the linter.

--- a/Tests/Forward/relay_test.cxx
+++ b/Tests/Forward/relay_test.cxx
@@ -156,7 +156,7 @@
     loop.after(milliseconds {100}, [&] { server.broadcast({.configurationRevision = {5}}); });
     loop.after(milliseconds {200}, [&] {
         known = true;
-        server.broadcast({.configurationRevision = 6});
+        server.broadcast({.configurationRevision = {6}});
     });
     loop.after(milliseconds {300}, [&] { server.broadcast({.configurationRevision = {7}}); });
     loop.after(seconds {10}, [&] { loop.stop(); });
--- a/Tests/Process/http_round_trip_test.cxx
+++ b/Tests/Process/http_round_trip_test.cxx
@@ -345,7 +345,8 @@
     const auto server = http_server::listen(loop, {"127.0.0.1", 0}, answer, {.bodyBytes = 100000, .heldBodyBytes = 100000}).value();
     std::vector<bool> ended(3);
     std::vector<std::unique_ptr<tcp_stream>> clients;
-    for (std::size_t i = 0; i < ended.size(); ++i) {
+    while (clients.size() < ended.size()) {
+        const auto i = clients.size();
         clients.push_back(std::make_unique<tcp_stream>(loop,
             server->address(),
             tcp_stream::callbacks {.opened = {},
--- a/Tests/Promises/account_promises_test.cxx
+++ b/Tests/Promises/account_promises_test.cxx
@@ -103,8 +103,10 @@
     const auto due = std::chrono::steady_clock::now() + revocation;
     EXPECT_TRUE(waitFor([&] { return std::chrono::steady_clock::now() >= due; }));
     const int sentBefore = m_sent;
+    constexpr int callCount = 30;
     std::vector<http_call> calls;
-    for (int i = 0; i < 30; ++i) {
+    calls.reserve(callCount);
+    for (int i = 0; i < callCount; ++i) {
         calls.push_back(callTo(static_cast<std::size_t>(i % 3), "/read/x", bearer));
     }
     int served = 0;
