--- a/Tests/Version/config_sync_test.cxx
+++ b/Tests/Version/config_sync_test.cxx
@@ -35,7 +35,7 @@
 
     list_result list() const
     {
-        return object_list {{{headKey, std::to_string(m_head.number), toJson(m_head)}}, m_head.number};
+        return object_list {{{headKey, std::to_string(m_head.number), toJson(m_head)}}, {m_head.number}};
     }
 
     read_result record(const config_object &object, const change_id &change) const
