--- a/Tests/Promises/client_crowd.cxx
+++ b/Tests/Promises/client_crowd.cxx
@@ -57,6 +57,9 @@
     std::vector<pollfd> watched(m_members.size());
     int ready = 1;
     while (ready > 0 && monotonicNow() < end) {
+        if (m_stopped) {
+            return;
+        }
         for (std::size_t i = 0; i < m_members.size(); ++i) {
             const auto &each = m_members[i];
             const int events = (m_plan.reads ? POLLIN : 0) | (each.sent < m_plan.bytes.size() ? POLLOUT : 0);
@@ -69,6 +72,11 @@
     }
 }
 
+void client_crowd::stop()
+{
+    m_stopped = true;
+}
+
 void client_crowd::serve(member &each, short events)
 {
     if ((events & POLLOUT) != 0) {
@@ -112,4 +120,21 @@
     }
 }
 
+pressing_crowd::pressing_crowd(const ip_address &address, int members, client_crowd::plan crowdPlan)
+    : m_crowd(address, members, std::move(crowdPlan)),
+      m_thread([this] {
+          while (!m_ending) {
+              m_crowd.run();
+          }
+      })
+{
+}
+
+pressing_crowd::~pressing_crowd()
+{
+    m_ending = true;
+    m_crowd.stop();
+    m_thread.join();
+}
+
 } // namespace daisystile
--- a/Tests/Promises/client_crowd.h
+++ b/Tests/Promises/client_crowd.h
@@ -4,7 +4,9 @@
 
 #include <poll.h>
 
+#include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace daisystile {
@@ -31,6 +33,8 @@
 
     /// Sends until nothing more happens: all was sent, or the connections are closed, or the other side takes no more.
     void run();
+    /// Ends run() soon; may be called from another thread.
+    void stop();
 
 private:
     struct member
@@ -48,6 +52,22 @@
     ip_address m_address;
     plan m_plan;
     std::vector<member> m_members;
+    std::atomic<bool> m_stopped {false};
+};
+
+/// A crowd that runs on a thread of its own, from its construction to its destruction.
+class pressing_crowd
+{
+public:
+    pressing_crowd(const ip_address &address, int members, client_crowd::plan crowdPlan);
+    ~pressing_crowd();
+    pressing_crowd(const pressing_crowd &) = delete;
+    pressing_crowd &operator=(const pressing_crowd &) = delete;
+
+private:
+    client_crowd m_crowd;
+    std::atomic<bool> m_ending {false};
+    std::thread m_thread;
 };
 
 } // namespace daisystile
--- a/Tests/Promises/plain_fleet.cxx
+++ b/Tests/Promises/plain_fleet.cxx
@@ -156,6 +156,16 @@
     return m_daemons[index]->address("readiness");
 }
 
+ip_address plain_fleet::daemonsAddress(std::size_t index, const std::string &name) const
+{
+    std::ifstream file(m_settings[index]);
+    const auto start = name + " = \"";
+    std::string line;
+    while (std::getline(file, line) && !line.starts_with(start)) { }
+    const auto text = line.substr(std::min(start.size(), line.size()));
+    return parseIpAddress(text.substr(0, text.find('"'))).value();
+}
+
 std::size_t plain_fleet::daemonCount() const
 {
     return m_daemons.size();
@@ -343,6 +353,13 @@
     writeConfiguration(++m_version, {});
 }
 
+void plain_fleet::setLimits(int headBytes, int bodyBytes)
+{
+    m_size.headBytes = headBytes;
+    m_size.bodyBytes = bodyBytes;
+    writeConfiguration(++m_version, {});
+}
+
 void plain_fleet::putObject(const std::string &key, const json &value)
 {
     putText(key, value.dump());
--- a/Tests/Promises/plain_fleet.h
+++ b/Tests/Promises/plain_fleet.h
@@ -71,6 +71,8 @@
     bool daemonReady(std::size_t index);
     ip_address clientsAddress(std::size_t index) const;
     ip_address readinessAddress(std::size_t index) const;
+    /// Where the daemon listens for other daemons: "peers" or "queries".
+    ip_address daemonsAddress(std::size_t index, const std::string &name) const;
     std::size_t daemonCount() const;
     int daemonProcess(std::size_t index) const;
     const std::string &settingsFile(std::size_t index) const;
@@ -111,6 +113,8 @@
     void cutDomainsFromStore(const std::vector<std::string> &domains);
     /// Writes a newer configuration with these client accounts.
     void setAccounts(const nlohmann::json &accounts);
+    /// Writes a newer configuration with these limits on the requests of clients.
+    void setLimits(int headBytes, int bodyBytes);
     /// Turns the store off or on.
     void setStoreDown(bool down);
     test_client &control();
