Process: Count the fields of a head as they arrive

Callers saw: daemons ended for want of memory beside clients that send heads of many very short fields and stop before their end; 240 such clients of legal size took one of 48 MB to 84 MB.

Cause: the parser stores each field as soon as its line is complete, but the account summed them up only when the head was done, as it took them to come all at once. A field of 4 bytes takes 64 in the list of fields, which doubles as it grows.

Change: each field is counted when it is stored, with what the allocator takes for it (heap_size). Texts that fit inside their object no longer count as if they took a block.

--- a/Source/Process/http_message.cxx
+++ b/Source/Process/http_message.cxx
@@ -1,5 +1,7 @@
 #include "http_message.h"
 
+#include "heap_size.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -42,9 +44,9 @@
 
 std::size_t reservedBytesOf(const std::vector<http_header> &headers)
 {
-    std::size_t bytes = headers.capacity() * sizeof(http_header);
+    std::size_t bytes = heapBlockBytes(headers.capacity() * sizeof(http_header));
     for (const auto &header : headers) {
-        bytes += header.name.capacity() + header.value.capacity();
+        bytes += heapBytesOf(header.name) + heapBytesOf(header.value);
     }
     return bytes;
 }
@@ -63,13 +65,10 @@
 
     Message message;
 
-    /// The headers are complete at once, so they are summed up once.
-    std::size_t reservedBytes()
+    /// Fields are stored as they arrive, also those of a head that never ends.
+    std::size_t reservedBytes() const
     {
-        if (m_headBytes == 0 && this->is_header_done()) {
-            m_headBytes = reservedBytesOf(message.headers);
-        }
-        return m_headBytes + message.body.capacity();
+        return heapBlockBytes(message.headers.capacity() * sizeof(http_header)) + m_fieldHeapBytes + heapBytesOf(message.body);
     }
 
 protected:
@@ -96,7 +95,8 @@
 
     void on_field_impl(beast::field, text_view name, text_view value, error_code &) override
     {
-        message.headers.push_back({std::string(viewOf(name)), std::string(viewOf(value))});
+        const auto &added = message.headers.emplace_back(http_header {std::string(viewOf(name)), std::string(viewOf(value))});
+        m_fieldHeapBytes += heapBytesOf(added.name) + heapBytesOf(added.value);
     }
 
     void on_header_impl(error_code &) override
@@ -150,7 +150,7 @@
     static constexpr std::uint64_t maxReservedBytes = 65536;
 
     std::uint64_t m_maxBody;
-    std::size_t m_headBytes = 0;
+    std::size_t m_fieldHeapBytes = 0;
 };
 
 read_progress failureOf(const boost::beast::error_code &error)
@@ -247,12 +247,12 @@
 
 std::size_t request_message::reservedBytes() const
 {
-    return method.capacity() + target.capacity() + reservedBytesOf(headers) + body.capacity();
+    return heapBytesOf(method) + heapBytesOf(target) + reservedBytesOf(headers) + heapBytesOf(body);
 }
 
 std::size_t response_message::reservedBytes() const
 {
-    return reason.capacity() + reservedBytesOf(headers) + body.capacity();
+    return heapBytesOf(reason) + reservedBytesOf(headers) + heapBytesOf(body);
 }
 
 struct request_reader::implementation
--- a/Source/Process/process.h
+++ b/Source/Process/process.h
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "descriptors.h"
 #include "hash.h"
+#include "heap_size.h"
 #include "http_client.h"
 #include "http_message.h"
 #include "http_server.h"
