Process: Apply the limit of a head also to one that arrives line by line

Callers saw nothing yet; a client could send a head without end, past max_header_bytes, and have it stored.

Cause: the parser compares its limit with the bytes that it hasn't consumed. It consumes whole lines of an unfinished head if less than three bytes are left behind the last one, so pieces that end just behind a line were never added up.

Change: the fields of a head are added up as they arrive; a trailer has the same limit for itself. Each field counts with its name, its value and the three marks that it can't do without, so no head inside the limit is refused.

--- a/Source/Process/http_message.cxx
+++ b/Source/Process/http_message.cxx
@@ -51,12 +51,16 @@
     return bytes;
 }
 
+// A field's colon and the end of its line.
+constexpr std::size_t minFieldMarkBytes = 3;
+
 /// Beast parser that fills a request_message or response_message.
 template<bool isRequest, class Message> class message_parser : public beast::basic_parser<isRequest>
 {
 public:
     explicit message_parser(message_limits limits)
-        : m_maxBody(limits.bodyBytes)
+        : m_maxHeadBytes(limits.headBytes),
+          m_maxBody(limits.bodyBytes)
     {
         this->header_limit(limits.headBytes);
         this->body_limit(limits.bodyBytes);
@@ -93,14 +97,22 @@
         }
     }
 
-    void on_field_impl(beast::field, text_view name, text_view value, error_code &) override
+    // The parser applies its limit only to what it hasn't consumed, and it consumes whole lines of an unfinished head.
+    void on_field_impl(beast::field, text_view name, text_view value, error_code &error) override
     {
+        m_linesBytes += name.size() + value.size() + minFieldMarkBytes;
+        if (m_linesBytes > m_maxHeadBytes) {
+            error = beast::error::header_limit;
+            return;
+        }
         const auto &added = message.headers.emplace_back(http_header {std::string(viewOf(name)), std::string(viewOf(value))});
         m_fieldHeapBytes += heapBytesOf(added.name) + heapBytesOf(added.value);
     }
 
+    // A trailer that follows has a limit of its own.
     void on_header_impl(error_code &) override
     {
+        m_linesBytes = 0;
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, error_code &) override
@@ -149,7 +161,10 @@
 
     static constexpr std::uint64_t maxReservedBytes = 65536;
 
+    std::size_t m_maxHeadBytes;
     std::uint64_t m_maxBody;
+    // Of the head, or of the trailer.
+    std::size_t m_linesBytes = 0;
     std::size_t m_fieldHeapBytes = 0;
 };
 
--- a/Tests/Process/http_message_test.cxx
+++ b/Tests/Process/http_message_test.cxx
@@ -53,6 +53,33 @@
     EXPECT_NE(feedEndlessly<request_reader>(chunked + "0\r\n", "Filler: 0123456789abcdef\r\n"), read_progress::incomplete);
 }
 
+// Pieces that end just behind a line were consumed one by one, and the limit was applied to the last one alone.
+TEST(request_reader, endsAHeadThatArrivesLineByLine)
+{
+    EXPECT_EQ(feedEndlessly<request_reader>("POST / HTTP/1.1\r\na", ":\r\na"), read_progress::head_too_large);
+    EXPECT_EQ(feedEndlessly<response_reader>("HTTP/1.1 200 OK\r\na", ":\r\na"), read_progress::head_too_large);
+}
+
+TEST(request_reader, takesAHeadOfTheLargestSizeInAnyPieces)
+{
+    const std::string start = "POST / HTTP/1.1\r\n";
+    std::string head = start;
+    while (head.size() + 6 < limits.headBytes) {
+        head += "a:\r\n";
+    }
+    head += "\r\n";
+    for (const std::size_t pieceBytes : {std::size_t {1}, std::size_t {5}, head.size()}) {
+        request_reader reader(limits);
+        byte_queue input;
+        auto progress = read_progress::incomplete;
+        for (std::size_t at = 0; at < head.size(); at += pieceBytes) {
+            input.append(std::string_view(head).substr(at, pieceBytes));
+            progress = reader.read(input);
+        }
+        EXPECT_EQ(progress, read_progress::complete) << pieceBytes;
+    }
+}
+
 TEST(response_reader, skipsInterimResponses)
 {
     response_reader reader(limits);
