Connection: Take no more than a handshake before the fleet's key was shown

Callers saw: a daemon of 48 MB took 54 MB (port "peers") and 60 MB (port "queries") beside 64 connections that sent the length of a long frame and most of it.

Cause: a frame of up to 4 MB was collected before it was looked at, also as the first one on a connection, of which nothing is known but its address. The limit of a handshake, 1,024 bytes, was applied only to frames that were complete.

Change: until a link is established, a length beyond a handshake ends it as soon as the length is read.

Links between daemons send the same bytes as before.

--- a/Source/Connection/frame_reader.cxx
+++ b/Source/Connection/frame_reader.cxx
@@ -22,7 +22,7 @@
     m_buffer += bytes;
 }
 
-leaf::result<bool> frame_reader::next(std::string_view &payload)
+leaf::result<bool> frame_reader::next(std::string_view &payload, std::uint32_t maxPayloadBytes)
 {
     const std::string_view rest = std::string_view(m_buffer).substr(m_used);
     if (rest.size() < lengthBytes) {
@@ -32,7 +32,7 @@
     for (std::size_t i = 0; i < lengthBytes; ++i) {
         size = (size << 8U) | static_cast<unsigned char>(rest[i]);
     }
-    if (size > maximalFrameBytes) {
+    if (size > maxPayloadBytes) {
         return leaf::new_error(connection_error {connection_failure::frame_too_long, std::to_string(size) + " bytes"});
     }
     if (rest.size() < lengthBytes + size) {
--- a/Source/Connection/frame_reader.h
+++ b/Source/Connection/frame_reader.h
@@ -22,7 +22,7 @@
 
     /// Stores the next complete frame in `payload`, or returns false when more bytes are needed. The view is valid until the
     /// next call. Errors: connection_error{frame_too_long}; the stream can't be read any further after it.
-    leaf::result<bool> next(std::string_view &payload);
+    leaf::result<bool> next(std::string_view &payload, std::uint32_t maxPayloadBytes = maximalFrameBytes);
 
 private:
     std::string m_buffer;
--- a/Source/Connection/peer_handshake.cxx
+++ b/Source/Connection/peer_handshake.cxx
@@ -5,7 +5,6 @@
 namespace daisystile {
 
 static constexpr std::size_t nonceBytes = 16;
-static constexpr std::size_t maximalHandshakeBytes = 1024;
 
 static std::string codeFor(const std::string &key, const peer_identity &identity, const std::string &nonce)
 {
--- a/Source/Connection/peer_handshake.h
+++ b/Source/Connection/peer_handshake.h
@@ -11,6 +11,9 @@
 /// Version of the peer protocol; both sides must use the same.
 inline constexpr std::uint32_t peerProtocolVersion = 1;
 
+/// Maximum size in bytes of each frame of the handshake.
+inline constexpr std::uint32_t maximalHandshakeBytes = 1024;
+
 /// Identity of the other end of a link, authenticated with the fleet's key.
 struct peer_identity
 {
--- a/Source/Connection/peer_link.cxx
+++ b/Source/Connection/peer_link.cxx
@@ -117,7 +117,7 @@
             bool found = false;
             const bool readable = leaf::try_handle_all(
                 [&]() -> leaf::result<bool> {
-                    BOOST_LEAF_ASSIGN(found, reader.next(payload));
+                    BOOST_LEAF_ASSIGN(found, reader.next(payload, maxPayloadBytes()));
                     return true;
                 },
                 [&](const connection_error &error) { return fail(error.failure, error.subject); },
@@ -130,6 +130,12 @@
         return false;
     }
 
+    // Who hasn't shown the fleet's key can't make this process hold more than a handshake.
+    std::uint32_t maxPayloadBytes() const
+    {
+        return isEstablished ? maximalFrameBytes : maximalHandshakeBytes;
+    }
+
     void take(std::string_view payload)
     {
         if (isEstablished) {
--- a/Tests/Connection/peer_network_test.cxx
+++ b/Tests/Connection/peer_network_test.cxx
@@ -132,6 +132,17 @@
     EXPECT_EQ(frames, (std::vector<std::string> {"one", "", "three"}));
 }
 
+TEST(frame_reader_test, refusesALengthOverASmallerLimit)
+{
+    constexpr std::uint32_t limitBytes = 100;
+    std::string bytes;
+    appendFrame(bytes, std::string(limitBytes + 1, 'x'));
+    frame_reader reader;
+    reader.feed(std::string_view(bytes).substr(0, 10));
+    std::string_view payload;
+    EXPECT_FALSE(reader.next(payload, limitBytes));
+}
+
 TEST(frame_reader_test, refusesALengthOverTheLimit)
 {
     frame_reader reader;
