Forward: Close connections that don't take their last answer, too, when memory is short

Callers saw: a daemon of 48 MB took 53 MB beside clients that ask for large answers with "Connection: close" and don't read them, and refused ordinary requests while other requests ran.

Cause: a connection that closes after its answer was left out of those that may be closed for what they hold, as it counted as closed. It holds its answer until the client has taken it, however slowly.

Change: a connection with an unread answer holds memory, whether or not it closes afterwards.

--- a/Source/Forward/client_server.cxx
+++ b/Source/Forward/client_server.cxx
@@ -134,7 +134,7 @@
     // An idle connection holds nothing that closing it would free, nor does one whose only request runs.
     bool holdsMemory() const
     {
-        return !m_closed && (m_reader.started() || !m_stream.input().empty() || sending());
+        return sending() || (!m_closed && (m_reader.started() || !m_stream.input().empty()));
     }
 
     memory_holder holder() const
