Forward: Compare when a server takes requests with the time of the decision

Cause: where the typical latency reaches the target, a request may start only at once. startAttempt() reads the clock, and the pool read it again for the time from which a free server takes requests: some microseconds later, so that the server counted as one that has asked for a pause. As nothing was sent, no answer could lower the typical latency.

Change: the pool is asked with the time of the decision, and a server that takes requests now is available at that time.

In the pool's tests each question now states its time; the check that a server without a pause is available compares with the time of the question, not with a later one.

--- a/Source/Forward/backend_pool.cxx
+++ b/Source/Forward/backend_pool.cxx
@@ -163,9 +163,11 @@
     return index ? found->second[*index] : nullptr;
 }
 
-monotonic_time backend_pool::availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded, const software_version *version) const
+monotonic_time backend_pool::availableFrom(const service_name &service,
+    const std::vector<backend_server_id> &excluded,
+    monotonic_time now,
+    const software_version *version) const
 {
-    const auto now = m_loop.now();
     auto earliest = monotonic_time::max();
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
--- a/Source/Forward/backend_pool.h
+++ b/Source/Forward/backend_pool.h
@@ -95,9 +95,12 @@
     /// there is none.
     backend *
     choose(const service_name &service, const std::vector<backend_server_id> &excluded, microseconds typicalLatency, const software_version *version = nullptr);
-    /// Earliest time at which a server of the service that is not excluded may take a request, apart from its load; max()
-    /// if there is no such server.
-    monotonic_time availableFrom(const service_name &service, const std::vector<backend_server_id> &excluded, const software_version *version = nullptr) const;
+    /// Earliest time at which a server of the service that is not excluded may take a request, apart from its load: `now` at the
+    /// latest if one may take it now; max() if there is no such server.
+    monotonic_time availableFrom(const service_name &service,
+        const std::vector<backend_server_id> &excluded,
+        monotonic_time now,
+        const software_version *version = nullptr) const;
 
     /// Sends a request to the server, which must be the one that choose() has just returned.
     attempt_id send(backend &server, const client_request_id &request, std::string bytes, bool bodyless, milliseconds suspectAfter);
--- a/Source/Forward/forwarder.cxx
+++ b/Source/Forward/forwarder.cxx
@@ -575,7 +575,7 @@
     const bool hedge = action.purpose == attempt_purpose::hedge;
     // Queueing helps only if an untried server may take the part in time.
     const auto versions = m_versions.admitted(part, now);
-    const auto availableFrom = m_pool.availableFrom(part.service, part.tried, versions.otherwise == nullptr ? versions.first : versions.otherwise);
+    const auto availableFrom = m_pool.availableFrom(part.service, part.tried, now, versions.otherwise == nullptr ? versions.first : versions.otherwise);
     if (!hedge && (left.count() <= 0 || availableFrom > std::max(now, request->state.terms.latestStart))) {
         addForecastWait(*request, availableFrom, now);
         return attempt_denied {action.part, action.purpose};
--- a/Tests/Forward/backend_pool_test.cxx
+++ b/Tests/Forward/backend_pool_test.cxx
@@ -87,6 +87,13 @@
     int m_sent = 0;
 };
 
+// Servers that were free counted as available microseconds after the time of the decision.
+TEST_F(backend_pool_test, aFreeServerIsAvailableAtTheTimeThatWasAskedFor)
+{
+    const auto askedAt = m_loop.now() - milliseconds {1};
+    EXPECT_LE(m_pool->availableFrom(m_service, {}, askedAt), askedAt);
+}
+
 TEST_F(backend_pool_test, sendsNothingMoreToAServerThatIsLeaving)
 {
     sendToFirst();
@@ -95,7 +102,7 @@
     sendToFirst();
     EXPECT_FALSE(firstTakesRequests());
     EXPECT_EQ(m_notices, 1);
-    EXPECT_EQ(m_pool->availableFrom(m_service, {{m_second.id()}}), monotonic_time::max());
+    EXPECT_EQ(m_pool->availableFrom(m_service, {{m_second.id()}}, m_loop.now()), monotonic_time::max());
     EXPECT_EQ(m_pool->counts().leaving, 1U);
 }
 
@@ -139,9 +146,9 @@
     const auto before = m_loop.now();
     sendToFirst();
     EXPECT_FALSE(firstTakesRequests());
-    EXPECT_GE(m_pool->availableFrom(m_service, {{m_second.id()}}), before + milliseconds {300});
-    const auto other = m_pool->availableFrom(m_service, {});
-    EXPECT_LE(other, m_loop.now()) << "the other server has not asked for a pause";
+    EXPECT_GE(m_pool->availableFrom(m_service, {{m_second.id()}}, m_loop.now()), before + milliseconds {300});
+    const auto askedAt = m_loop.now();
+    EXPECT_LE(m_pool->availableFrom(m_service, {}, askedAt), askedAt) << "the other server has not asked for a pause";
     EXPECT_EQ(m_pool->counts().paused, 1U);
     runUntil([this] { return firstTakesRequests(); });
     EXPECT_TRUE(firstTakesRequests());
@@ -179,10 +186,10 @@
     EXPECT_FALSE(firstTakesRequests());
     EXPECT_EQ(m_pool->counts().limited, 1U);
     const auto now = m_loop.now();
-    EXPECT_GT(m_pool->availableFrom(m_service, {{m_second.id()}}), now);
-    EXPECT_LT(m_pool->availableFrom(m_service, {{m_second.id()}}), now + milliseconds {500});
-    const auto other = m_pool->availableFrom(m_service, {});
-    EXPECT_LE(other, m_loop.now()) << "the other server limits nothing";
+    EXPECT_GT(m_pool->availableFrom(m_service, {{m_second.id()}}, m_loop.now()), now);
+    EXPECT_LT(m_pool->availableFrom(m_service, {{m_second.id()}}, m_loop.now()), now + milliseconds {500});
+    const auto askedAt = m_loop.now();
+    EXPECT_LE(m_pool->availableFrom(m_service, {}, askedAt), askedAt) << "the other server limits nothing";
     runUntil([this] { return firstTakesRequests(); });
     m_first.setExtraHeaders("");
     sendToFirst();
