Forward: Find room for new callers where a request doesn't go on

Callers saw: beside 700 clients that send a byte on each connection and stay, a daemon with 1,024 descriptors (448 of them for clients) answered no new caller at all for as long as they stayed, up to the configuration's header_timeout_ms.

Cause: only idle connections were closed for new ones. A connection with a begun request counted as in use, whether or not anything more came.

Change: where no idle connection is left, requests that are not complete and got nothing for half a second are refused with 408 (they were not passed on), those without progress for longest first; a sixteenth of the connections at a time, so that no search is made for each new one. A request that goes on is left alone.

--- a/Source/Forward/client_server.cxx
+++ b/Source/Forward/client_server.cxx
@@ -17,6 +17,10 @@
 constexpr milliseconds firstRequestGrace {500};
 // Clients that have connected or were answered so recently may be about to send.
 constexpr milliseconds minIdleForRoom {100};
+// A client that is sending its request goes on within this time, unless its link is interrupted.
+constexpr milliseconds minStallForRoom {500};
+// This part of the connections is closed at a time, so that they aren't searched for each new one.
+constexpr std::size_t stalledPartDivisor = 16;
 // This part of the connections is kept free, so that idle ones can be closed in order before new ones need their descriptors.
 constexpr std::size_t freePartDivisor = 8;
 // The limit counts as left below this share, so that it is logged once while the number hovers.
@@ -131,6 +135,27 @@
         m_server.closeForRoom(m_number);
     }
 
+    /// Its request isn't complete, so it was not passed on.
+    bool awaitsRest() const
+    {
+        return !m_closed && !m_answering && !sending() && m_reader.started();
+    }
+
+    // What has arrived by now is progress.
+    void refuseForRoom()
+    {
+        m_stream.readPending();
+        if (!awaitsRest() || m_server.m_loop.now() - m_progressAt < minStallForRoom) {
+            return;
+        }
+        m_closed = true;
+        m_stream.write(localAnswer(statusTimeout, daisystile::client_connection::close));
+        static_cast<void>(m_reader.take());
+        m_stream.closeWhenSent();
+        charge();
+        m_server.closeForRoom(m_number);
+    }
+
     // An idle connection holds nothing that closing it would free, nor does one whose only request runs.
     bool holdsMemory() const
     {
@@ -404,7 +429,8 @@
       m_memory(requests.memory(), registry),
       m_openConnections(registry.gauge("daisystile_client_connections", "Connections of clients that are open")),
       m_malformed(registry.counter("daisystile_malformed_requests_total", "Requests that could not be read")),
-      m_closedForRoom(registry.counter("daisystile_client_connections_closed_for_room_total", "Idle connections closed for new ones")),
+      m_closedForRoom(registry.counter("daisystile_client_connections_closed_for_room_total",
+          "Connections closed for new ones: idle, or with a request that didn't go on")),
       m_limitReached(registry.counter("daisystile_client_connection_limit_reached_total", "Times the limit of client connections was reached")),
       m_maxConnections(maxConnections)
 {
@@ -453,6 +479,9 @@
     }
     noteLimitReached();
     closeLongestIdle();
+    if (m_closing.empty()) {
+        refuseStalled();
+    }
     while (*m_usedDescriptors >= m_maxConnections && !m_closing.empty()) {
         m_closing.front()->abort();
         m_closing.pop_front();
@@ -476,6 +505,22 @@
     }
 }
 
+void client_server::refuseStalled()
+{
+    std::vector<memory_holder> unfinished;
+    for (const auto &[number, connection] : m_connections) {
+        if (connection->awaitsRest()) {
+            unfinished.push_back(connection->holder());
+        }
+    }
+    const auto count = m_maxConnections / stalledPartDivisor + 1;
+    for (const auto number : stalledConnections(std::move(unfinished), count, minStallForRoom, m_loop.now())) {
+        if (const auto found = m_connections.find(number); found != m_connections.end()) {
+            found->second->refuseForRoom();
+        }
+    }
+}
+
 void client_server::closeForRoom(connection_number number)
 {
     const auto found = m_connections.find(number);
--- a/Source/Forward/client_server.h
+++ b/Source/Forward/client_server.h
@@ -11,7 +11,8 @@
 namespace daisystile {
 
 /// HTTP server for clients: reads requests one at a time, writes their answers and enforces the configured limits. Near its
-/// largest number of connections it closes those that have been idle longest for new ones; while all are in use it accepts none.
+/// largest number of connections it closes those that have been idle longest for new ones, and then those whose request doesn't go
+/// on; while all others are in use it accepts none.
 class client_server
 {
 public:
@@ -39,6 +40,8 @@
     /// Whether one more connection may be accepted, after closing an idle one if need be.
     bool makeRoom();
     void closeLongestIdle();
+    /// Refuses requests that don't go on, to have room for new connections.
+    void refuseStalled();
     void closeForRoom(connection_number number);
     bool allInUse() const;
     /// Closes connections while more is held for clients than is allowed.
--- a/Source/Process/memory_relief.cxx
+++ b/Source/Process/memory_relief.cxx
@@ -1,6 +1,7 @@
 #include "memory_relief.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace daisystile {
 
@@ -31,6 +32,17 @@
     return chosen;
 }
 
+std::vector<std::uint64_t> stalledConnections(std::vector<memory_holder> holders, std::size_t count, milliseconds minStall, monotonic_time now)
+{
+    std::erase_if(holders, [&](const auto &holder) { return now - holder.progressAt < minStall; });
+    const auto chosenCount = std::min(count, holders.size());
+    const auto end = holders.begin() + static_cast<std::ptrdiff_t>(chosenCount);
+    std::partial_sort(holders.begin(), end, holders.end(), [](const auto &left, const auto &right) { return left.progressAt < right.progressAt; });
+    std::vector<std::uint64_t> chosen;
+    std::transform(holders.begin(), end, std::back_inserter(chosen), [](const auto &holder) { return holder.connection; });
+    return chosen;
+}
+
 bool mayStartRequest(bool budgetExceeded, std::size_t runningRequests)
 {
     return !budgetExceeded || runningRequests == 0;
--- a/Source/Process/memory_relief.h
+++ b/Source/Process/memory_relief.h
@@ -23,6 +23,10 @@
 /// least progress. One is always left, so that a client alone is served whatever the budget.
 std::vector<std::uint64_t> connectionsToClose(std::vector<memory_holder> holders, std::size_t excessBytes, monotonic_time now);
 
+/// The connections to close so that new ones find room: those without progress for longest, and at least for this time. At most
+/// `count`.
+std::vector<std::uint64_t> stalledConnections(std::vector<memory_holder> holders, std::size_t count, milliseconds minStall, monotonic_time now);
+
 /// Whether a request that was read may start. While the budget is exceeded it may only if no other one runs.
 bool mayStartRequest(bool budgetExceeded, std::size_t runningRequests);
 
--- a/Tests/Process/memory_relief_test.cxx
+++ b/Tests/Process/memory_relief_test.cxx
@@ -23,6 +23,18 @@
     EXPECT_EQ(connectionsToClose(all, 520001, later), std::vector<std::uint64_t>({1, 2, 4}));
 }
 
+TEST(memory_relief, findsRoomWhereNothingGoesOnForLongest)
+{
+    const memory_holder stalled {1, 20, start, start};
+    const memory_holder laterStalled {2, 20, start, start + seconds {1}};
+    const memory_holder goesOn {3, 260000, start, later - milliseconds {100}};
+    const std::vector<memory_holder> all {goesOn, laterStalled, stalled};
+    constexpr milliseconds minStall {500};
+    EXPECT_EQ(stalledConnections(all, 1, minStall, later), std::vector<std::uint64_t>({1}));
+    EXPECT_EQ(stalledConnections(all, 3, minStall, later), std::vector<std::uint64_t>({1, 2}));
+    EXPECT_TRUE(stalledConnections({goesOn}, 3, minStall, later).empty());
+}
+
 TEST(memory_relief, leavesAClientThatIsAlone)
 {
     EXPECT_TRUE(connectionsToClose({{1, 260000, start, start}}, 1U << 30U, later).empty());
